--- /dev/null
+++ b/include/oriolegrade/state/enum_names.hpp
@@ -0,0 +1,55 @@
+// Names of enumerators: one static table beside each enum, and the generic
+// conversions that read it.
+
+#ifndef ORIOLEGRADE_STATE_ENUM_NAMES_HPP
+#define ORIOLEGRADE_STATE_ENUM_NAMES_HPP
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace oriolegrade::state {
+
+/// Table of names of an enum, indexed by enumerator value. A specialisation
+/// has a member `value`, a std::array of std::string_view.
+template <class Enum>
+struct enum_names;
+
+/// Number of enumerators of `Enum`.
+template <class Enum>
+inline constexpr std::size_t enum_size = enum_names<Enum>::value.size();
+
+/// Index of an enumerator, for tables and counters per enumerator.
+template <class Enum>
+constexpr std::size_t index_of(Enum e)
+{
+    const auto n = static_cast<std::size_t>(e);
+    assert(n < enum_size<Enum>);
+    return n;
+}
+
+/// Name of an enumerator.
+template <class Enum>
+constexpr std::string_view name_of(Enum e)
+{
+    return enum_names<Enum>::value[index_of(e)];
+}
+
+/// Enumerator with the given name; empty when there is none.
+template <class Enum>
+constexpr std::optional<Enum> enum_from_name(std::string_view name)
+{
+    const auto& names = enum_names<Enum>::value;
+    const auto it = std::find(names.begin(), names.end(), name);
+    if (it == names.end()) {
+        return std::nullopt;
+    }
+    return static_cast<Enum>(it - names.begin());
+}
+
+} // namespace oriolegrade::state
+
+#endif
--- /dev/null
+++ b/include/oriolegrade/state/rcu_cell.hpp
@@ -0,0 +1,69 @@
+// A cell that many threads read without locks while one replaces its
+// content: read-copy-update by liburcu.
+
+#ifndef ORIOLEGRADE_STATE_RCU_CELL_HPP
+#define ORIOLEGRADE_STATE_RCU_CELL_HPP
+
+#include <memory>
+
+namespace oriolegrade::state {
+
+namespace detail {
+
+/// Begins a read-side section of the calling thread. Must not be held across
+/// a fiber suspension.
+void rcu_lock();
+void rcu_unlock();
+/// Waits until all read-side sections that began earlier have ended.
+void rcu_wait();
+void* rcu_load(void* const* slot);
+void* rcu_swap(void** slot, void* fresh);
+
+} // namespace detail
+
+/// Holds a `std::shared_ptr<const Value>`. read() is wait-free and safe from
+/// any thread; publish() belongs to one writer at a time.
+template <class Value>
+class rcu_cell
+{
+public:
+    using pointer = std::shared_ptr<const Value>;
+
+    explicit rcu_cell(pointer initial)
+        : slot_(new pointer(std::move(initial)))
+    {}
+
+    ~rcu_cell()
+    {
+        delete static_cast<pointer*>(slot_);
+    }
+
+    rcu_cell(const rcu_cell&) = delete;
+    rcu_cell& operator=(const rcu_cell&) = delete;
+
+    /// Pins the current content by its reference count.
+    pointer read() const
+    {
+        detail::rcu_lock();
+        pointer copy = *static_cast<const pointer*>(detail::rcu_load(&slot_));
+        detail::rcu_unlock();
+        return copy;
+    }
+
+    /// Replaces the content. Blocks for one grace period.
+    void publish(pointer fresh)
+    {
+        auto* old = static_cast<pointer*>(
+            detail::rcu_swap(&slot_, new pointer(std::move(fresh))));
+        detail::rcu_wait();
+        delete old;
+    }
+
+private:
+    /// Points to a heap-allocated `pointer`; never null.
+    void* slot_;
+};
+
+} // namespace oriolegrade::state
+
+#endif
--- /dev/null
+++ b/src/state/rcu_cell.cpp
@@ -0,0 +1,35 @@
+// Binding of rcu_cell to liburcu. The "bp" flavour registers threads by
+// itself, so that no thread can read unregistered.
+
+#include <oriolegrade/state/rcu_cell.hpp>
+
+#include <urcu-bp.h>
+
+namespace oriolegrade::state::detail {
+
+void rcu_lock()
+{
+    urcu_bp_read_lock();
+}
+
+void rcu_unlock()
+{
+    urcu_bp_read_unlock();
+}
+
+void rcu_wait()
+{
+    urcu_bp_synchronize_rcu();
+}
+
+void* rcu_load(void* const* slot)
+{
+    return __atomic_load_n(slot, __ATOMIC_ACQUIRE);
+}
+
+void* rcu_swap(void** slot, void* fresh)
+{
+    return __atomic_exchange_n(slot, fresh, __ATOMIC_ACQ_REL);
+}
+
+} // namespace oriolegrade::state::detail
