--- a/include/oriolegrade/state/record_type.hpp
+++ b/include/oriolegrade/state/record_type.hpp
@@ -13,6 +13,7 @@
 #include <array>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -71,7 +72,7 @@
 };
 
 /// Costs that the thresholds of ejection are derived from. Only their ratio
-/// matters. Both are above zero.
+/// matters. Both are above zero, in any common unit.
 struct health_costs
 {
     /// Cost of taking one healthy upstream out of service.
@@ -82,6 +83,14 @@
     bool operator==(const health_costs&) const = default;
 };
 
+/// Costs of each profile, indexed by health_profile. A healthy upstream out
+/// of service costs prairie_rest as much as 100 s of late detection, since
+/// its members tolerate waiting but not lost capacity; hanbit 10 s.
+inline constexpr std::array<health_costs, 2> profile_costs{
+    health_costs{100.0, 1.0},
+    health_costs{10.0, 1.0},
+};
+
 /// A service with its upstreams, as one schema version describes it.
 struct service_spec
 {
@@ -91,6 +100,10 @@
     /// all upstreams' slots.
     std::uint32_t floor_slots = 0;
     health_costs costs;
+    /// Schema version 1 only, as published; floor_slots and costs follow
+    /// from them.
+    std::optional<std::uint32_t> floor_percent = std::nullopt;
+    std::optional<health_profile> profile = std::nullopt;
 
     bool operator==(const service_spec&) const = default;
 };
