--- /dev/null
+++ b/include/oriolegrade/state/attempt_result.hpp
@@ -0,0 +1,41 @@
+// How one attempt of a request at one upstream ended.
+
+#ifndef ORIOLEGRADE_STATE_ATTEMPT_RESULT_HPP
+#define ORIOLEGRADE_STATE_ATTEMPT_RESULT_HPP
+
+#include <oriolegrade/state/enum_names.hpp>
+
+#include <array>
+#include <cstdint>
+
+namespace oriolegrade::state {
+
+enum class attempt_result : std::uint8_t
+{
+    /// The whole answer arrived.
+    answered,
+    /// No byte of the request was written, for example connect failed.
+    not_sent,
+    /// The upstream refused the request by its documented shed response.
+    shed,
+    /// Bytes were written; the connection ended before the answer did.
+    lost,
+    /// Bytes were written; the deadline passed before the answer ended.
+    expired,
+    /// The deadline passed before any byte was written.
+    expired_unsent,
+    /// The caller's own connection failed.
+    caller_lost,
+};
+
+template <>
+struct enum_names<attempt_result>
+{
+    static constexpr std::array<std::string_view, 7> value{
+        "answered", "not_sent",       "shed",       "lost",
+        "expired",  "expired_unsent", "caller_lost"};
+};
+
+} // namespace oriolegrade::state
+
+#endif
--- /dev/null
+++ b/include/oriolegrade/transport/entry_shared.hpp
@@ -0,0 +1,47 @@
+// State that the worker threads of an entry process share.
+
+#ifndef ORIOLEGRADE_TRANSPORT_ENTRY_SHARED_HPP
+#define ORIOLEGRADE_TRANSPORT_ENTRY_SHARED_HPP
+
+#include <oriolegrade/state/configuration.hpp>
+#include <oriolegrade/state/rcu_cell.hpp>
+#include <oriolegrade/transport/caller_stream.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+
+namespace oriolegrade::transport {
+
+/// Fixed at the start of the process.
+struct entry_options
+{
+    /// Address that callers connect to.
+    state::endpoint caller_listen;
+    /// Caller connections of one worker thread.
+    std::size_t max_connections = 4096;
+    caller_limits caller;
+};
+
+/// Read by all workers; written by the control thread, except the counters.
+struct entry_shared
+{
+    explicit entry_shared(const entry_options& options_in)
+        : options(options_in)
+        , configuration(std::make_shared<const state::configuration>())
+    {}
+
+    const entry_options options;
+    state::rcu_cell<state::configuration> configuration;
+    /// A configuration has arrived since the start.
+    std::atomic<bool> configured{false};
+    /// The process is stopping: readiness is false and connections close
+    /// after the answer in flight.
+    std::atomic<bool> stopping{false};
+    /// Requests that were read and not yet answered.
+    std::atomic<std::int64_t> requests_in_flight{0};
+};
+
+} // namespace oriolegrade::transport
+
+#endif
--- /dev/null
+++ b/include/oriolegrade/transport/entry_worker.hpp
@@ -0,0 +1,57 @@
+// Request path of one worker thread of an entry process.
+
+#ifndef ORIOLEGRADE_TRANSPORT_ENTRY_WORKER_HPP
+#define ORIOLEGRADE_TRANSPORT_ENTRY_WORKER_HPP
+
+#include <oriolegrade/transport/caller_stream.hpp>
+#include <oriolegrade/transport/entry_shared.hpp>
+#include <oriolegrade/transport/listener.hpp>
+#include <oriolegrade/transport/upstream_pool.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <random>
+
+namespace oriolegrade::transport {
+
+class entry_worker
+{
+public:
+    entry_worker(boost::asio::io_context& ioc, entry_shared& shared);
+
+    entry_worker(const entry_worker&) = delete;
+    entry_worker& operator=(const entry_worker&) = delete;
+
+    /// Stops accepting connections.
+    void close_listener()
+    {
+        listener_.close();
+    }
+
+    /// Address that callers connect to.
+    state::endpoint address() const
+    {
+        return listener_.address();
+    }
+
+private:
+    void serve(tcp_stream stream);
+    /// Serves one request; true when the connection may carry another.
+    bool serve_request(tcp_stream& stream, boost::beast::flat_buffer& buffer);
+    void proxy(const protocol::request_head& head, caller_request& request,
+               caller_answer& answer);
+    void proxy_route(const protocol::request_head& head,
+                     const state::configuration& conf,
+                     const state::route_spec& route, caller_request& request,
+                     caller_answer& answer);
+
+    entry_shared& shared_;
+    const caller_limits& limits_;
+    upstream_pool pool_;
+    std::minstd_rand random_;
+    listener listener_;
+};
+
+} // namespace oriolegrade::transport
+
+#endif
--- /dev/null
+++ b/include/oriolegrade/transport/http_client.hpp
@@ -0,0 +1,55 @@
+// Small HTTP/1.1 client for bounded requests and answers, with one kept-alive
+// connection per remote address and calling thread.
+
+#ifndef ORIOLEGRADE_TRANSPORT_HTTP_CLIENT_HPP
+#define ORIOLEGRADE_TRANSPORT_HTTP_CLIENT_HPP
+
+#include <oriolegrade/state/result.hpp>
+#include <oriolegrade/state/time_type.hpp>
+#include <oriolegrade/transport/http_server.hpp>
+#include <oriolegrade/transport/tcp.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace oriolegrade::transport {
+
+/// Why a call has no answer.
+struct http_failure
+{
+    error_code ec;
+    /// Bytes of the request may have reached the server.
+    bool sent = false;
+};
+
+/// Client of one server. Used by the fibers of one thread; calls run at the
+/// same time on connections of their own.
+class http_client
+{
+public:
+    http_client(boost::asio::io_context& ioc, const state::endpoint& server);
+
+    /// Sends a request and reads the whole answer. A kept connection that
+    /// the server closed meanwhile is replaced when no byte was sent on it.
+    /// @param limit time for connect, send and answer together
+    state::result<http_answer, http_failure> call(http_request request,
+                                                  state::duration limit);
+
+private:
+    using connection = std::unique_ptr<tcp_stream>;
+
+    connection take_idle();
+
+    boost::asio::io_context& ioc_;
+    state::endpoint server_;
+    std::vector<connection> idle_;
+};
+
+/// Request with a body and a target.
+http_request make_request(boost::beast::http::verb method, std::string target,
+                          std::string body);
+
+} // namespace oriolegrade::transport
+
+#endif
--- /dev/null
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -0,0 +1,338 @@
+// Runs one request: attempts at upstreams, whole answers and the reply of
+// the system's own when no answer can be had.
+
+#ifndef ORIOLEGRADE_TRANSPORT_REQUEST_RUNNER_HPP
+#define ORIOLEGRADE_TRANSPORT_REQUEST_RUNNER_HPP
+
+#include <oriolegrade/coordination/attempt_policy.hpp>
+#include <oriolegrade/protocol/http_head.hpp>
+#include <oriolegrade/state/attempt_result.hpp>
+#include <oriolegrade/state/record_type.hpp>
+#include <oriolegrade/transport/body_stream.hpp>
+#include <oriolegrade/transport/replay_body.hpp>
+#include <oriolegrade/transport/upstream_pool.hpp>
+
+#include <boost/beast/core/error.hpp>
+
+#include <concepts>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace oriolegrade::transport {
+
+/// Answer bytes held back before the first is passed on. An answer of up to
+/// this size is known to be whole before the caller sees any of it, and the
+/// upstream's connection is free before a slow caller reads it.
+inline constexpr std::size_t hold_back_bytes = 64 * 1024;
+
+/// Chooses upstreams for one request and learns how attempts ended.
+template <class Choice>
+concept upstream_choice = requires(Choice& c, state::attempt_result result,
+                                   const protocol::answer_head* head,
+                                   state::duration took)
+{
+    /// Next upstream, not one that was tried before; empty when none is
+    /// left.
+    {
+        c.next()
+        } -> std::same_as<std::optional<state::endpoint>>;
+    /// True when another upstream and the retry budget are left.
+    {
+        c.may_retry()
+        } -> std::same_as<bool>;
+    c.ended(result, head, took);
+};
+
+/// What became of a request.
+struct run_report
+{
+    coordination::next_step step = coordination::next_step::reply;
+    state::reply_reason reason = state::reply_reason::no_upstream;
+    /// A byte of the request may have reached an upstream that did not prove
+    /// the request unrun.
+    bool may_have_run = false;
+    std::uint32_t attempts = 0;
+    error_code caller_error;
+};
+
+template <body_source Source, answer_sink Sink, upstream_choice Choice>
+class request_runner
+{
+public:
+    request_runner(upstream_pool& pool, const state::route_spec& route,
+                   state::time_point deadline, Source& source, Sink& sink,
+                   Choice& choice)
+        : pool_(pool)
+        , route_(route)
+        , deadline_(deadline)
+        , body_(source)
+        , sink_(sink)
+        , choice_(choice)
+    {}
+
+    /// Runs the request to its end. The caller of run() sends the reply when
+    /// the report asks for one.
+    run_report run(const protocol::request_head& head)
+    {
+        run_report report;
+        body_.fill(report.caller_error);
+        if (report.caller_error) {
+            report.step = coordination::next_step::abort;
+            return report;
+        }
+        while (report.step != coordination::next_step::done &&
+               report.step != coordination::next_step::abort) {
+            const auto upstream = choice_.next();
+            if (!upstream) {
+                return report;
+            }
+            const auto began = std::chrono::steady_clock::now();
+            answer_head_.reset();
+            const auto result = attempt(head, *upstream, report);
+            ++report.attempts;
+            choice_.ended(result, answer_head_ ? &*answer_head_ : nullptr,
+                          std::chrono::steady_clock::now() - began);
+            report.may_have_run = report.may_have_run || may_have_run(result);
+            const auto decision = decide(result, report.attempts);
+            report.step = decision.step;
+            report.reason = decision.reason;
+            if (report.step == coordination::next_step::reply) {
+                return report;
+            }
+            body_.rewind();
+        }
+        return report;
+    }
+
+private:
+    using connection_ptr = upstream_pool::connection_ptr;
+
+    static bool may_have_run(state::attempt_result result)
+    {
+        return result != state::attempt_result::not_sent &&
+               result != state::attempt_result::shed &&
+               result != state::attempt_result::expired_unsent;
+    }
+
+    coordination::attempt_decision decide(state::attempt_result result,
+                                          std::uint32_t attempts) const
+    {
+        coordination::attempt_facts facts;
+        facts.result = result;
+        facts.request = route_.request;
+        facts.attempts_made = attempts;
+        facts.max_attempts = route_.max_attempts;
+        facts.answer_started = answer_started_;
+        facts.body_replayable = body_.replayable();
+        const bool more =
+            result != state::attempt_result::answered && choice_.may_retry();
+        facts.budget_left = more;
+        facts.upstream_left = more;
+        return coordination::decide_next(facts);
+    }
+
+    bool past_deadline() const
+    {
+        return std::chrono::steady_clock::now() >= deadline_;
+    }
+
+    state::attempt_result unsent() const
+    {
+        return past_deadline() ? state::attempt_result::expired_unsent
+                               : state::attempt_result::not_sent;
+    }
+
+    state::attempt_result lost() const
+    {
+        return past_deadline() ? state::attempt_result::expired
+                               : state::attempt_result::lost;
+    }
+
+    state::attempt_result attempt(const protocol::request_head& head,
+                                  const state::endpoint& upstream,
+                                  run_report& report)
+    {
+        if (past_deadline()) {
+            return state::attempt_result::expired_unsent;
+        }
+        const auto policy =
+            route_.request == state::request_class::non_idempotent
+                ? reuse_policy::recent_only
+                : reuse_policy::any_idle;
+        error_code ec;
+        auto connection = pool_.acquire(upstream, policy, deadline_, ec);
+        if (!connection) {
+            return unsent();
+        }
+        error_code write_error;
+        send(*connection, head, write_error, report.caller_error);
+        if (report.caller_error) {
+            return state::attempt_result::caller_lost;
+        }
+        if (write_error && !connection->request_sent()) {
+            return unsent();
+        }
+        // After a failed write an early answer may still be readable.
+        answer_head_ = connection->read_head(ec);
+        if (ec) {
+            answer_head_.reset();
+            return lost();
+        }
+        if (is_shed(*answer_head_)) {
+            pool_.release(drained(std::move(connection)));
+            return state::attempt_result::shed;
+        }
+        return pass_on(std::move(connection), report.caller_error);
+    }
+
+    void send(upstream_connection& connection,
+              const protocol::request_head& head, error_code& write_error,
+              error_code& read_error)
+    {
+        connection.begin(with_deadline(head), deadline_);
+        while (head.has_body()) {
+            const auto n = body_.read_some(buffer_, read_error);
+            if (read_error || n == 0) {
+                break;
+            }
+            connection.write_body({buffer_.data(), n}, write_error);
+            if (write_error) {
+                return;
+            }
+        }
+        if (!read_error) {
+            connection.finish_body(write_error);
+        }
+    }
+
+    protocol::request_head with_deadline(protocol::request_head head) const
+    {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            deadline_ - std::chrono::steady_clock::now());
+        head.fields.set(
+            protocol::header_field::deadline_ms,
+            std::to_string(std::max<std::int64_t>(left.count(), 0)));
+        return head;
+    }
+
+    static bool is_shed(const protocol::answer_head& head)
+    {
+        constexpr std::uint16_t service_unavailable = 503;
+        return head.status == service_unavailable &&
+               head.fields.find(protocol::header_field::shed) == "1";
+    }
+
+    connection_ptr drained(connection_ptr connection)
+    {
+        error_code ec;
+        std::size_t total = 0;
+        while (!ec && total < hold_back_bytes) {
+            const auto n = connection->read_body(buffer_, ec);
+            if (n == 0) {
+                break;
+            }
+            total += n;
+        }
+        return connection;
+    }
+
+    /// Reads the answer and passes it on.
+    state::attempt_result pass_on(connection_ptr connection,
+                                  error_code& caller_error)
+    {
+        std::string held;
+        error_code ec;
+        const bool whole = read_held(*connection, held, ec);
+        if (ec) {
+            return lost();
+        }
+        auto head = *answer_head_;
+        head.fields.set(protocol::header_field::outcome,
+                        state::name_of(state::run_outcome::ran));
+        if (whole) {
+            pool_.release(std::move(connection));
+            if (!head.framing.length) {
+                head.framing = {false, held.size()};
+            }
+        }
+        answer_started_ = true;
+        sink_.start(head, caller_error);
+        write(held, caller_error);
+        if (!whole && !caller_error) {
+            const auto result =
+                stream_rest(*connection, held.size(), caller_error);
+            if (result != state::attempt_result::answered) {
+                return result;
+            }
+            pool_.release(std::move(connection));
+        }
+        if (!caller_error) {
+            sink_.finish(caller_error);
+        }
+        return caller_error ? state::attempt_result::caller_lost
+                            : state::attempt_result::answered;
+    }
+
+    /// True when the whole answer was read into `held`.
+    bool read_held(upstream_connection& connection, std::string& held,
+                   error_code& ec)
+    {
+        while (held.size() < hold_back_bytes) {
+            const auto n = connection.read_body(buffer_, ec);
+            if (n == 0 || ec) {
+                return !ec;
+            }
+            held.append(buffer_.data(), n);
+        }
+        return false;
+    }
+
+    state::attempt_result stream_rest(upstream_connection& connection,
+                                      std::uint64_t passed_on,
+                                      error_code& caller_error)
+    {
+        for (;;) {
+            error_code ec;
+            const auto n = connection.read_body(buffer_, ec);
+            if (ec) {
+                return lost();
+            }
+            if (n == 0) {
+                return state::attempt_result::answered;
+            }
+            passed_on += n;
+            if (passed_on > route_.max_response_bytes) {
+                return state::attempt_result::lost;
+            }
+            write({buffer_.data(), n}, caller_error);
+            if (caller_error) {
+                return state::attempt_result::caller_lost;
+            }
+        }
+    }
+
+    void write(std::string_view bytes, error_code& ec)
+    {
+        if (!bytes.empty() && !ec) {
+            sink_.write(bytes, ec);
+        }
+    }
+
+    static constexpr std::size_t buffer_bytes = 16 * 1024;
+
+    upstream_pool& pool_;
+    const state::route_spec& route_;
+    state::time_point deadline_;
+    replay_body<Source> body_;
+    Sink& sink_;
+    Choice& choice_;
+    std::vector<char> buffer_ = std::vector<char>(buffer_bytes);
+    std::optional<protocol::answer_head> answer_head_;
+    /// Part of an answer has been given to the sink; no retry after that.
+    bool answer_started_ = false;
+};
+
+} // namespace oriolegrade::transport
+
+#endif
--- /dev/null
+++ b/include/oriolegrade/transport/upstream_connection.hpp
@@ -0,0 +1,77 @@
+// One HTTP/1.1 connection to an upstream. It carries one request at a time,
+// so an answer belongs to its request by the connection.
+
+#ifndef ORIOLEGRADE_TRANSPORT_UPSTREAM_CONNECTION_HPP
+#define ORIOLEGRADE_TRANSPORT_UPSTREAM_CONNECTION_HPP
+
+#include <oriolegrade/protocol/http_head.hpp>
+#include <oriolegrade/state/time_type.hpp>
+#include <oriolegrade/transport/tcp.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <span>
+#include <string_view>
+
+namespace oriolegrade::transport {
+
+class upstream_connection
+{
+public:
+    upstream_connection(boost::asio::io_context& ioc,
+                        const state::endpoint& address);
+    ~upstream_connection();
+
+    upstream_connection(const upstream_connection&) = delete;
+    upstream_connection& operator=(const upstream_connection&) = delete;
+
+    void connect(state::time_point deadline, error_code& ec);
+
+    /// Prepares the next request; nothing is sent before the first body
+    /// write or the end of the body.
+    void begin(const protocol::request_head& head, state::time_point deadline);
+    /// Sends body bytes, after the head when it is still unsent.
+    void write_body(std::string_view bytes, error_code& ec);
+    /// Sends what is left of the request.
+    void finish_body(error_code& ec);
+
+    /// Reads the head of the final answer; interim answers are skipped.
+    protocol::answer_head read_head(error_code& ec);
+    /// Reads answer bytes; 0 without an error at the end of the answer. An
+    /// answer that ends short of its length gives an error.
+    std::size_t read_body(std::span<char> buf, error_code& ec);
+
+    /// True when a byte of the current request may have reached the upstream.
+    bool request_sent() const;
+
+    /// True when the answer was read to its end and the connection may carry
+    /// another request.
+    bool reusable() const;
+
+    /// True when the idle connection is open and has no unread bytes.
+    bool idle_open();
+
+    /// Closes the connection; the operation that waits on it fails.
+    void cancel();
+
+    const state::endpoint& address() const
+    {
+        return address_;
+    }
+
+    /// Time since when the connection is idle; kept by the pool.
+    state::time_point idle_since{};
+
+private:
+    struct exchange;
+
+    state::endpoint address_;
+    tcp_stream stream_;
+    std::unique_ptr<exchange> exchange_;
+};
+
+} // namespace oriolegrade::transport
+
+#endif
--- /dev/null
+++ b/include/oriolegrade/transport/upstream_pool.hpp
@@ -0,0 +1,61 @@
+// Kept-alive connections of one worker thread to the upstreams.
+
+#ifndef ORIOLEGRADE_TRANSPORT_UPSTREAM_POOL_HPP
+#define ORIOLEGRADE_TRANSPORT_UPSTREAM_POOL_HPP
+
+#include <oriolegrade/transport/upstream_connection.hpp>
+
+#include <chrono>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace oriolegrade::transport {
+
+/// How certain an idle connection must be before it is used again.
+enum class reuse_policy : std::uint8_t
+{
+    /// Any open idle connection: a lost race with the upstream's own close
+    /// is repaired by a retry.
+    any_idle,
+    /// Only a connection that was used a moment ago: a request that must not
+    /// repeat would end as unknown when the upstream closes meanwhile.
+    recent_only,
+};
+
+class upstream_pool
+{
+public:
+    using connection_ptr = std::unique_ptr<upstream_connection>;
+
+    /// @param max_idle idle connections kept per upstream
+    upstream_pool(boost::asio::io_context& ioc, std::size_t max_idle);
+
+    /// Idle connection, or a new one that is connected before the deadline.
+    /// Null with `ec` set when the connect fails.
+    connection_ptr acquire(const state::endpoint& upstream, reuse_policy policy,
+                           state::time_point deadline, error_code& ec);
+
+    /// Gives a connection back. It is kept when it may be used again.
+    void release(connection_ptr connection);
+
+    /// Closes connections that were idle for too long.
+    void close_expired(state::time_point now);
+
+    std::size_t idle_connections() const;
+
+private:
+    connection_ptr take_idle(const state::endpoint& upstream,
+                             reuse_policy policy, state::time_point now);
+
+    boost::asio::io_context& ioc_;
+    std::size_t max_idle_;
+    /// Per upstream; the most recently used connection is last.
+    std::unordered_map<state::endpoint, std::vector<connection_ptr>,
+                       state::endpoint_hash>
+        idle_;
+};
+
+} // namespace oriolegrade::transport
+
+#endif
--- /dev/null
+++ b/src/coordination/attempt_policy.cpp
@@ -0,0 +1,68 @@
+// Decision after an attempt.
+
+#include <oriolegrade/coordination/attempt_policy.hpp>
+
+namespace oriolegrade::coordination {
+
+namespace {
+
+using state::attempt_result;
+using state::reply_reason;
+
+/// True when the attempt proves that the upstream did not run the request.
+bool proves_not_run(attempt_result result)
+{
+    return result == attempt_result::not_sent ||
+           result == attempt_result::shed ||
+           result == attempt_result::expired_unsent;
+}
+
+reply_reason reason_of(attempt_result result)
+{
+    switch (result) {
+    case attempt_result::shed:
+        return reply_reason::shed;
+    case attempt_result::expired:
+        return reply_reason::deadline_unknown;
+    case attempt_result::expired_unsent:
+        return reply_reason::deadline_not_run;
+    case attempt_result::lost:
+        return reply_reason::connection_lost;
+    default:
+        return reply_reason::no_upstream;
+    }
+}
+
+bool may_repeat(const attempt_facts& facts)
+{
+    return proves_not_run(facts.result) ||
+           facts.request != state::request_class::non_idempotent;
+}
+
+bool has_time(attempt_result result)
+{
+    return result != attempt_result::expired &&
+           result != attempt_result::expired_unsent;
+}
+
+} // namespace
+
+attempt_decision decide_next(const attempt_facts& facts)
+{
+    if (facts.result == attempt_result::answered) {
+        return {next_step::done, {}};
+    }
+    if (facts.answer_started || facts.result == attempt_result::caller_lost) {
+        return {next_step::abort, {}};
+    }
+    const bool retry = may_repeat(facts) && has_time(facts.result) &&
+                       facts.attempts_made < facts.max_attempts &&
+                       facts.body_replayable && facts.budget_left &&
+                       facts.upstream_left;
+    if (retry) {
+        return {next_step::retry, {}};
+    }
+    return {next_step::reply, reason_of(facts.result)};
+}
+
+} // namespace oriolegrade::coordination
--- a/src/programs/oriole-standin/main.cpp
+++ b/src/programs/oriole-standin/main.cpp
@@ -1,6 +1,7 @@
 // Stand-ins for the systems outside: one mode each, chosen by the first
 // positional argument.
 
+#include "platform_mode.hpp"
 #include "standin_flags.hpp"
 #include "upstream_mode.hpp"
 
@@ -22,6 +23,7 @@
 };
 
 constexpr std::array modes{
+    mode{"platform", oriolegrade::programs::run_platform},
     mode{"upstream", oriolegrade::programs::run_upstream},
 };
 
--- a/src/protocol/header_field.cpp
+++ b/src/protocol/header_field.cpp
@@ -2,6 +2,8 @@
 
 #include <oriolegrade/protocol/header_field.hpp>
 
+#include <oriolegrade/protocol/http_head.hpp>
+
 #include <algorithm>
 
 namespace oriolegrade::protocol {
@@ -14,24 +16,13 @@
     "trailer",    "transfer-encoding",   "upgrade",
 };
 
-char lower(char c)
-{
-    return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c;
-}
-
-bool same_name(std::string_view a, std::string_view b)
-{
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
-                      [](char x, char y) { return lower(x) == lower(y); });
-}
-
 } // namespace
 
 bool is_hop_by_hop(std::string_view name)
 {
     return std::any_of(
         hop_by_hop.begin(), hop_by_hop.end(),
-        [&](std::string_view it) { return same_name(it, name); });
+        [&](std::string_view it) { return same_field_name(it, name); });
 }
 
 } // namespace oriolegrade::protocol
--- /dev/null
+++ b/src/protocol/http_head.cpp
@@ -0,0 +1,70 @@
+// Operations on HTTP heads.
+
+#include <oriolegrade/protocol/http_head.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace oriolegrade::protocol {
+
+namespace {
+
+char lower(char c)
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c + ('a' - 'A')) : c;
+}
+
+} // namespace
+
+bool same_field_name(std::string_view a, std::string_view b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](char x, char y) { return lower(x) == lower(y); });
+}
+
+void http_fields::add(std::string_view name, std::string_view value)
+{
+    fields_.push_back({std::string(name), std::string(value)});
+}
+
+void http_fields::set(header_field field, std::string_view value)
+{
+    const auto name = state::name_of(field);
+    std::erase_if(fields_, [&](const http_field& it) {
+        return same_field_name(it.name, name);
+    });
+    add(name, value);
+}
+
+std::optional<std::string_view> http_fields::find(std::string_view name) const
+{
+    for (const auto& it : fields_) {
+        if (same_field_name(it.name, name)) {
+            return it.value;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string_view> http_fields::find(header_field field) const
+{
+    return find(state::name_of(field));
+}
+
+std::string_view path_of(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::optional<std::uint64_t> parse_number(std::string_view text)
+{
+    std::uint64_t n = 0;
+    const auto* end = text.data() + text.size();
+    const auto r = std::from_chars(text.data(), end, n);
+    if (text.empty() || r.ec != std::errc() || r.ptr != end) {
+        return std::nullopt;
+    }
+    return n;
+}
+
+} // namespace oriolegrade::protocol
--- /dev/null
+++ b/src/transport/entry_worker.cpp
@@ -0,0 +1,204 @@
+// From a caller's connection to the request runner.
+
+#include <oriolegrade/transport/entry_worker.hpp>
+
+#include <oriolegrade/transport/request_runner.hpp>
+
+#include <boost/beast/http/error.hpp>
+
+#include <algorithm>
+
+namespace oriolegrade::transport {
+
+namespace {
+
+using state::reply_reason;
+
+constexpr std::size_t max_idle_per_upstream = 8;
+
+/// Random choice among the upstreams of a service.
+class random_choice
+{
+public:
+    random_choice(const state::service_spec& service, std::minstd_rand& random)
+        : service_(service)
+        , random_(random)
+    {}
+
+    std::optional<state::endpoint> next()
+    {
+        std::vector<state::endpoint> left;
+        for (const auto& it : service_.upstreams) {
+            if (std::find(tried_.begin(), tried_.end(), it.address) ==
+                tried_.end()) {
+                left.push_back(it.address);
+            }
+        }
+        if (left.empty()) {
+            return std::nullopt;
+        }
+        tried_.push_back(left[random_() % left.size()]);
+        return tried_.back();
+    }
+
+    bool may_retry() const
+    {
+        return tried_.size() < service_.upstreams.size();
+    }
+
+    void ended(state::attempt_result, const protocol::answer_head*,
+               state::duration)
+    {}
+
+private:
+    const state::service_spec& service_;
+    std::minstd_rand& random_;
+    std::vector<state::endpoint> tried_;
+};
+
+/// Counts a request as in flight while it lives.
+class in_flight
+{
+public:
+    explicit in_flight(std::atomic<std::int64_t>& count)
+        : count_(count)
+    {
+        ++count_;
+    }
+    ~in_flight()
+    {
+        --count_;
+    }
+
+    in_flight(const in_flight&) = delete;
+    in_flight& operator=(const in_flight&) = delete;
+
+private:
+    std::atomic<std::int64_t>& count_;
+};
+
+void reply(caller_answer& answer, reply_reason reason)
+{
+    error_code ec;
+    send_reply(answer, reason, state::row_of(reason).outcome, {}, ec);
+}
+
+std::optional<std::uint32_t> schema_of(const protocol::request_head& head)
+{
+    const auto text = head.fields.find(protocol::header_field::schema);
+    const auto n = text ? protocol::parse_number(*text) : std::nullopt;
+    return n ? std::optional(static_cast<std::uint32_t>(*n)) : std::nullopt;
+}
+
+state::time_point deadline_of(const protocol::request_head& head,
+                              const state::route_spec& route)
+{
+    auto limit = route.deadline;
+    const auto text = head.fields.find(protocol::header_field::deadline_ms);
+    if (const auto n = text ? protocol::parse_number(*text) : std::nullopt) {
+        const auto cap = std::chrono::duration_cast<std::chrono::milliseconds>(
+            route.deadline);
+        const auto ms = std::min<std::uint64_t>(
+            *n, static_cast<std::uint64_t>(cap.count()));
+        limit = std::min<state::duration>(limit, std::chrono::milliseconds(ms));
+    }
+    return std::chrono::steady_clock::now() + limit;
+}
+
+} // namespace
+
+entry_worker::entry_worker(boost::asio::io_context& ioc, entry_shared& shared)
+    : shared_(shared)
+    , limits_(shared.options.caller)
+    , pool_(ioc, max_idle_per_upstream)
+    , random_(std::random_device()())
+    , listener_(ioc, shared.options.caller_listen,
+                shared.options.max_connections,
+                [this](tcp_stream stream) { serve(std::move(stream)); })
+{}
+
+void entry_worker::serve(tcp_stream stream)
+{
+    boost::beast::flat_buffer buffer;
+    while (serve_request(stream, buffer)) {
+    }
+    error_code ec;
+    stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+}
+
+bool entry_worker::serve_request(tcp_stream& stream,
+                                 boost::beast::flat_buffer& buffer)
+{
+    caller_request request(stream, buffer, limits_);
+    error_code ec;
+    const auto head = request.read_head(ec);
+    if (ec) {
+        if (const auto reason = reply_for(ec)) {
+            caller_answer answer(stream, limits_, 11, false, false);
+            reply(answer, *reason);
+        }
+        return false;
+    }
+    const in_flight guard(shared_.requests_in_flight);
+    const bool keep = request.keep_alive() && !shared_.stopping;
+    caller_answer answer(stream, limits_, request.version(), request.is_head(),
+                         keep);
+    proxy(head, request, answer);
+    if (!answer.finished()) {
+        // A reset shows the caller that the answer is incomplete even when
+        // it has no length.
+        stream.socket().set_option(boost::asio::socket_base::linger(true, 0),
+                                   ec);
+        stream.close();
+        return false;
+    }
+    return keep && request.done();
+}
+
+void entry_worker::proxy(const protocol::request_head& head,
+                         caller_request& request, caller_answer& answer)
+{
+    if (!shared_.configured) {
+        return reply(answer, reply_reason::not_ready);
+    }
+    const auto conf = shared_.configuration.read();
+    const auto route =
+        conf->find_route(head.method, protocol::path_of(head.target));
+    if (!route) {
+        return reply(answer, reply_reason::no_route);
+    }
+    proxy_route(head, *conf, std::get<state::route_spec>(route->body), request,
+                answer);
+}
+
+void entry_worker::proxy_route(const protocol::request_head& head,
+                               const state::configuration& conf,
+                               const state::route_spec& route,
+                               caller_request& request, caller_answer& answer)
+{
+    const auto service = conf.find_service(route.service, schema_of(head));
+    if (!service) {
+        return reply(answer, reply_reason::no_service);
+    }
+    if (head.framing.length.value_or(0) > route.max_request_bytes) {
+        return reply(answer, reply_reason::too_large);
+    }
+    request.set_body_limit(route.max_request_bytes);
+    random_choice choice(std::get<state::service_spec>(service->body), random_);
+    request_runner runner(pool_, route, deadline_of(head, route), request,
+                          answer, choice);
+    const auto report = runner.run(head);
+    if (report.caller_error == boost::beast::http::error::body_limit &&
+        !answer.started()) {
+        const auto outcome = report.may_have_run ? state::run_outcome::unknown
+                                                 : state::run_outcome::not_run;
+        error_code ec;
+        send_reply(answer, reply_reason::too_large, outcome, {}, ec);
+        return;
+    }
+    if (report.step == coordination::next_step::reply) {
+        reply(answer, report.reason);
+    }
+}
+
+} // namespace oriolegrade::transport
--- /dev/null
+++ b/src/transport/http_client.cpp
@@ -0,0 +1,86 @@
+// Calls over kept-alive connections.
+
+#include <oriolegrade/transport/http_client.hpp>
+
+#include <oriolegrade/transport/fiber_yield.hpp>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace oriolegrade::transport {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t max_idle_connections = 4;
+constexpr std::uint64_t max_answer_bytes = 64 * 1024 * 1024;
+
+} // namespace
+
+http_client::http_client(boost::asio::io_context& ioc,
+                         const state::endpoint& server)
+    : ioc_(ioc)
+    , server_(server)
+{}
+
+http_client::connection http_client::take_idle()
+{
+    while (!idle_.empty()) {
+        auto it = std::move(idle_.back());
+        idle_.pop_back();
+        if (is_idle_open(*it)) {
+            return it;
+        }
+    }
+    return nullptr;
+}
+
+state::result<http_answer, http_failure>
+http_client::call(http_request request, state::duration limit)
+{
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    error_code ec;
+    auto stream = take_idle();
+    if (!stream) {
+        stream = std::make_unique<tcp_stream>(ioc_);
+        stream->expires_at(deadline);
+        stream->async_connect(to_tcp(server_), fiber_yield(ec));
+        if (ec) {
+            return http_failure{ec, false};
+        }
+        stream->socket().set_option(boost::asio::ip::tcp::no_delay(true), ec);
+    }
+    stream->expires_at(deadline);
+    request.set(http::field::host, to_string(server_));
+    request.prepare_payload();
+    const auto n = http::async_write(*stream, request, fiber_yield(ec));
+    if (ec) {
+        return http_failure{ec, n > 0};
+    }
+    boost::beast::flat_buffer buf;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(max_answer_bytes);
+    http::async_read(*stream, buf, parser, fiber_yield(ec));
+    if (ec) {
+        return http_failure{ec, true};
+    }
+    http_answer answer = parser.release();
+    if (answer.keep_alive() && idle_.size() < max_idle_connections) {
+        stream->expires_never();
+        idle_.push_back(std::move(stream));
+    }
+    return answer;
+}
+
+http_request make_request(http::verb method, std::string target,
+                          std::string body)
+{
+    http_request request(method, target, 11);
+    request.body() = std::move(body);
+    return request;
+}
+
+} // namespace oriolegrade::transport
--- /dev/null
+++ b/src/transport/upstream_connection.cpp
@@ -0,0 +1,204 @@
+// Requests and answers on an upstream connection, by Beast.
+
+#include <oriolegrade/transport/upstream_connection.hpp>
+
+#include <oriolegrade/transport/fiber_yield.hpp>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <optional>
+
+namespace oriolegrade::transport {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t read_buffer_bytes = 8 * 1024;
+constexpr std::uint32_t max_answer_head_bytes = 32 * 1024;
+
+bool is_framing(http::field field)
+{
+    return field == http::field::content_length ||
+           field == http::field::transfer_encoding;
+}
+
+} // namespace
+
+/// State of one request and its answer.
+struct upstream_connection::exchange
+{
+    using request_type = http::request<http::buffer_body>;
+
+    explicit exchange(request_type request_in)
+        : request(std::move(request_in))
+        , serializer(request)
+    {
+        start_parser();
+    }
+
+    void start_parser()
+    {
+        parser.emplace();
+        parser->header_limit(max_answer_head_bytes);
+        parser->body_limit(boost::none);
+        parser->skip(request.method() == http::verb::head);
+    }
+
+    request_type request;
+    http::request_serializer<http::buffer_body> serializer;
+    std::optional<http::response_parser<http::buffer_body>> parser;
+    /// Grows to the size of the largest head; holds unread answer bytes.
+    beast::flat_buffer buffer{max_answer_head_bytes + read_buffer_bytes};
+    bool request_done = false;
+    bool answer_done = false;
+    bool sent = false;
+};
+
+upstream_connection::upstream_connection(boost::asio::io_context& ioc,
+                                         const state::endpoint& address)
+    : address_(address)
+    , stream_(ioc)
+{}
+
+upstream_connection::~upstream_connection() = default;
+
+void upstream_connection::connect(state::time_point deadline, error_code& ec)
+{
+    stream_.expires_at(deadline);
+    stream_.async_connect(to_tcp(address_), fiber_yield(ec));
+    if (!ec) {
+        stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ec);
+    }
+}
+
+void upstream_connection::begin(const protocol::request_head& head,
+                                state::time_point deadline)
+{
+    exchange::request_type request;
+    request.version(11);
+    request.method_string(head.method);
+    request.target(head.target);
+    for (const auto& it : head.fields) {
+        request.insert(it.name, it.value);
+    }
+    if (head.framing.chunked) {
+        request.chunked(true);
+    } else if (head.framing.length) {
+        request.content_length(*head.framing.length);
+    }
+    request.body().data = nullptr;
+    request.body().size = 0;
+    request.body().more = true;
+    exchange_ = std::make_unique<exchange>(std::move(request));
+    stream_.expires_at(deadline);
+}
+
+void upstream_connection::write_body(std::string_view bytes, error_code& ec)
+{
+    auto& body = exchange_->request.body();
+    body.data = const_cast<char*>(bytes.data());
+    body.size = bytes.size();
+    body.more = true;
+    const auto n =
+        http::async_write(stream_, exchange_->serializer, fiber_yield(ec));
+    exchange_->sent = exchange_->sent || n > 0;
+    if (ec == http::error::need_buffer) {
+        ec = {};
+    }
+}
+
+void upstream_connection::finish_body(error_code& ec)
+{
+    auto& body = exchange_->request.body();
+    body.data = nullptr;
+    body.size = 0;
+    body.more = false;
+    const auto n =
+        http::async_write(stream_, exchange_->serializer, fiber_yield(ec));
+    exchange_->sent = exchange_->sent || n > 0;
+    exchange_->request_done = !ec;
+}
+
+protocol::answer_head upstream_connection::read_head(error_code& ec)
+{
+    auto& x = *exchange_;
+    for (;;) {
+        http::async_read_header(stream_, x.buffer, *x.parser, fiber_yield(ec));
+        if (ec) {
+            return {};
+        }
+        const auto status_class =
+            http::to_status_class(x.parser->get().result());
+        if (status_class != http::status_class::informational) {
+            break;
+        }
+        x.start_parser();
+    }
+    protocol::answer_head head;
+    const auto& message = x.parser->get();
+    head.status = static_cast<std::uint16_t>(message.result_int());
+    for (const auto& it : message) {
+        const std::string_view name(it.name_string().data(),
+                                    it.name_string().size());
+        if (!is_framing(it.name()) && !protocol::is_hop_by_hop(name)) {
+            head.fields.add(name, {it.value().data(), it.value().size()});
+        }
+    }
+    head.framing.chunked = x.parser->chunked();
+    if (const auto n = x.parser->content_length()) {
+        head.framing.length = *n;
+    }
+    x.answer_done = x.parser->is_done();
+    return head;
+}
+
+std::size_t upstream_connection::read_body(std::span<char> buf, error_code& ec)
+{
+    auto& x = *exchange_;
+    auto& body = x.parser->get().body();
+    while (!x.parser->is_done()) {
+        body.data = buf.data();
+        body.size = buf.size();
+        http::async_read_some(stream_, x.buffer, *x.parser, fiber_yield(ec));
+        if (ec == http::error::need_buffer) {
+            ec = {};
+        }
+        const auto n = buf.size() - body.size;
+        if (ec || n > 0) {
+            x.answer_done = !ec && x.parser->is_done();
+            return n;
+        }
+    }
+    x.answer_done = true;
+    return 0;
+}
+
+bool upstream_connection::request_sent() const
+{
+    return exchange_ && exchange_->sent;
+}
+
+bool upstream_connection::reusable() const
+{
+    return exchange_ && exchange_->request_done && exchange_->answer_done &&
+           exchange_->buffer.size() == 0 && exchange_->parser->keep_alive();
+}
+
+bool upstream_connection::idle_open()
+{
+    return is_idle_open(stream_);
+}
+
+void upstream_connection::cancel()
+{
+    stream_.close();
+}
+
+} // namespace oriolegrade::transport
--- /dev/null
+++ b/src/transport/upstream_pool.cpp
@@ -0,0 +1,87 @@
+// Reuse of upstream connections.
+
+#include <oriolegrade/transport/upstream_pool.hpp>
+
+#include <algorithm>
+
+namespace oriolegrade::transport {
+
+namespace {
+
+/// Servers commonly close idle connections after 60 s or more; closing first
+/// avoids most lost races.
+constexpr std::chrono::seconds idle_limit{30};
+constexpr std::chrono::milliseconds recent_limit{500};
+
+} // namespace
+
+upstream_pool::upstream_pool(boost::asio::io_context& ioc, std::size_t max_idle)
+    : ioc_(ioc)
+    , max_idle_(max_idle)
+{}
+
+upstream_pool::connection_ptr
+upstream_pool::take_idle(const state::endpoint& upstream, reuse_policy policy,
+                         state::time_point now)
+{
+    const auto found = idle_.find(upstream);
+    if (found == idle_.end()) {
+        return nullptr;
+    }
+    const state::duration limit = policy == reuse_policy::any_idle
+                                      ? state::duration(idle_limit)
+                                      : state::duration(recent_limit);
+    auto& list = found->second;
+    while (!list.empty() && now - list.back()->idle_since <= limit) {
+        auto it = std::move(list.back());
+        list.pop_back();
+        if (it->idle_open()) {
+            return it;
+        }
+    }
+    return nullptr;
+}
+
+upstream_pool::connection_ptr
+upstream_pool::acquire(const state::endpoint& upstream, reuse_policy policy,
+                       state::time_point deadline, error_code& ec)
+{
+    if (auto it =
+            take_idle(upstream, policy, std::chrono::steady_clock::now())) {
+        return it;
+    }
+    auto fresh = std::make_unique<upstream_connection>(ioc_, upstream);
+    fresh->connect(deadline, ec);
+    return ec ? nullptr : std::move(fresh);
+}
+
+void upstream_pool::release(connection_ptr connection)
+{
+    auto& list = idle_[connection->address()];
+    if (!connection->reusable() || list.size() >= max_idle_) {
+        return;
+    }
+    connection->idle_since = std::chrono::steady_clock::now();
+    list.push_back(std::move(connection));
+}
+
+void upstream_pool::close_expired(state::time_point now)
+{
+    for (auto it = idle_.begin(); it != idle_.end();) {
+        std::erase_if(it->second, [&](const connection_ptr& connection) {
+            return now - connection->idle_since > idle_limit;
+        });
+        it = it->second.empty() ? idle_.erase(it) : std::next(it);
+    }
+}
+
+std::size_t upstream_pool::idle_connections() const
+{
+    std::size_t n = 0;
+    for (const auto& [upstream, list] : idle_) {
+        n += list.size();
+    }
+    return n;
+}
+
+} // namespace oriolegrade::transport
--- /dev/null
+++ b/test/fakes/scripted_upstream.hpp
@@ -0,0 +1,115 @@
+// Fake upstream that answers each request with the next step of a script:
+// raw bytes, pauses and ends of the connection.
+
+#ifndef ORIOLEGRADE_TEST_FAKES_SCRIPTED_UPSTREAM_HPP
+#define ORIOLEGRADE_TEST_FAKES_SCRIPTED_UPSTREAM_HPP
+
+#include <oriolegrade/transport/fiber_yield.hpp>
+#include <oriolegrade/transport/listener.hpp>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include <chrono>
+#include <deque>
+#include <string>
+
+namespace oriolegrade::test {
+
+enum class after_answer : std::uint8_t
+{
+    keep_open,
+    close,
+    /// Close before reading the request.
+    close_unread,
+};
+
+struct upstream_step
+{
+    std::string bytes;
+    std::chrono::milliseconds delay{0};
+    after_answer after = after_answer::keep_open;
+};
+
+class scripted_upstream
+{
+public:
+    explicit scripted_upstream(boost::asio::io_context& ioc)
+        : listener_(ioc, {0x7f000001, 0}, 100,
+                    [this](transport::tcp_stream stream) {
+                        serve(std::move(stream));
+                    })
+    {}
+
+    void add(upstream_step step)
+    {
+        script_.push_back(std::move(step));
+    }
+
+    state::endpoint address() const
+    {
+        return listener_.address();
+    }
+
+    /// Requests that were read completely.
+    int runs = 0;
+    int connections = 0;
+    /// Head and body of the last request.
+    boost::beast::http::request<boost::beast::http::string_body> last;
+
+private:
+    void serve(transport::tcp_stream stream)
+    {
+        namespace http = boost::beast::http;
+        ++connections;
+        boost::beast::flat_buffer buffer;
+        for (;;) {
+            if (!script_.empty() &&
+                script_.front().after == after_answer::close_unread) {
+                script_.pop_front();
+                return;
+            }
+            http::request_parser<http::string_body> parser;
+            parser.body_limit(boost::none);
+            transport::error_code ec;
+            http::async_read(stream, buffer, parser,
+                             transport::fiber_yield(ec));
+            if (ec) {
+                return;
+            }
+            ++runs;
+            last = parser.release();
+            if (script_.empty()) {
+                return;
+            }
+            const auto step = script_.front();
+            script_.pop_front();
+            if (step.delay.count() > 0) {
+                boost::this_fiber::sleep_for(step.delay);
+            }
+            boost::asio::async_write(stream, boost::asio::buffer(step.bytes),
+                                     transport::fiber_yield(ec));
+            if (ec || step.after == after_answer::close) {
+                return;
+            }
+        }
+    }
+
+    std::deque<upstream_step> script_;
+    transport::listener listener_;
+};
+
+/// Complete answer with a length.
+inline std::string answer_text(const std::string& body,
+                               const std::string& fields = {})
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n" + fields + "\r\n" + body;
+}
+
+} // namespace oriolegrade::test
+
+#endif
--- /dev/null
+++ b/test/transport/entry_worker_test.cpp
@@ -0,0 +1,442 @@
+// Guards the promises of the request path against upstreams that cut, delay
+// or lose answers, and against malformed or slow callers.
+
+#include "fakes/fiber_thread.hpp"
+#include "fakes/scripted_upstream.hpp"
+
+#include <oriolegrade/transport/entry_worker.hpp>
+#include <oriolegrade/transport/fiber_scheduler.hpp>
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <vector>
+
+namespace {
+
+using namespace oriolegrade;
+using namespace std::chrono_literals;
+using test::after_answer;
+using test::answer_text;
+namespace http = boost::beast::http;
+namespace asio = boost::asio;
+
+using answer_type = http::response<http::string_body>;
+
+/// Raw connection of a caller.
+class fake_caller
+{
+public:
+    fake_caller(asio::io_context& ioc, const state::endpoint& entry)
+        : stream_(ioc)
+    {
+        transport::error_code ec;
+        stream_.async_connect(transport::to_tcp(entry),
+                              transport::fiber_yield(ec));
+        EXPECT_FALSE(ec);
+    }
+
+    void send(const std::string& bytes)
+    {
+        transport::error_code ec;
+        asio::async_write(stream_, asio::buffer(bytes),
+                          transport::fiber_yield(ec));
+    }
+
+    answer_type receive(transport::error_code& ec)
+    {
+        http::response_parser<http::string_body> parser;
+        stream_.expires_after(5s);
+        http::async_read(stream_, buffer_, parser, transport::fiber_yield(ec));
+        return parser.release();
+    }
+
+    answer_type receive()
+    {
+        transport::error_code ec;
+        auto answer = receive(ec);
+        EXPECT_FALSE(ec) << ec.message();
+        return answer;
+    }
+
+    answer_type get(const std::string& target)
+    {
+        send("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
+        return receive();
+    }
+
+    answer_type post(const std::string& target, const std::string& body)
+    {
+        send("POST " + target + " HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+             std::to_string(body.size()) + "\r\n\r\n" + body);
+        return receive();
+    }
+
+    void close()
+    {
+        stream_.close();
+    }
+
+private:
+    transport::tcp_stream stream_;
+    boost::beast::flat_buffer buffer_;
+};
+
+std::string outcome_of(const answer_type& answer)
+{
+    const auto it = answer.find("Oriolegrade-Outcome");
+    return it == answer.end() ? "" : std::string(it->value());
+}
+
+state::entry_ptr make_entry(state::record_kind kind, std::string name,
+                            state::record_body body)
+{
+    return std::make_shared<state::entry>(state::entry{
+        {kind, std::move(name), 1}, 1, 0, {}, {}, std::move(body)});
+}
+
+state::route_spec make_route(std::string prefix, std::string method,
+                             state::request_class request)
+{
+    state::route_spec route;
+    route.path_prefix = std::move(prefix);
+    route.methods = {std::move(method)};
+    route.service = "s";
+    route.request = request;
+    route.deadline = 300ms;
+    route.max_request_bytes = 1'000'000;
+    route.max_response_bytes = 10'000'000;
+    route.max_attempts =
+        request == state::request_class::non_idempotent ? 1 : 3;
+    route.allow_unkeyed = true;
+    return route;
+}
+
+transport::entry_options test_options()
+{
+    transport::entry_options options;
+    options.caller_listen = {0x7f000001, 0};
+    return options;
+}
+
+/// Entry worker with two scripted upstreams, all on one thread.
+class bench
+{
+public:
+    explicit bench(asio::io_context& ioc_in)
+        : ioc(ioc_in)
+        , first(ioc)
+        , second(ioc)
+        , shared(test_options())
+        , worker(ioc, shared)
+    {
+        state::service_spec service;
+        service.upstreams = {{first.address(), "dc1", 4, 400},
+                             {second.address(), "dc1", 4, 400}};
+        state::configuration conf;
+        conf.put(make_entry(state::record_kind::service, "s", service));
+        conf.put(make_entry(
+            state::record_kind::route, "read",
+            make_route("/read", "GET", state::request_class::idempotent)));
+        conf.put(make_entry(
+            state::record_kind::route, "book",
+            make_route("/book", "POST", state::request_class::non_idempotent)));
+        shared.configuration.publish(
+            std::make_shared<const state::configuration>(conf));
+        shared.configured = true;
+    }
+
+    /// Puts the same step on both upstreams, whichever is chosen.
+    void script(const test::upstream_step& step)
+    {
+        first.add(step);
+        second.add(step);
+    }
+
+    int runs() const
+    {
+        return first.runs + second.runs;
+    }
+
+    asio::io_context& ioc;
+    test::scripted_upstream first;
+    test::scripted_upstream second;
+    transport::entry_shared shared;
+    transport::entry_worker worker;
+};
+
+/// Kept until the process ends: fibers that wait on sockets refer to it.
+void on_bench(const std::function<void(bench&)>& body)
+{
+    static std::vector<std::unique_ptr<bench>> benches;
+    benches.push_back(std::make_unique<bench>(test::fiber_context()));
+    body(*benches.back());
+}
+
+// Guards the plain path: whole answer, its header fields and keep-alive.
+TEST(entry_worker, passes_whole_answers_on_one_connection)
+{
+    on_bench([](bench& b) {
+        b.script({answer_text("one", "X-Id: 7\r\n")});
+        b.script({answer_text("two")});
+        fake_caller caller(b.ioc, b.worker.address());
+        const auto one = caller.get("/read/1?x=y");
+        EXPECT_EQ(one.body(), "one");
+        EXPECT_EQ(one["X-Id"], "7");
+        EXPECT_EQ(outcome_of(one), "ran");
+        EXPECT_EQ(caller.get("/read/2").result_int(), 200U);
+    });
+}
+
+// Guards against a body that ends short of its length reaching the caller as
+// complete: an idempotent request is tried elsewhere.
+TEST(entry_worker, short_body_of_idempotent_request_is_retried)
+{
+    on_bench([](bench& b) {
+        const test::upstream_step cut{
+            "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort", 0ms,
+            after_answer::close};
+        b.first.add(cut);
+        b.second.add(cut);
+        b.script({answer_text("0123456789")});
+        fake_caller caller(b.ioc, b.worker.address());
+        transport::error_code ec;
+        caller.send("GET /read HTTP/1.1\r\nHost: x\r\n\r\n");
+        const auto answer = caller.receive(ec);
+        // Both upstreams cut, so no upstream is left: a reply, never half an
+        // answer.
+        EXPECT_EQ(answer.result_int(), 502U);
+        EXPECT_EQ(outcome_of(answer), "unknown");
+        EXPECT_EQ(caller.get("/read").body(), "0123456789");
+    });
+}
+
+// The same for a chunked body without its last chunk.
+TEST(entry_worker, chunked_body_without_last_chunk_is_retried)
+{
+    on_bench([](bench& b) {
+        b.first.add({"HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                     "chunked\r\n\r\n5\r\nhello\r\n",
+                     0ms, after_answer::close});
+        b.first.add({answer_text("whole")});
+        b.second.add({answer_text("whole")});
+        b.second.add({answer_text("whole")});
+        fake_caller caller(b.ioc, b.worker.address());
+        EXPECT_EQ(caller.get("/read").body(), "whole");
+        EXPECT_EQ(caller.get("/read").body(), "whole");
+    });
+}
+
+// Guards against a long answer that is cut midway being finished cleanly.
+TEST(entry_worker, long_answer_cut_midway_aborts_the_caller)
+{
+    on_bench([](bench& b) {
+        b.script({"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" +
+                      std::string(200'000, 'x'),
+                  0ms, after_answer::close});
+        fake_caller caller(b.ioc, b.worker.address());
+        caller.send("GET /read HTTP/1.1\r\nHost: x\r\n\r\n");
+        transport::error_code ec;
+        caller.receive(ec);
+        EXPECT_TRUE(ec);
+    });
+}
+
+// Guards against a late answer being taken for the answer of the next
+// request on the same upstream connection.
+TEST(entry_worker, late_answer_never_reaches_another_request)
+{
+    on_bench([](bench& b) {
+        b.script({answer_text("late"), 500ms});
+        b.script({answer_text("right")});
+        fake_caller caller(b.ioc, b.worker.address());
+        const auto expired = caller.get("/read");
+        EXPECT_EQ(expired.result_int(), 504U);
+        EXPECT_EQ(outcome_of(expired), "unknown");
+        boost::this_fiber::sleep_for(300ms);
+        EXPECT_EQ(caller.get("/read").body(), "right");
+    });
+}
+
+// Guards against unasked bytes on an idle connection being taken for an
+// answer.
+TEST(entry_worker, extra_bytes_after_an_answer_are_not_the_next_answer)
+{
+    on_bench([](bench& b) {
+        b.script({answer_text("one") + answer_text("stray")});
+        b.script({answer_text("two")});
+        b.script({answer_text("three")});
+        fake_caller caller(b.ioc, b.worker.address());
+        EXPECT_EQ(caller.get("/read").body(), "one");
+        for (int n = 0; n < 2; ++n) {
+            EXPECT_NE(caller.get("/read").body(), "stray");
+        }
+    });
+}
+
+// Guards against a second run of a non-idempotent request whose answer was
+// lost, and against calling it not-run.
+TEST(entry_worker, lost_answer_of_non_idempotent_request_is_unknown)
+{
+    on_bench([](bench& b) {
+        b.script({"", 0ms, after_answer::close});
+        fake_caller caller(b.ioc, b.worker.address());
+        const auto answer = caller.post("/book", "carton");
+        EXPECT_EQ(answer.result_int(), 502U);
+        EXPECT_EQ(outcome_of(answer), "unknown");
+        EXPECT_EQ(b.runs(), 1);
+    });
+}
+
+// Guards against the loss of a provably unrun request being called unknown.
+TEST(entry_worker, shed_request_is_not_run)
+{
+    on_bench([](bench& b) {
+        const std::string shed = "HTTP/1.1 503 Busy\r\nOriolegrade-Shed: "
+                                 "1\r\nContent-Length: 0\r\n\r\n";
+        b.script({shed});
+        fake_caller caller(b.ioc, b.worker.address());
+        const auto answer = caller.post("/book", "carton");
+        EXPECT_EQ(answer.result_int(), 503U);
+        EXPECT_EQ(outcome_of(answer), "not-run");
+    });
+}
+
+// Guards against request smuggling by two lengths and against malformed
+// lines.
+TEST(entry_worker, ambiguous_and_malformed_requests_are_refused)
+{
+    const std::vector<std::string> bad{
+        "POST /book HTTP/1.1\r\nHost: x\r\nContent-Length: "
+        "3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST /book HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: "
+        "chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+        "POST /book HTTP/1.1\r\nHost: x\r\nContent-Length: "
+        "3\r\nContent-Length: 4\r\n\r\nabcd",
+        "GET /read HTTP/1.1\nHost: x\n\n",
+        "GET /read HTTP/1.1\r\nX: a\rb\r\n\r\n",
+        "nonsense\r\n\r\n",
+    };
+    on_bench([&](bench& b) {
+        for (const auto& it : bad) {
+            fake_caller caller(b.ioc, b.worker.address());
+            caller.send(it);
+            const auto answer = caller.receive();
+            EXPECT_EQ(answer.result_int(), 400U) << it;
+            EXPECT_EQ(outcome_of(answer), "not-run") << it;
+        }
+        EXPECT_EQ(b.runs(), 0);
+    });
+}
+
+// Guards against unbounded memory by heads and bodies.
+TEST(entry_worker, oversize_heads_and_bodies_are_refused)
+{
+    on_bench([](bench& b) {
+        fake_caller large_head(b.ioc, b.worker.address());
+        large_head.send("GET /read HTTP/1.1\r\nX: " + std::string(20'000, 'a') +
+                        "\r\n\r\n");
+        EXPECT_EQ(large_head.receive().result_int(), 431U);
+        fake_caller large_body(b.ioc, b.worker.address());
+        large_body.send("POST /book HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                        "2000000\r\n\r\n");
+        EXPECT_EQ(large_body.receive().result_int(), 413U);
+        EXPECT_EQ(b.runs(), 0);
+    });
+}
+
+// Guards against the same for a chunked body, whose size shows only while it
+// is read.
+TEST(entry_worker, oversize_chunked_body_is_refused_midway)
+{
+    on_bench([](bench& b) {
+        fake_caller caller(b.ioc, b.worker.address());
+        caller.send("POST /book HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: "
+                    "chunked\r\n\r\n");
+        const std::string chunk =
+            "10000\r\n" + std::string(65'536, 'a') + "\r\n";
+        for (int n = 0; n < 20; ++n) {
+            caller.send(chunk);
+        }
+        transport::error_code ec;
+        const auto answer = caller.receive(ec);
+        if (!ec) {
+            EXPECT_EQ(answer.result_int(), 413U);
+        }
+        EXPECT_EQ(b.runs(), 0);
+    });
+}
+
+// Guards against a caller that sends slowly holding an upstream: nothing is
+// sent before a small body is complete.
+TEST(entry_worker, slow_upload_holds_no_upstream)
+{
+    on_bench([](bench& b) {
+        b.script({answer_text("done")});
+        fake_caller caller(b.ioc, b.worker.address());
+        caller.send("POST /book HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                    "5\r\n\r\n");
+        for (const char c : std::string("slow!")) {
+            EXPECT_EQ(b.first.connections + b.second.connections, 0);
+            caller.send(std::string(1, c));
+            boost::this_fiber::sleep_for(10ms);
+        }
+        EXPECT_EQ(caller.receive().body(), "done");
+    });
+}
+
+// Guards against hop-by-hop fields leaking to the upstream, and against a
+// missing deadline.
+TEST(entry_worker, forwards_end_to_end_fields_and_the_deadline)
+{
+    on_bench([](bench& b) {
+        b.script({answer_text("ok")});
+        fake_caller caller(b.ioc, b.worker.address());
+        caller.send("GET /read HTTP/1.1\r\nHost: x\r\nTE: trailers\r\n"
+                    "Keep-Alive: 5\r\nX-Trace: 9\r\n\r\n");
+        caller.receive();
+        const auto& last = b.first.runs > 0 ? b.first.last : b.second.last;
+        EXPECT_EQ(last["X-Trace"], "9");
+        EXPECT_EQ(last.find("TE"), last.end());
+        EXPECT_EQ(last.find("Keep-Alive"), last.end());
+        const int left =
+            std::stoi(std::string(last["Oriolegrade-Deadline-Ms"]));
+        EXPECT_GT(left, 0);
+        EXPECT_LE(left, 300);
+    });
+}
+
+// Guards against an upstream that accepts and closes being final for an
+// idempotent request.
+TEST(entry_worker, refused_connection_is_retried_elsewhere)
+{
+    on_bench([](bench& b) {
+        b.first.add({"", 0ms, after_answer::close_unread});
+        b.first.add({answer_text("ok")});
+        b.second.add({answer_text("ok")});
+        b.second.add({answer_text("ok")});
+        fake_caller caller(b.ioc, b.worker.address());
+        EXPECT_EQ(caller.get("/read").body(), "ok");
+        EXPECT_EQ(caller.get("/read").body(), "ok");
+    });
+}
+
+// Guards against routing without a configuration or a route.
+TEST(entry_worker, replies_say_not_run_without_route_or_configuration)
+{
+    on_bench([](bench& b) {
+        fake_caller caller(b.ioc, b.worker.address());
+        const auto missing = caller.get("/nowhere");
+        EXPECT_EQ(missing.result_int(), 404U);
+        EXPECT_EQ(outcome_of(missing), "not-run");
+        b.shared.configured = false;
+        const auto early = caller.get("/read");
+        EXPECT_EQ(early.result_int(), 503U);
+        EXPECT_EQ(outcome_of(early), "not-run");
+    });
+}
+
+} // namespace
