Stop entry workers gracefully and serve status targets

A stopping process reports not ready, closes its listeners after the notice and takes connections that the kernel had accepted before it closes them: closing the socket would reset callers that had already sent a request.

--- a/include/oriolegrade/transport/caller_stream.hpp
+++ b/include/oriolegrade/transport/caller_stream.hpp
@@ -38,6 +38,9 @@
     caller_request(tcp_stream& stream, boost::beast::flat_buffer& buffer,
                    const caller_limits& limits);
 
+    /// Waits for the first byte of a request on an idle connection.
+    void wait_for_request(error_code& ec);
+
     /// Reads the head of a request.
     /// @return the head; on error `ec` is set and reply_for() tells whether
     ///         the caller gets a reply
--- a/include/oriolegrade/transport/entry_worker.hpp
+++ b/include/oriolegrade/transport/entry_worker.hpp
@@ -38,6 +38,7 @@
     void serve(tcp_stream stream);
     /// Serves one request; true when the connection may carry another.
     bool serve_request(tcp_stream& stream, boost::beast::flat_buffer& buffer);
+    void reply_status(std::string_view target, caller_answer& answer);
     void proxy(const protocol::request_head& head, caller_request& request,
                caller_answer& answer);
     void proxy_route(const protocol::request_head& head,
--- a/src/transport/caller_stream.cpp
+++ b/src/transport/caller_stream.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 
+constexpr std::size_t first_read_bytes = 4 * 1024;
 constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::string_view to_view(boost::beast::string_view text)
@@ -51,21 +52,19 @@
     parser_.body_limit(boost::none);
 }
 
-protocol::request_head caller_request::read_head(error_code& ec)
+void caller_request::wait_for_request(error_code& ec)
 {
-    // The first byte may take the idle time; a head that has begun may not.
-    if (buffer_.size() == 0) {
-        stream_.expires_after(limits_.idle);
-        boost::asio::mutable_buffer none;
-        stream_.async_read_some(none, fiber_yield(ec));
-        if (!ec) {
-            stream_.socket().async_wait(boost::asio::socket_base::wait_read,
-                                        fiber_yield(ec));
-        }
-        if (ec) {
-            return {};
-        }
+    if (buffer_.size() > 0) {
+        return;
     }
+    stream_.expires_after(limits_.idle);
+    const auto n = stream_.async_read_some(buffer_.prepare(first_read_bytes),
+                                           fiber_yield(ec));
+    buffer_.commit(n);
+}
+
+protocol::request_head caller_request::read_head(error_code& ec)
+{
     stream_.expires_after(limits_.progress);
     http::async_read_header(stream_, buffer_, parser_, fiber_yield(ec));
     if (ec) {
--- a/src/transport/entry_worker.cpp
+++ b/src/transport/entry_worker.cpp
@@ -16,6 +16,11 @@
 
 constexpr std::size_t max_idle_per_upstream = 8;
 
+/// Targets for the load balancer's checks; no route can take them.
+constexpr std::string_view status_prefix = "/.oriolegrade/";
+constexpr std::string_view alive_target = "/.oriolegrade/healthz";
+constexpr std::string_view ready_target = "/.oriolegrade/readyz";
+
 /// Random choice among the upstreams of a service.
 class random_choice
 {
@@ -131,6 +136,11 @@
 {
     caller_request request(stream, buffer, limits_);
     error_code ec;
+    request.wait_for_request(ec);
+    if (ec) {
+        return false;
+    }
+    const in_flight guard(shared_.requests_in_flight);
     const auto head = request.read_head(ec);
     if (ec) {
         if (const auto reason = reply_for(ec)) {
@@ -139,7 +149,6 @@
         }
         return false;
     }
-    const in_flight guard(shared_.requests_in_flight);
     const bool keep = request.keep_alive() && !shared_.stopping;
     caller_answer answer(stream, limits_, request.version(), request.is_head(),
                          keep);
@@ -155,9 +164,27 @@
     return keep && request.done();
 }
 
+void entry_worker::reply_status(std::string_view target, caller_answer& answer)
+{
+    const bool ready = shared_.configured && !shared_.stopping;
+    protocol::answer_head head;
+    if (target == alive_target || (target == ready_target && ready)) {
+        head.status = 200;
+    } else {
+        head.status = target == ready_target ? 503 : 404;
+    }
+    head.framing.length = 0;
+    error_code ec;
+    answer.start(head, ec);
+    answer.finish(ec);
+}
+
 void entry_worker::proxy(const protocol::request_head& head,
                          caller_request& request, caller_answer& answer)
 {
+    if (head.target.starts_with(status_prefix)) {
+        return reply_status(head.target, answer);
+    }
     if (!shared_.configured) {
         return reply(answer, reply_reason::not_ready);
     }
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -31,6 +31,13 @@
     std::size_t max_connections;
     std::size_t open = 0;
     bool closed = false;
+
+    static void start(const std::shared_ptr<shared_state>& self,
+                      tcp_stream stream);
+    static void accept_loop(const std::shared_ptr<shared_state>& self);
+    /// Takes connections that the kernel has already accepted. Closing the
+    /// socket would reset them, although their callers may have sent requests.
+    static void accept_backlog(const std::shared_ptr<shared_state>& self);
 };
 
 namespace {
@@ -40,6 +47,54 @@
 
 } // namespace
 
+void listener::shared_state::start(const std::shared_ptr<shared_state>& self,
+                                   tcp_stream stream)
+{
+    error_code ec;
+    stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+    ++self->open;
+    auto shared = std::make_shared<tcp_stream>(std::move(stream));
+    spawn_fiber([self, shared] {
+        self->on_connection(std::move(*shared));
+        --self->open;
+    });
+}
+
+void listener::shared_state::accept_loop(
+    const std::shared_ptr<shared_state>& self)
+{
+    while (!self->closed) {
+        if (self->open >= self->max_connections) {
+            boost::this_fiber::sleep_for(accept_pause);
+            continue;
+        }
+        tcp_stream stream(self->ioc);
+        error_code ec;
+        self->acceptor.async_accept(stream.socket(), fiber_yield(ec));
+        if (!ec) {
+            start(self, std::move(stream));
+        } else if (!self->closed) {
+            event(log_level::warning, "accept_failed")
+                .with("error", ec.message());
+            boost::this_fiber::sleep_for(accept_pause);
+        }
+    }
+}
+
+void listener::shared_state::accept_backlog(
+    const std::shared_ptr<shared_state>& self)
+{
+    error_code ec;
+    self->acceptor.non_blocking(true, ec);
+    while (!ec) {
+        tcp_stream stream(self->ioc);
+        self->acceptor.accept(stream.socket(), ec);
+        if (!ec) {
+            start(self, std::move(stream));
+        }
+    }
+}
+
 listener::listener(asio::io_context& ioc, const state::endpoint& address,
                    std::size_t max_connections, handler on_connection)
     : state_(std::make_shared<shared_state>(
@@ -52,33 +107,7 @@
     acceptor.set_option(reuse_port(true));
     acceptor.bind(to_tcp(address));
     acceptor.listen();
-    spawn_fiber([s = state_] {
-        while (!s->closed) {
-            if (s->open >= s->max_connections) {
-                boost::this_fiber::sleep_for(accept_pause);
-                continue;
-            }
-            tcp_stream stream(s->ioc);
-            error_code ec;
-            s->acceptor.async_accept(stream.socket(), fiber_yield(ec));
-            if (s->closed) {
-                break;
-            }
-            if (ec) {
-                event(log_level::warning, "accept_failed")
-                    .with("error", ec.message());
-                boost::this_fiber::sleep_for(accept_pause);
-                continue;
-            }
-            stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
-            ++s->open;
-            auto shared = std::make_shared<tcp_stream>(std::move(stream));
-            spawn_fiber([s, shared] {
-                s->on_connection(std::move(*shared));
-                --s->open;
-            });
-        }
-    });
+    spawn_fiber([s = state_] { shared_state::accept_loop(s); });
 }
 
 listener::~listener()
@@ -90,6 +119,7 @@
 {
     if (!state_->closed) {
         state_->closed = true;
+        shared_state::accept_backlog(state_);
         error_code ec;
         state_->acceptor.close(ec);
     }
