--- a/include/oriolegrade/protocol/json_document.hpp
+++ b/include/oriolegrade/protocol/json_document.hpp
@@ -57,6 +57,15 @@
     printable,
 };
 
+/// What an address is for.
+enum class address_use : std::uint8_t
+{
+    /// Address of a single host, which others connect to.
+    one_host,
+    /// Address to listen on; 0.0.0.0 stands for all addresses.
+    listen,
+};
+
 /// Inclusive bounds of a number.
 template <class Number>
 struct bounds
@@ -106,9 +115,8 @@
     bool flag(std::string_view key,
               std::optional<bool> fallback = std::nullopt);
 
-    /// Address and port of a single host.
     state::endpoint
-    endpoint(std::string_view key,
+    endpoint(std::string_view key, address_use use = address_use::one_host,
              std::optional<state::endpoint> fallback = std::nullopt);
 
     template <class Enum>
@@ -159,9 +167,10 @@
                                         const std::string& place,
                                         state::findings& out);
 
-/// Reads an address of a single host; reports texts that are none, and
-/// addresses that no single host can have.
+/// Reads an address; reports texts that are none, and addresses that do not
+/// fit their use.
 std::optional<state::endpoint> read_endpoint(std::string_view text,
+                                             address_use use,
                                              const std::string& place,
                                              state::findings& out);
 
--- a/include/oriolegrade/transport/event_log.hpp
+++ b/include/oriolegrade/transport/event_log.hpp
@@ -3,23 +3,15 @@
 #ifndef ORIOLEGRADE_TRANSPORT_EVENT_LOG_HPP
 #define ORIOLEGRADE_TRANSPORT_EVENT_LOG_HPP
 
-#include <oriolegrade/state/enum_names.hpp>
+#include <oriolegrade/state/log_level.hpp>
 
-#include <array>
 #include <concepts>
-#include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace oriolegrade::transport {
 
-enum class log_level : std::uint8_t
-{
-    debug,
-    info,
-    warning,
-    error,
-};
+using state::log_level;
 
 /// Starts logging to standard error. Call once, before any event.
 /// @param process value of the `process` key on every line
@@ -57,15 +49,4 @@
 
 } // namespace oriolegrade::transport
 
-namespace oriolegrade::state {
-
-template <>
-struct enum_names<transport::log_level>
-{
-    static constexpr std::array<std::string_view, 4> value{"debug", "info",
-                                                           "warning", "error"};
-};
-
-} // namespace oriolegrade::state
-
 #endif
--- a/src/protocol/json_document.cpp
+++ b/src/protocol/json_document.cpp
@@ -67,10 +67,13 @@
 
 /// Loopback is allowed: test fleets run on it. Addresses that name no single
 /// host are not.
-bool is_host_address(std::uint32_t address)
+bool fits(std::uint32_t address, address_use use)
 {
     constexpr std::uint32_t multicast_first = 0xe0000000U;
-    return address != 0 && address < multicast_first;
+    if (address == 0) {
+        return use == address_use::listen;
+    }
+    return address < multicast_first;
 }
 
 } // namespace
@@ -243,14 +246,14 @@
 }
 
 state::endpoint
-json_object_reader::endpoint(std::string_view key,
+json_object_reader::endpoint(std::string_view key, address_use use,
                              std::optional<state::endpoint> fallback)
 {
     const auto* text = text_or_null(key, !fallback);
     if (!text) {
         return fallback.value_or(state::endpoint());
     }
-    return read_endpoint(*text, member_place(place_, key), out_)
+    return read_endpoint(*text, use, member_place(place_, key), out_)
         .value_or(fallback.value_or(state::endpoint()));
 }
 
@@ -311,6 +314,7 @@
 }
 
 std::optional<state::endpoint> read_endpoint(std::string_view text,
+                                             address_use use,
                                              const std::string& place,
                                              state::findings& out)
 {
@@ -318,7 +322,7 @@
     if (!ep) {
         report(out, finding_code::wrong_type, place,
                quoted(text) + " is no IPv4 address with a port, a.b.c.d:port");
-    } else if (!is_host_address(ep->address)) {
+    } else if (!fits(ep->address, use)) {
         report(out, finding_code::out_of_range, place,
                quoted(text) + " is no address of a single host");
     }
