--- a/include/oriolegrade/transport/caller_stream.hpp
+++ b/include/oriolegrade/transport/caller_stream.hpp
@@ -22,7 +22,7 @@
 namespace oriolegrade::transport {
 
 /// Time limits of a caller's connection.
-struct caller_limits
+struct caller_io_limits
 {
     std::uint32_t max_head_bytes = 16 * 1024;
     /// Wait for the next request on an idle connection.
@@ -36,7 +36,7 @@
 {
 public:
     caller_request(tcp_stream& stream, boost::beast::flat_buffer& buffer,
-                   const caller_limits& limits);
+                   const caller_io_limits& limits);
 
     /// Waits for the first byte of a request on an idle connection.
     void wait_for_request(error_code& ec);
@@ -65,7 +65,7 @@
 
     tcp_stream& stream_;
     boost::beast::flat_buffer& buffer_;
-    const caller_limits& limits_;
+    const caller_io_limits& limits_;
     boost::beast::http::request_parser<boost::beast::http::buffer_body> parser_;
     bool continue_expected_ = false;
 };
@@ -76,7 +76,7 @@
 {
 public:
     /// @param keep_alive the connection serves another request afterwards
-    caller_answer(tcp_stream& stream, const caller_limits& limits,
+    caller_answer(tcp_stream& stream, const caller_io_limits& limits,
                   unsigned version, bool is_head, bool keep_alive);
 
     void start(const protocol::answer_head& head, error_code& ec);
@@ -96,7 +96,7 @@
     void flush(error_code& ec);
 
     tcp_stream& stream_;
-    const caller_limits& limits_;
+    const caller_io_limits& limits_;
     unsigned version_;
     bool is_head_;
     bool keep_alive_;
--- a/include/oriolegrade/transport/entry_shared.hpp
+++ b/include/oriolegrade/transport/entry_shared.hpp
@@ -20,7 +20,7 @@
     state::endpoint caller_listen;
     /// Caller connections of one worker thread.
     std::size_t max_connections = 4096;
-    caller_limits caller;
+    caller_io_limits caller;
 };
 
 /// Read by all workers; written by the control thread, except the counters.
--- a/include/oriolegrade/transport/entry_worker.hpp
+++ b/include/oriolegrade/transport/entry_worker.hpp
@@ -39,15 +39,15 @@
     /// Serves one request; true when the connection may carry another.
     bool serve_request(tcp_stream& stream, boost::beast::flat_buffer& buffer);
     void reply_status(std::string_view target, caller_answer& answer);
-    void proxy(const protocol::request_head& head, caller_request& request,
-               caller_answer& answer);
-    void proxy_route(const protocol::request_head& head,
+    void proxy(tcp_stream& stream, const protocol::request_head& head,
+               caller_request& request, caller_answer& answer);
+    void proxy_route(tcp_stream& stream, const protocol::request_head& head,
                      const state::configuration& conf,
                      const state::route_spec& route, caller_request& request,
                      caller_answer& answer);
 
     entry_shared& shared_;
-    const caller_limits& limits_;
+    const caller_io_limits& limits_;
     upstream_pool pool_;
     std::minstd_rand random_;
     listener listener_;
--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -105,6 +105,16 @@
         return report;
     }
 
+    /// Ends the attempt in progress because nobody waits for the answer any
+    /// more. The upstream sees its connection close.
+    void cancel()
+    {
+        cancelled_ = true;
+        if (active_) {
+            active_->cancel();
+        }
+    }
+
 private:
     using connection_ptr = upstream_pool::connection_ptr;
 
@@ -162,12 +172,27 @@
                 : reuse_policy::any_idle;
         error_code ec;
         auto connection = pool_.acquire(upstream, policy, deadline_, ec);
+        if (cancelled_) {
+            return state::attempt_result::caller_lost;
+        }
         if (!connection) {
             return unsent();
         }
+        active_ = connection.get();
+        const auto result =
+            exchange(std::move(connection), head, report.caller_error);
+        active_ = nullptr;
+        return cancelled_ ? state::attempt_result::caller_lost : result;
+    }
+
+    state::attempt_result exchange(connection_ptr connection,
+                                   const protocol::request_head& head,
+                                   error_code& caller_error)
+    {
+        error_code ec;
         error_code write_error;
-        send(*connection, head, write_error, report.caller_error);
-        if (report.caller_error) {
+        send(*connection, head, write_error, caller_error);
+        if (caller_error) {
             return state::attempt_result::caller_lost;
         }
         if (write_error && !connection->request_sent()) {
@@ -183,7 +208,7 @@
             pool_.release(drained(std::move(connection)));
             return state::attempt_result::shed;
         }
-        return pass_on(std::move(connection), report.caller_error);
+        return pass_on(std::move(connection), caller_error);
     }
 
     void send(upstream_connection& connection,
@@ -251,6 +276,7 @@
         head.fields.set(protocol::header_field::outcome,
                         state::name_of(state::run_outcome::ran));
         if (whole) {
+            active_ = nullptr;
             pool_.release(std::move(connection));
             if (!head.framing.length) {
                 head.framing = {false, held.size()};
@@ -329,6 +355,9 @@
     Choice& choice_;
     std::vector<char> buffer_ = std::vector<char>(buffer_bytes);
     std::optional<protocol::answer_head> answer_head_;
+    /// Connection of the attempt in progress, or null.
+    upstream_connection* active_ = nullptr;
+    bool cancelled_ = false;
     /// Part of an answer has been given to the sink; no retry after that.
     bool answer_started_ = false;
 };
--- a/src/transport/caller_stream.cpp
+++ b/src/transport/caller_stream.cpp
@@ -43,7 +43,7 @@
 
 caller_request::caller_request(tcp_stream& stream,
                                boost::beast::flat_buffer& buffer,
-                               const caller_limits& limits)
+                               const caller_io_limits& limits)
     : stream_(stream)
     , buffer_(buffer)
     , limits_(limits)
@@ -143,7 +143,7 @@
     return parser_.get().method() == http::verb::head;
 }
 
-caller_answer::caller_answer(tcp_stream& stream, const caller_limits& limits,
+caller_answer::caller_answer(tcp_stream& stream, const caller_io_limits& limits,
                              unsigned version, bool is_head, bool keep_alive)
     : stream_(stream)
     , limits_(limits)
--- a/src/transport/entry_worker.cpp
+++ b/src/transport/entry_worker.cpp
@@ -2,6 +2,7 @@
 
 #include <oriolegrade/transport/entry_worker.hpp>
 
+#include <oriolegrade/transport/disconnect_watch.hpp>
 #include <oriolegrade/transport/request_runner.hpp>
 
 #include <boost/beast/http/error.hpp>
@@ -152,7 +153,7 @@
     const bool keep = request.keep_alive() && !shared_.stopping;
     caller_answer answer(stream, limits_, request.version(), request.is_head(),
                          keep);
-    proxy(head, request, answer);
+    proxy(stream, head, request, answer);
     if (!answer.finished()) {
         // A reset shows the caller that the answer is incomplete even when
         // it has no length.
@@ -179,7 +180,7 @@
     answer.finish(ec);
 }
 
-void entry_worker::proxy(const protocol::request_head& head,
+void entry_worker::proxy(tcp_stream& stream, const protocol::request_head& head,
                          caller_request& request, caller_answer& answer)
 {
     if (head.target.starts_with(status_prefix)) {
@@ -194,11 +195,12 @@
     if (!route) {
         return reply(answer, reply_reason::no_route);
     }
-    proxy_route(head, *conf, std::get<state::route_spec>(route->body), request,
-                answer);
+    proxy_route(stream, head, *conf, std::get<state::route_spec>(route->body),
+                request, answer);
 }
 
-void entry_worker::proxy_route(const protocol::request_head& head,
+void entry_worker::proxy_route(tcp_stream& stream,
+                               const protocol::request_head& head,
                                const state::configuration& conf,
                                const state::route_spec& route,
                                caller_request& request, caller_answer& answer)
@@ -214,7 +216,14 @@
     random_choice choice(std::get<state::service_spec>(service->body), random_);
     request_runner runner(pool_, route, deadline_of(head, route), request,
                           answer, choice);
+    // A non-idempotent request goes on: its caller may come back for the
+    // outcome.
+    std::optional<disconnect_watch> watch;
+    if (route.request == state::request_class::idempotent && !head.has_body()) {
+        watch.emplace(stream, [&runner] { runner.cancel(); });
+    }
     const auto report = runner.run(head);
+    watch.reset();
     if (report.caller_error == boost::beast::http::error::body_limit &&
         !answer.started()) {
         const auto outcome = report.may_have_run ? state::run_outcome::unknown
--- a/test/transport/entry_worker_test.cpp
+++ b/test/transport/entry_worker_test.cpp
@@ -431,6 +431,38 @@
     });
 }
 
+// Guards against work for callers that are gone: the upstream must see the
+// cancellation.
+TEST(entry_worker, caller_that_leaves_cancels_an_idempotent_request)
+{
+    on_bench([](bench& b) {
+        b.script({answer_text("late"), 100ms});
+        fake_caller caller(b.ioc, b.worker.address());
+        caller.send("GET /read HTTP/1.1\r\nHost: x\r\n\r\n");
+        boost::this_fiber::sleep_for(20ms);
+        EXPECT_EQ(b.runs(), 1);
+        caller.close();
+        boost::this_fiber::sleep_for(20ms);
+        EXPECT_EQ(b.shared.requests_in_flight, 0);
+    });
+}
+
+// Guards against the cancellation of a request that may not be repeated: its
+// caller may come back for the outcome.
+TEST(entry_worker, caller_that_leaves_does_not_cancel_a_booking)
+{
+    on_bench([](bench& b) {
+        b.script({answer_text("late"), 100ms});
+        fake_caller caller(b.ioc, b.worker.address());
+        caller.send("POST /book HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                    "1\r\n\r\nx");
+        boost::this_fiber::sleep_for(20ms);
+        caller.close();
+        boost::this_fiber::sleep_for(20ms);
+        EXPECT_EQ(b.shared.requests_in_flight, 1);
+    });
+}
+
 // Guards against routing without a configuration or a route.
 TEST(entry_worker, replies_say_not_run_without_route_or_configuration)
 {
