--- a/include/oriolegrade/state/configuration.hpp
+++ b/include/oriolegrade/state/configuration.hpp
@@ -83,6 +83,10 @@
             [&](const record_key&, const entry_ptr& it) { visit(it); });
     }
 
+    /// Configuration of many entries at once.
+    /// @param entries in any order; the last of equal keys wins
+    static configuration build(const std::vector<entry_ptr>& entries);
+
     /// Puts an accepted entry in force.
     void put(const entry_ptr& it);
 
@@ -93,6 +97,8 @@
     using entry_list = std::vector<entry_ptr>;
 
     void index(const entry_ptr& old, const entry_ptr& fresh);
+    /// Fills the indexes from entries_.
+    void build_indexes();
 
     sharded_map<record_key, entry_ptr, record_key_hash> entries_;
     /// Service and workspace versions by name; sorted by schema version.
--- a/include/oriolegrade/state/log_type.hpp
+++ b/include/oriolegrade/state/log_type.hpp
@@ -34,6 +34,8 @@
 {
     std::uint64_t offset = 0;
     std::string bytes;
+
+    bool operator==(const log_record&) const = default;
 };
 
 /// Records in order of offset; empty at the end of the log.
--- a/include/oriolegrade/state/sharded_map.hpp
+++ b/include/oriolegrade/state/sharded_map.hpp
@@ -4,11 +4,14 @@
 #ifndef ORIOLEGRADE_STATE_SHARDED_MAP_HPP
 #define ORIOLEGRADE_STATE_SHARDED_MAP_HPP
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
+#include <utility>
+#include <vector>
 
 namespace oriolegrade::state {
 
@@ -42,6 +45,26 @@
         shard = std::move(copy);
     }
 
+    /// Map with the values of `pairs`; the last of equal keys wins. Builds
+    /// each shard once, where repeated set() would copy it for every value.
+    static sharded_map build(std::vector<std::pair<Key, Value>> pairs)
+    {
+        std::array<std::shared_ptr<shard_map>, ShardCount> shards;
+        sharded_map out;
+        for (auto& [key, value] : pairs) {
+            auto& shard = shards[Hash()(key) % ShardCount];
+            if (!shard) {
+                shard = std::make_shared<shard_map>();
+            }
+            if (shard->insert_or_assign(std::move(key), std::move(value))
+                    .second) {
+                ++out.size_;
+            }
+        }
+        std::copy(shards.begin(), shards.end(), out.shards_.begin());
+        return out;
+    }
+
     std::size_t size() const
     {
         return size_;
--- a/src/state/configuration.cpp
+++ b/src/state/configuration.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <unordered_map>
 
 namespace oriolegrade::state {
 
@@ -36,6 +37,29 @@
     return list;
 }
 
+using list_by_name = std::unordered_map<std::string, entry_list>;
+
+/// Text that an entry is looked up by.
+const std::string& index_name(const entry& it)
+{
+    return it.key.kind == record_kind::route
+               ? std::get<route_spec>(it.body).path_prefix
+               : it.key.name;
+}
+
+/// @param like names the type of the result
+template <class Map>
+Map sorted_index(list_by_name& lists, const Map& /*like*/)
+{
+    std::vector<std::pair<std::string, entry_list>> pairs;
+    pairs.reserve(lists.size());
+    for (auto& [name, list] : lists) {
+        std::sort(list.begin(), list.end(), precedes);
+        pairs.emplace_back(name, std::move(list));
+    }
+    return Map::build(std::move(pairs));
+}
+
 template <class Map>
 void insert_into(Map& map, const std::string& name, const entry_ptr& fresh)
 {
@@ -105,6 +129,32 @@
     return list ? list->back() : nullptr;
 }
 
+configuration configuration::build(const std::vector<entry_ptr>& entries)
+{
+    std::vector<std::pair<record_key, entry_ptr>> pairs;
+    pairs.reserve(entries.size());
+    for (const auto& it : entries) {
+        pairs.emplace_back(it->key, it);
+    }
+    configuration conf;
+    conf.entries_ = decltype(conf.entries_)::build(std::move(pairs));
+    conf.build_indexes();
+    return conf;
+}
+
+void configuration::build_indexes()
+{
+    std::array<list_by_name, enum_size<record_kind>> lists;
+    for_each([&](const entry_ptr& it) {
+        auto& list = lists[index_of(it->key.kind)];
+        list[index_name(*it)].push_back(it);
+    });
+    services_ = sorted_index(lists[index_of(record_kind::service)], services_);
+    routes_ = sorted_index(lists[index_of(record_kind::route)], routes_);
+    workspaces_ =
+        sorted_index(lists[index_of(record_kind::workspace)], workspaces_);
+}
+
 void configuration::put(const entry_ptr& it)
 {
     assert(it && it->offset >= next_offset_);
