--- /dev/null
+++ b/include/oriolegrade/coordination/reader_election.hpp
@@ -0,0 +1,57 @@
+// Which hosts read the log for the others. Nothing depends on agreement: too
+// many readers cost reads, too few make hosts read for themselves.
+
+#ifndef ORIOLEGRADE_COORDINATION_READER_ELECTION_HPP
+#define ORIOLEGRADE_COORDINATION_READER_ELECTION_HPP
+
+#include <oriolegrade/state/time_type.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace oriolegrade::coordination {
+
+/// Hosts in their order for `purpose`, best first. Each host computes the
+/// same order from the same names, and a lost host moves no other one back.
+/// @param hosts live hosts of one data centre, or of all
+std::vector<std::string> reader_order(std::vector<std::string> hosts,
+                                      std::string_view purpose);
+
+/// Place of `host` in that order, from 0; hosts.size() when it is not listed.
+std::size_t reader_rank(const std::vector<std::string>& hosts,
+                        std::string_view host, std::string_view purpose);
+
+/// Time without news of the log after which a host reads for itself. Changes
+/// must be in force within 4 s.
+inline constexpr state::duration max_silence = std::chrono::seconds(1);
+
+/// Decides when a host reads the log.
+class read_schedule
+{
+public:
+    explicit read_schedule(state::time_point start)
+        : last_news_(start)
+    {}
+
+    /// A reader confirmed an offset of the log, new or not.
+    void heard(state::time_point now)
+    {
+        last_news_ = now;
+    }
+
+    /// @param is_reader this host is among the elected readers
+    bool should_read(state::time_point now, bool is_reader) const
+    {
+        return is_reader || now - last_news_ >= max_silence;
+    }
+
+private:
+    state::time_point last_news_;
+};
+
+} // namespace oriolegrade::coordination
+
+#endif
--- /dev/null
+++ b/src/coordination/change_tracker.cpp
@@ -0,0 +1,43 @@
+// Status of changes for operators.
+
+#include <oriolegrade/coordination/change_tracker.hpp>
+
+#include <algorithm>
+
+namespace oriolegrade::coordination {
+
+void change_tracker::add(const std::vector<judged_record>& judged)
+{
+    for (const auto& it : judged) {
+        if (!changes_.try_emplace(it.change_id, it).second) {
+            continue;
+        }
+        order_.push_back(it.change_id);
+        if (order_.size() > max_changes) {
+            changes_.erase(order_.front());
+            order_.pop_front();
+        }
+    }
+}
+
+std::optional<change_status>
+change_tracker::status(const state::identifier& id,
+                       const std::vector<host_progress>& hosts) const
+{
+    const auto it = changes_.find(id);
+    if (it == changes_.end()) {
+        return std::nullopt;
+    }
+    change_status out{it->second, 0, hosts.size(), {}};
+    for (const auto& host : hosts) {
+        if (host.next_offset > it->second.offset) {
+            ++out.applied;
+        } else {
+            out.lagging.push_back(host.host);
+        }
+    }
+    std::sort(out.lagging.begin(), out.lagging.end());
+    return out;
+}
+
+} // namespace oriolegrade::coordination
--- /dev/null
+++ b/test/fakes/fake_clock.hpp
@@ -0,0 +1,29 @@
+// Clock that moves only when a test says so.
+
+#ifndef ORIOLEGRADE_TEST_FAKES_FAKE_CLOCK_HPP
+#define ORIOLEGRADE_TEST_FAKES_FAKE_CLOCK_HPP
+
+#include <oriolegrade/state/time_type.hpp>
+
+namespace oriolegrade::fakes {
+
+class fake_clock
+{
+public:
+    state::time_point now() const
+    {
+        return now_;
+    }
+    void advance(state::duration by)
+    {
+        now_ += by;
+    }
+
+private:
+    /// Far from zero, so that subtraction of any timeout stays positive.
+    state::time_point now_{std::chrono::hours(1000)};
+};
+
+} // namespace oriolegrade::fakes
+
+#endif
