--- /dev/null
+++ b/include/oriolegrade/protocol/admin_json.hpp
@@ -0,0 +1,39 @@
+// JSON bodies of the administration API.
+
+#ifndef ORIOLEGRADE_PROTOCOL_ADMIN_JSON_HPP
+#define ORIOLEGRADE_PROTOCOL_ADMIN_JSON_HPP
+
+#include <oriolegrade/coordination/change_tracker.hpp>
+#include <oriolegrade/coordination/publisher.hpp>
+#include <oriolegrade/state/configuration.hpp>
+#include <oriolegrade/state/finding.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace oriolegrade::protocol {
+
+/// A record with the result of its publication; no result for a validation.
+struct record_result
+{
+    state::record_key key;
+    state::identifier change_id;
+    std::optional<coordination::publish_result> published;
+};
+
+std::string encode_findings(const state::findings& list);
+std::string encode_results(const std::vector<record_result>& results);
+std::string encode_error(std::string_view message);
+
+/// Keys, revisions and change ids of entries, sorted by key.
+std::string encode_entry_list(std::vector<state::entry_ptr> entries);
+/// The same with bodies.
+std::string encode_entries(std::vector<state::entry_ptr> entries);
+
+std::string encode_change(const coordination::change_status& status);
+
+} // namespace oriolegrade::protocol
+
+#endif
