--- a/src/programs/oriole-standin/upstream_server.cpp
+++ b/src/programs/oriole-standin/upstream_server.cpp
@@ -4,16 +4,13 @@
 
 #include "../common/pattern_body.hpp"
 #include "../common/query.hpp"
+#include "../common/socket_probe.hpp"
 
 #include <oriolegrade/protocol/header_field.hpp>
 #include <oriolegrade/transport/fiber_scheduler.hpp>
 
 #include <boost/fiber/operations.hpp>
 
-#include <sys/socket.h>
-
-#include <cerrno>
-
 namespace oriolegrade::programs {
 
 namespace {
@@ -37,14 +34,6 @@
     return {name.data(), name.size()};
 }
 
-bool peer_left(boost::asio::ip::tcp::socket& socket)
-{
-    char c = 0;
-    const auto n =
-        ::recv(socket.native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n == 0 || (n < 0 && errno != EAGAIN);
-}
-
 std::string_view text_of(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
