Serve the thin path end to end: agent, feed, entry, demo

The agent follows the log and feeds its entry over an nghttp2 stream; the entry publishes each configuration to its workers by RCU.

Tokens and keys are not enforced yet.

--- /dev/null
+++ b/src/programs/oriole-entry/main.cpp
@@ -0,0 +1,87 @@
+// Request path of a host: starts the worker threads, follows the agent's
+// feed and stops gracefully.
+
+#include "../common/settings_file.hpp"
+
+#include <oriolegrade/protocol/settings.hpp>
+#include <oriolegrade/transport/entry_feed.hpp>
+#include <oriolegrade/transport/entry_server.hpp>
+#include <oriolegrade/transport/event_log.hpp>
+#include <oriolegrade/transport/fiber_scheduler.hpp>
+#include <oriolegrade/transport/stop_signal.hpp>
+
+#include <gflags/gflags.h>
+
+DEFINE_string(settings, "", "settings file: JSON with comments");
+DEFINE_bool(check_settings, false, "check the settings file and exit");
+
+namespace {
+
+using namespace oriolegrade;
+using transport::log_level;
+
+transport::entry_options options_from(const protocol::entry_settings& settings)
+{
+    transport::entry_options options;
+    options.caller_listen = settings.caller_listen;
+    options.max_connections = settings.limits.caller_connections;
+    options.caller.max_head_bytes =
+        static_cast<std::uint32_t>(settings.limits.header_bytes);
+    options.caller.idle = settings.limits.idle_timeout;
+    options.caller.progress = settings.limits.header_timeout;
+    return options;
+}
+
+void serve(const protocol::entry_settings& settings,
+           boost::asio::io_context& ioc)
+{
+    transport::entry_shared shared(options_from(settings));
+    transport::entry_feed feed(ioc, shared, settings.agent, settings.fleet_key);
+    transport::entry_server server(shared, settings.threads);
+    transport::spawn_fiber([&] { feed.follow(); });
+    transport::event(log_level::info, "entry_started")
+        .with("callers", to_string(settings.caller_listen))
+        .with("threads", settings.threads);
+    transport::wait_for_stop_signal(ioc);
+    transport::event(log_level::info, "entry_stopping");
+    const bool drained =
+        server.stop(settings.shutdown.notice, settings.shutdown.drain_limit);
+    transport::event(log_level::info, "entry_stopped")
+        .with("drained", drained ? "yes" : "no");
+    transport::exit_process(0);
+}
+
+int run(const protocol::entry_settings& settings)
+{
+    int status = 0;
+    transport::run_fibers([&](boost::asio::io_context& ioc) {
+        try {
+            serve(settings, ioc);
+        } catch (const boost::system::system_error& error) {
+            transport::event(log_level::error, "start_failed")
+                .with("error", error.what());
+            status = 1;
+        }
+    });
+    return status;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("request path of an oriolegrade host");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto settings =
+        programs::read_settings(FLAGS_settings, [](const std::string& text) {
+            return protocol::decode_entry_settings(text);
+        });
+    if (!settings) {
+        return 2;
+    }
+    if (FLAGS_check_settings) {
+        return 0;
+    }
+    transport::start_event_log("oriole-entry", settings->log_level);
+    return run(*settings);
+}
