Add tokens, key digests and reply reasons

A token text is 66 bytes in base64url, 88 characters without unused bits, so each token has exactly one text.

reply_reason has a static table of status, outcome and text. told_outcome() turns not-run into unknown when a token or key came with the request and its owner was not asked: a refusal by this host says nothing about an earlier attempt that ran elsewhere.

--- /dev/null
+++ b/include/oriolegrade/state/reply_reason.hpp
@@ -0,0 +1,137 @@
+// Why the system itself answers a request, with the status, the outcome and
+// the text of each answer.
+
+#ifndef ORIOLEGRADE_STATE_REPLY_REASON_HPP
+#define ORIOLEGRADE_STATE_REPLY_REASON_HPP
+
+#include <oriolegrade/state/enum_names.hpp>
+#include <oriolegrade/state/run_outcome.hpp>
+
+#include <array>
+#include <cstdint>
+
+namespace oriolegrade::state {
+
+enum class reply_reason : std::uint8_t
+{
+    no_route,
+    too_large,
+    limit,
+    token_needed,
+    shed,
+    bad_request,
+    headers_too_large,
+    binding_conflict,
+    table_full,
+    shutting_down,
+    given_up,
+    connection_lost,
+    deadline,
+    incarnation_gone,
+    token_expired,
+    handed_over,
+    claim_unavailable,
+    claim_unresolved,
+    owner_unreachable,
+    answer_not_kept,
+};
+
+template <>
+struct enum_names<reply_reason>
+{
+    static constexpr std::array<std::string_view, 20> value{
+        "no_route",
+        "too_large",
+        "limit",
+        "token_needed",
+        "shed",
+        "bad_request",
+        "headers_too_large",
+        "binding_conflict",
+        "table_full",
+        "shutting_down",
+        "given_up",
+        "connection_lost",
+        "deadline",
+        "incarnation_gone",
+        "token_expired",
+        "handed_over",
+        "claim_unavailable",
+        "claim_unresolved",
+        "owner_unreachable",
+        "answer_not_kept",
+    };
+};
+
+struct reply_row
+{
+    std::uint16_t status;
+    run_outcome outcome;
+    std::string_view text;
+};
+
+inline constexpr std::array<reply_row, 20> reply_table{{
+    {404, run_outcome::not_run, "no route matches"},
+    {413, run_outcome::not_run, "request body exceeds the route's limit"},
+    {429, run_outcome::not_run, "rate or concurrency limit reached"},
+    {428, run_outcome::not_run, "repeat with the token of this response"},
+    {503, run_outcome::not_run, "no upstream accepts the request"},
+    {400, run_outcome::not_run, "malformed request"},
+    {431, run_outcome::not_run, "request headers exceed the limit"},
+    {409, run_outcome::not_run, "token or key belongs to another request"},
+    {503, run_outcome::not_run, "too many outstanding requests"},
+    {503, run_outcome::not_run, "host is shutting down"},
+    {503, run_outcome::not_run, "earlier attempt ended without running"},
+    {502, run_outcome::unknown, "connection lost after bytes were written"},
+    {504, run_outcome::unknown, "deadline passed after bytes were written"},
+    {410, run_outcome::unknown, "the token's process no longer exists"},
+    {410, run_outcome::unknown, "token expired"},
+    {503, run_outcome::unknown, "token moved to another process; repeat"},
+    {503, run_outcome::unknown, "keys cannot be claimed now; repeat"},
+    {503, run_outcome::unknown, "claim of the key unresolved; repeat"},
+    {502, run_outcome::unknown, "owner of the request not reachable; repeat"},
+    {410, run_outcome::ran, "request ran; its answer is no longer kept"},
+}};
+
+static_assert(reply_table.size() == enum_size<reply_reason>);
+
+constexpr const reply_row& reply_of(reply_reason reason)
+{
+    return reply_table[index_of(reason)];
+}
+
+/// What this host knows about earlier attempts of the same request.
+enum class attempt_knowledge : std::uint8_t
+{
+    /// Neither token nor key: the request is this attempt only.
+    only_attempt,
+    /// The owning incarnation decided, and never runs the request after it
+    /// answered not-run.
+    owner_decided,
+    /// A token or key that another attempt may have used.
+    earlier_attempts_possible,
+};
+
+template <>
+struct enum_names<attempt_knowledge>
+{
+    static constexpr std::array<std::string_view, 3> value{
+        "only_attempt", "owner_decided", "earlier_attempts_possible"};
+};
+
+/// Outcome to tell the caller. Without the owner's word, a refusal says
+/// nothing about an earlier attempt that may have run, so `not_run` becomes
+/// `unknown`. A binding conflict is exempt: the request in hand differs from
+/// the one that the token or key belongs to.
+constexpr run_outcome told_outcome(reply_reason reason, attempt_knowledge known)
+{
+    const auto outcome = reply_of(reason).outcome;
+    const bool proved = known != attempt_knowledge::earlier_attempts_possible ||
+                        reason == reply_reason::binding_conflict;
+    return outcome == run_outcome::not_run && !proved ? run_outcome::unknown
+                                                      : outcome;
+}
+
+} // namespace oriolegrade::state
+
+#endif
--- /dev/null
+++ b/src/state/token.cpp
@@ -0,0 +1,109 @@
+// Text form of tokens: base64url of a fixed layout with a format number.
+
+#include <oriolegrade/state/digest.hpp>
+#include <oriolegrade/state/token.hpp>
+
+#include <algorithm>
+#include <cstring>
+
+namespace oriolegrade::state {
+
+namespace {
+
+constexpr std::uint64_t format_number = 1;
+constexpr std::size_t raw_size = token_signed_size + sizeof(token_mac);
+constexpr std::string_view alphabet =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+
+// The raw size is a multiple of three, so a text has no unused bits and each
+// token has exactly one text.
+static_assert(raw_size % 3 == 0 && raw_size / 3 * 4 == token_text_size);
+
+std::uint8_t* put(std::uint8_t* at, std::uint64_t value, std::size_t bytes)
+{
+    for (std::size_t i = bytes; i-- > 0;) {
+        *at++ = static_cast<std::uint8_t>(value >> (8 * i));
+    }
+    return at;
+}
+
+std::uint64_t get(const std::uint8_t*& at, std::size_t bytes)
+{
+    std::uint64_t value = 0;
+    for (std::size_t i = 0; i < bytes; ++i) {
+        value = (value << 8U) | *at++;
+    }
+    return value;
+}
+
+} // namespace
+
+std::array<std::uint8_t, token_signed_size> signed_bytes(const token& it)
+{
+    std::array<std::uint8_t, token_signed_size> out{};
+    auto* at = put(out.data(), format_number, 2);
+    at = put(at, it.incarnation.high, 8);
+    at = put(at, it.incarnation.low, 8);
+    at = put(at, it.sequence, 8);
+    at = put(at, it.expires_ms, 8);
+    at = put(at, it.binding.high, 8);
+    put(at, it.binding.low, 8);
+    return out;
+}
+
+std::string to_string(const token& it)
+{
+    std::array<std::uint8_t, raw_size> raw{};
+    const auto head = signed_bytes(it);
+    std::copy(head.begin(), head.end(), raw.begin());
+    std::copy(it.mac.begin(), it.mac.end(), raw.begin() + head.size());
+    std::string text;
+    text.reserve(token_text_size);
+    for (std::size_t i = 0; i < raw_size; i += 3) {
+        const std::uint32_t group =
+            (raw[i] << 16U) | (raw[i + 1] << 8U) | raw[i + 2];
+        for (const unsigned shift : {18U, 12U, 6U, 0U}) {
+            text += alphabet[(group >> shift) & 63U];
+        }
+    }
+    return text;
+}
+
+std::optional<token> token_from_string(std::string_view text)
+{
+    if (text.size() != token_text_size) {
+        return std::nullopt;
+    }
+    std::array<std::uint8_t, raw_size> raw{};
+    for (std::size_t i = 0; i < token_text_size; i += 4) {
+        std::uint64_t group = 0;
+        for (const char c : text.substr(i, 4)) {
+            const auto digit = alphabet.find(c);
+            if (digit == std::string_view::npos) {
+                return std::nullopt;
+            }
+            group = (group << 6U) | digit;
+        }
+        put(raw.data() + i / 4 * 3, group, 3);
+    }
+    const std::uint8_t* at = raw.data();
+    if (get(at, 2) != format_number) {
+        return std::nullopt;
+    }
+    token out;
+    out.incarnation.high = get(at, 8);
+    out.incarnation.low = get(at, 8);
+    out.sequence = get(at, 8);
+    out.expires_ms = get(at, 8);
+    out.binding.high = get(at, 8);
+    out.binding.low = get(at, 8);
+    std::memcpy(out.mac.data(), at, out.mac.size());
+    return out;
+}
+
+identifier token_binding(std::string_view caller, std::string_view route)
+{
+    return short_digest_of({"token", caller, route});
+}
+
+} // namespace oriolegrade::state
