--- /dev/null
+++ b/include/oriolegrade/coordination/incarnation_set.hpp
@@ -0,0 +1,103 @@
+// The incarnations whose requests a process may run: its own and those it
+// took over from stopping processes.
+
+#ifndef ORIOLEGRADE_COORDINATION_INCARNATION_SET_HPP
+#define ORIOLEGRADE_COORDINATION_INCARNATION_SET_HPP
+
+#include <oriolegrade/coordination/token_authority.hpp>
+#include <oriolegrade/coordination/used_table.hpp>
+#include <oriolegrade/state/rcu_cell.hpp>
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace oriolegrade::coordination {
+
+struct held_incarnation
+{
+    held_incarnation(const state::authority_state& identity,
+                     state::time_point now, state::duration token_lifetime,
+                     const used_table_limits& limits)
+        : authority(identity, now, token_lifetime)
+        , used(limits)
+    {}
+
+    held_incarnation(const state::handover_state& imported,
+                     state::time_point now, state::duration token_lifetime,
+                     const used_table_limits& limits)
+        : authority(imported.authority, now, token_lifetime)
+        , used(imported.used, limits)
+    {}
+
+    token_authority authority;
+    used_table used;
+};
+
+using held_ptr = std::shared_ptr<held_incarnation>;
+
+enum class import_result : std::uint8_t
+{
+    imported,
+    /// Here already; the table in use stays.
+    repeated,
+    /// The state names another successor.
+    not_for_us,
+    /// This process has handed over its own requests already.
+    stopping,
+};
+
+/// Reads are wait-free; imports are rare.
+class incarnation_set
+{
+public:
+    /// @param own fresh_identity() in production
+    incarnation_set(const state::authority_state& own, state::time_point now,
+                    state::duration token_lifetime,
+                    const used_table_limits& limits = {});
+
+    const held_ptr& own() const
+    {
+        return own_;
+    }
+
+    /// Held incarnation with the id, or null.
+    held_ptr find(const state::identifier& incarnation) const;
+
+    /// Stops all held incarnations for good and returns what `successor`
+    /// needs to go on with each; empty when another successor was named
+    /// before. Imports that arrive later are refused.
+    std::vector<state::handover_state>
+    export_all(const state::identifier& successor, state::time_point now);
+
+    /// A repeated import is ignored, since requests may have run since the
+    /// first.
+    import_result import(const state::handover_state& from,
+                         state::time_point now);
+
+private:
+    using held_map = std::map<state::identifier, held_ptr>;
+
+    state::duration token_lifetime_;
+    used_table_limits limits_;
+    held_ptr own_;
+    std::mutex import_mutex_;
+    bool stopping_ = false;
+    state::rcu_cell<held_map> held_;
+};
+
+} // namespace oriolegrade::coordination
+
+namespace oriolegrade::state {
+
+template <>
+struct enum_names<coordination::import_result>
+{
+    static constexpr std::array<std::string_view, 4> value{
+        "imported", "repeated", "not_for_us", "stopping"};
+};
+
+} // namespace oriolegrade::state
+
+#endif
