Add claims of keys and the request gate

The claim table evaluates a partition in log order; clocks only decide when a release is written, so readers with different clocks agree. A reader that missed trimmed records waits for a checkpoint: the renewals of exactly this checkpoint are the state at its offset, and the records kept since are evaluated from there. Taking renewals as they come is wrong: one that lands after a release would hold the key again.

The writer appends at most once in 320 ms, so 64 partitions make 200 appends a second.

When the log is unavailable, a request with a key is answered unknown, not not-run: a host that cannot read the log cannot exclude that another host ran the key, and a caller told not-run would run it again by token.

--- /dev/null
+++ b/include/oriolegrade/coordination/claim_writer.hpp
@@ -0,0 +1,479 @@
+// Writes and resolves the claims of one partition.
+
+#ifndef ORIOLEGRADE_COORDINATION_CLAIM_WRITER_HPP
+#define ORIOLEGRADE_COORDINATION_CLAIM_WRITER_HPP
+
+#include <oriolegrade/coordination/claim_table.hpp>
+#include <oriolegrade/coordination/concepts.hpp>
+#include <oriolegrade/state/enum_names.hpp>
+#include <oriolegrade/state/once_type.hpp>
+#include <oriolegrade/state/partition.hpp>
+#include <oriolegrade/state/time_type.hpp>
+
+#include <algorithm>
+#include <array>
+#include <concepts>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace oriolegrade::coordination {
+
+/// Bytes of a log record from a batch and back; the protocol layer has it.
+template <class Codec>
+concept claim_codec = requires(const Codec& c, const state::claim_batch& batch,
+                               std::string_view bytes)
+{
+    {
+        c.encode(batch)
+        } -> std::same_as<std::string>;
+    {
+        c.decode(bytes)
+        } -> std::same_as<std::optional<state::claim_batch>>;
+};
+
+enum class claim_status : std::uint8_t
+{
+    won,
+    lost,
+    /// Certainly not in the log.
+    not_claimed,
+    /// May be in the log or may still arrive there.
+    unresolved,
+};
+
+struct claim_answer
+{
+    claim_status status = claim_status::unresolved;
+    /// The claim that holds the key, for `won` and `lost`.
+    state::claim winner;
+};
+
+/// Called once, outside all locks. It only wakes a fiber.
+using claim_callback = std::function<void(const claim_answer&)>;
+
+struct claim_writer_limits
+{
+    std::size_t max_batch = 256;
+    std::size_t max_queue = 4096;
+    /// Wait for more claims before an append.
+    state::duration max_delay = std::chrono::milliseconds(20);
+    /// Shortest time between two appends of claims. 64 partitions at this
+    /// pace make 200 appends a second, within the log's several hundred.
+    state::duration append_gap = std::chrono::milliseconds(320);
+    /// Wait between two tries to resolve claims whose fate is open.
+    state::duration retry_every = std::chrono::milliseconds(50);
+    /// A claim not resolved by then is answered `unresolved`.
+    state::duration resolve_within = std::chrono::seconds(2);
+    /// Time between two checkpoints: a third of the log's retention.
+    state::duration checkpoint_every = std::chrono::hours(1);
+    std::size_t read_batch = 256;
+};
+
+struct claim_writer_counters
+{
+    std::uint64_t appends = 0;
+    std::uint64_t claims_appended = 0;
+    std::uint64_t undecodable_records = 0;
+};
+
+/// submit() and winner() may be called by any thread. One fiber calls pump();
+/// no lock is held while the log client blocks it.
+///
+/// Why an unresolved claim is safe. An append whose answer was lost may enter
+/// the log at any later time and then win. The writer therefore answers `won`
+/// only after it evaluated the claim in log order, and `not_claimed` only
+/// when every append of the claim was answered not_appended. For everything
+/// else it answers `unresolved`, and the claimant marks the nonce as given up
+/// in its used table before it answers its caller (claimant_step()). Three
+/// facts follow. (1) Only the claimant's incarnation may run the nonce, and
+/// given_up is final there, so the claim never runs, whether or not it wins.
+/// (2) Another incarnation runs the key only with another nonce that wins,
+/// and one key has one winner at a time. (3) The caller hears `unknown`, since
+/// an earlier winner may have run. A repeat finds the winner: if it is the
+/// given-up nonce, its incarnation proves not-run; if that incarnation is
+/// gone, the answer is `unknown`.
+template <log_client Log, claim_codec Codec>
+class claim_writer
+{
+public:
+    claim_writer(Log& log, Codec codec, std::uint32_t partition,
+                 const claim_writer_limits& limits = {},
+                 const claim_table_limits& table_limits = {})
+        : log_(log)
+        , codec_(std::move(codec))
+        , stream_(state::claim_stream(partition))
+        , limits_(limits)
+        , table_(table_limits)
+    {}
+
+    /// Queues a claim. When the queue is full, `done` is called at once with
+    /// `not_claimed`.
+    void submit(const state::claim& what, state::time_point now,
+                claim_callback done)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            if (queue_.size() + pending_.size() < limits_.max_queue) {
+                queue_.push_back({what, now, std::move(done)});
+                return;
+            }
+        }
+        done({claim_status::not_claimed, {}});
+    }
+
+    /// Claim that holds the key as far as this host has read the log.
+    std::optional<state::claim> winner(const state::digest256& key) const
+    {
+        const std::lock_guard lock(mutex_);
+        return table_.winner(key);
+    }
+
+    bool complete() const
+    {
+        const std::lock_guard lock(mutex_);
+        return table_.complete();
+    }
+
+    claim_writer_counters counters() const
+    {
+        const std::lock_guard lock(mutex_);
+        return counters_;
+    }
+
+    /// When pump() has something to do; empty when it can wait for a submit.
+    std::optional<state::time_point> due() const
+    {
+        const std::lock_guard lock(mutex_);
+        std::optional<state::time_point> at;
+        if (!pending_.empty()) {
+            at = last_pump_ + limits_.retry_every;
+        }
+        if (!queue_.empty()) {
+            const auto queued = queue_due();
+            at = at ? std::min(*at, queued) : queued;
+        }
+        return at;
+    }
+
+    /// Reads what is new, answers what that resolves, appends what is due.
+    void pump(state::time_point now)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            last_pump_ = now;
+        }
+        read_new(now);
+        settle(now);
+        if (append_due(now)) {
+            read_new(now);
+            settle(now);
+        }
+    }
+
+    /// Writes releases of expired claims and, when one is due, a checkpoint.
+    /// Only a partition's writer needs to call it; two writers do no harm.
+    void maintain(state::time_point now)
+    {
+        read_new(now);
+        write_releases(now);
+        if (now >= next_checkpoint_) {
+            next_checkpoint_ =
+                now + (write_checkpoint(now) ? limits_.checkpoint_every
+                                             : limits_.resolve_within);
+        }
+    }
+
+private:
+    struct waiting
+    {
+        state::claim what;
+        state::time_point submitted;
+        claim_callback done;
+        /// An append was not refused: the claim may be in the log.
+        bool maybe_in_log = false;
+        /// No append of the claim was confirmed.
+        bool append_again = true;
+        bool seen = false;
+    };
+
+    using answers = std::vector<std::pair<claim_callback, claim_answer>>;
+
+    static void deliver(const answers& all)
+    {
+        for (const auto& [done, answer] : all) {
+            done(answer);
+        }
+    }
+
+    void read_new(state::time_point now)
+    {
+        for (;;) {
+            const auto from = next_offset();
+            const auto got = log_.read(stream_, from, limits_.read_batch);
+            const std::lock_guard lock(mutex_);
+            if (const auto* trimmed = std::get_if<state::log_trimmed>(&got)) {
+                if (trimmed->first_offset <= from) {
+                    return;
+                }
+                table_.skip_to(trimmed->first_offset, now);
+                continue;
+            }
+            const auto* records = std::get_if<state::log_records>(&got);
+            if (records == nullptr || records->records.empty()) {
+                break;
+            }
+            for (const auto& it : records->records) {
+                apply(it, now);
+            }
+            if (table_.next_offset() == from) {
+                break;
+            }
+        }
+        const std::lock_guard lock(mutex_);
+        table_.expire_gap(now);
+    }
+
+    void apply(const state::log_record& it, state::time_point now)
+    {
+        const auto batch = codec_.decode(it.bytes);
+        if (!batch) {
+            ++counters_.undecodable_records;
+            table_.skip_undecodable(it.offset);
+            return;
+        }
+        table_.apply(it.offset, *batch, now, [&](const auto& nonce) {
+            const auto found = pending_.find(nonce);
+            if (found != pending_.end()) {
+                found->second.seen = true;
+            }
+        });
+    }
+
+    std::uint64_t next_offset() const
+    {
+        const std::lock_guard lock(mutex_);
+        return table_.next_offset();
+    }
+
+    /// Answers pending claims that the log has decided or that took too long.
+    void settle(state::time_point now)
+    {
+        answers out;
+        {
+            const std::lock_guard lock(mutex_);
+            for (auto it = pending_.begin(); it != pending_.end();) {
+                const auto answer = decide(it->second, now);
+                if (answer) {
+                    out.emplace_back(std::move(it->second.done), *answer);
+                    it = pending_.erase(it);
+                } else {
+                    ++it;
+                }
+            }
+        }
+        deliver(out);
+    }
+
+    std::optional<claim_answer> decide(const waiting& it,
+                                       state::time_point now) const
+    {
+        if (it.seen && table_.complete()) {
+            const auto holder = table_.winner(it.what.key);
+            if (!holder) {
+                // The winner was released within the same read.
+                return claim_answer{claim_status::unresolved, {}};
+            }
+            return claim_answer{holder->nonce == it.what.nonce
+                                    ? claim_status::won
+                                    : claim_status::lost,
+                                *holder};
+        }
+        if (now - it.submitted < limits_.resolve_within) {
+            return std::nullopt;
+        }
+        return claim_answer{it.maybe_in_log ? claim_status::unresolved
+                                            : claim_status::not_claimed,
+                            {}};
+    }
+
+    /// When the claims in the queue are appended.
+    state::time_point queue_due() const
+    {
+        const auto ready = queue_.size() >= limits_.max_batch
+                               ? queue_.front().submitted
+                               : queue_.front().submitted + limits_.max_delay;
+        return std::max(ready, last_append_ + limits_.append_gap);
+    }
+
+    /// Moves queued claims that are due to the pending ones. Keys that are
+    /// held already are answered without an append.
+    answers take_due(state::time_point now)
+    {
+        answers out;
+        const bool is_due = !queue_.empty() && queue_due() <= now;
+        for (std::size_t i = 0; is_due && i < limits_.max_batch; ++i) {
+            if (queue_.empty()) {
+                break;
+            }
+            auto it = std::move(queue_.front());
+            queue_.pop_front();
+            if (const auto holder = table_.winner(it.what.key)) {
+                const auto status = holder->nonce == it.what.nonce
+                                        ? claim_status::won
+                                        : claim_status::lost;
+                out.emplace_back(std::move(it.done),
+                                 claim_answer{status, *holder});
+            } else if (pending_.contains(it.what.nonce)) {
+                // Only the first submission knows whether it was appended.
+                out.emplace_back(std::move(it.done), claim_answer{});
+            } else {
+                const auto nonce = it.what.nonce;
+                pending_.emplace(nonce, std::move(it));
+            }
+        }
+        return out;
+    }
+
+    /// @return whether something was appended
+    bool append_due(state::time_point now)
+    {
+        answers out;
+        state::claim_batch batch;
+        {
+            const std::lock_guard lock(mutex_);
+            out = take_due(now);
+            const bool paced = now - last_append_ < limits_.append_gap;
+            for (const auto& [nonce, it] : pending_) {
+                if (!paced && it.append_again && !it.seen &&
+                    batch.claims.size() < limits_.max_batch) {
+                    batch.claims.push_back(it.what);
+                }
+            }
+        }
+        deliver(out);
+        if (batch.claims.empty()) {
+            return false;
+        }
+        const auto result = append(batch);
+        out.clear();
+        {
+            const std::lock_guard lock(mutex_);
+            last_append_ = now;
+            counters_.claims_appended += batch.claims.size();
+            for (const auto& it : batch.claims) {
+                note_append(it.nonce, result, out);
+            }
+        }
+        deliver(out);
+        return true;
+    }
+
+    void note_append(const state::identifier& nonce,
+                     const state::append_result& result, answers& out)
+    {
+        const auto found = pending_.find(nonce);
+        if (found == pending_.end()) {
+            return;
+        }
+        auto& it = found->second;
+        if (!std::holds_alternative<state::not_appended>(result)) {
+            it.maybe_in_log = true;
+            it.append_again =
+                std::holds_alternative<state::append_unknown>(result);
+        } else if (!it.maybe_in_log) {
+            out.emplace_back(std::move(it.done),
+                             claim_answer{claim_status::not_claimed, {}});
+            pending_.erase(found);
+        }
+    }
+
+    state::append_result append(const state::claim_batch& batch)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            ++counters_.appends;
+        }
+        return log_.append(stream_, codec_.encode(batch));
+    }
+
+    void write_releases(state::time_point now)
+    {
+        state::claim_batch batch;
+        {
+            const std::lock_guard lock(mutex_);
+            batch.releases = table_.expired(now);
+        }
+        if (batch.releases.size() > limits_.max_batch) {
+            batch.releases.resize(limits_.max_batch);
+        }
+        if (!batch.releases.empty()) {
+            append(batch);
+            read_new(now);
+        }
+    }
+
+    /// @return false when it has to be tried again soon
+    bool write_checkpoint(state::time_point now)
+    {
+        std::vector<state::claim_renewal> all;
+        state::claim_checkpoint mark;
+        {
+            const std::lock_guard lock(mutex_);
+            if (!table_.complete()) {
+                return false;
+            }
+            all = table_.renewals(now);
+            mark.offset = table_.next_offset();
+        }
+        // A checkpoint counts only after all of its renewals, so an append
+        // that is not confirmed ends it.
+        for (std::size_t i = 0; i < all.size(); i += limits_.max_batch) {
+            const auto end = std::min(all.size(), i + limits_.max_batch);
+            state::claim_batch part;
+            part.renewals.assign(all.begin() + static_cast<long>(i),
+                                 all.begin() + static_cast<long>(end));
+            if (!std::holds_alternative<state::appended>(append(part))) {
+                return false;
+            }
+        }
+        state::claim_batch last;
+        last.checkpoint = mark;
+        return std::holds_alternative<state::appended>(append(last));
+    }
+
+    Log& log_;
+    Codec codec_;
+    std::string stream_;
+    claim_writer_limits limits_;
+    mutable std::mutex mutex_;
+    claim_table table_;
+    std::deque<waiting> queue_;
+    std::map<state::identifier, waiting> pending_;
+    claim_writer_counters counters_;
+    state::time_point last_pump_;
+    state::time_point last_append_;
+    state::time_point next_checkpoint_;
+};
+
+} // namespace oriolegrade::coordination
+
+namespace oriolegrade::state {
+
+template <>
+struct enum_names<coordination::claim_status>
+{
+    static constexpr std::array<std::string_view, 4> value{
+        "won", "lost", "not_claimed", "unresolved"};
+};
+
+} // namespace oriolegrade::state
+
+#endif
--- /dev/null
+++ b/src/coordination/claim_table.cpp
@@ -0,0 +1,168 @@
+// Log-order rules of claims, releases and checkpoints.
+
+#include <oriolegrade/coordination/claim_table.hpp>
+
+#include <algorithm>
+
+namespace oriolegrade::coordination {
+
+claim_table::claim_table(const claim_table_limits& limits)
+    : limits_(limits)
+{}
+
+void claim_table::apply(std::uint64_t offset, const state::claim_batch& batch,
+                        state::time_point now, const nonce_observer& seen)
+{
+    if (offset < next_offset_) {
+        return;
+    }
+    next_offset_ = offset + 1;
+    if (complete_) {
+        evaluate(batch, now);
+    } else {
+        buffer(offset, batch, now);
+    }
+    if (batch.checkpoint) {
+        last_checkpoint_ = std::max(last_checkpoint_, batch.checkpoint->offset);
+    }
+    if (seen) {
+        for (const auto& it : batch.claims) {
+            seen(it.nonce);
+        }
+    }
+}
+
+void claim_table::evaluate(const state::claim_batch& batch,
+                           state::time_point now)
+{
+    for (const auto& it : batch.releases) {
+        const auto found = held_.find(it.key);
+        if (found != held_.end() && found->second.what.nonce == it.nonce) {
+            held_.erase(found);
+        }
+    }
+    // Renewals say nothing new to a table that missed no record.
+    for (const auto& it : batch.claims) {
+        if (!held_.contains(it.key)) {
+            hold(it, now);
+        }
+    }
+}
+
+void claim_table::hold(const state::claim& what, state::time_point now)
+{
+    const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(
+                             limits_.max_lifetime)
+                             .count();
+    const auto lifetime =
+        std::min(what.lifetime_ms, static_cast<std::uint64_t>(longest));
+    held_.insert_or_assign(
+        what.key, held{what, now + std::chrono::milliseconds(lifetime)});
+}
+
+void claim_table::buffer(std::uint64_t offset, const state::claim_batch& batch,
+                         state::time_point now)
+{
+    buffer_.push_back({offset, batch, now});
+    if (batch.checkpoint && batch.checkpoint->offset >= gap_end_ &&
+        batch.checkpoint->offset <= offset) {
+        replay_from(batch.checkpoint->offset);
+    } else if (buffer_.size() > limits_.max_buffered) {
+        buffer_.clear();
+        gap_end_ = next_offset_;
+        gap_at_ = now;
+    }
+}
+
+void claim_table::replay_from(std::uint64_t checkpoint)
+{
+    held_.clear();
+    // Only renewals of this very checkpoint describe the state at its offset;
+    // those of an older one may name claims released in between.
+    for (const auto& record : buffer_) {
+        if (record.offset < checkpoint) {
+            continue;
+        }
+        for (const auto& it : record.batch.renewals) {
+            if (it.as_of == checkpoint) {
+                hold(it.what, record.read_at);
+            }
+        }
+    }
+    complete_ = true;
+    for (const auto& record : buffer_) {
+        if (record.offset >= checkpoint) {
+            evaluate(record.batch, record.read_at);
+        }
+    }
+    buffer_.clear();
+    buffer_.shrink_to_fit();
+}
+
+void claim_table::skip_to(std::uint64_t first_offset, state::time_point now)
+{
+    if (first_offset <= next_offset_) {
+        return;
+    }
+    next_offset_ = first_offset;
+    held_.clear();
+    buffer_.clear();
+    complete_ = false;
+    gap_end_ = first_offset;
+    gap_at_ = now;
+}
+
+void claim_table::skip_undecodable(std::uint64_t offset)
+{
+    next_offset_ = std::max(next_offset_, offset + 1);
+}
+
+void claim_table::expire_gap(state::time_point now)
+{
+    if (!complete_ && now - gap_at_ >= limits_.max_lifetime) {
+        replay_from(gap_end_);
+    }
+}
+
+std::optional<state::claim>
+claim_table::winner(const state::digest256& key) const
+{
+    const auto found = held_.find(key);
+    if (!complete_ || found == held_.end()) {
+        return std::nullopt;
+    }
+    return found->second.what;
+}
+
+std::vector<state::claim_release>
+claim_table::expired(state::time_point now) const
+{
+    std::vector<state::claim_release> out;
+    for (const auto& [key, it] : held_) {
+        if (complete_ && it.expires <= now) {
+            out.push_back({key, it.what.nonce});
+        }
+    }
+    return out;
+}
+
+std::vector<state::claim_renewal>
+claim_table::renewals(state::time_point now) const
+{
+    std::vector<state::claim_renewal> out;
+    if (!complete_) {
+        return out;
+    }
+    out.reserve(held_.size());
+    for (const auto& [key, it] : held_) {
+        auto what = it.what;
+        const auto left = std::max(it.expires - now, state::duration{0});
+        what.lifetime_ms = static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(left)
+                .count());
+        out.push_back({what, next_offset_});
+    }
+    return out;
+}
+
+} // namespace oriolegrade::coordination
--- /dev/null
+++ b/test/coordination/claim_writer_test.cpp
@@ -0,0 +1,132 @@
+// Guards against wrong answers to claimants when the log fails.
+
+#include "fakes/fake_log.hpp"
+
+#include <oriolegrade/coordination/request_gate.hpp>
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace oriolegrade;
+using namespace std::chrono_literals;
+using namespace oriolegrade::coordination;
+using fakes::append_fault;
+
+const state::time_point start{10h};
+
+struct claim_writer_test : ::testing::Test
+{
+    using writer_type = claim_writer<fakes::fake_log, fakes::numbering_codec>;
+
+    fakes::fake_log log;
+    std::vector<state::claim_batch> batches;
+    writer_type writer{log, fakes::numbering_codec(batches), 0};
+    std::map<std::uint64_t, claim_status> got;
+
+    void submit(std::uint64_t n, std::string_view key)
+    {
+        writer.submit({state::digest_of({key}), {1, n}, {2, n}, 1000}, start,
+                      [this, n](const auto& it) { got[n] = it.status; });
+    }
+
+    void fault(append_fault it)
+    {
+        log.next_fault = [it] {
+            return it;
+        };
+    }
+};
+
+// Guards against an append for each claim, and against a due time that makes
+// the caller of pump() spin.
+TEST_F(claim_writer_test, batches_claims_and_waits)
+{
+    EXPECT_FALSE(writer.due());
+    for (std::uint64_t n = 0; n < 100; ++n) {
+        submit(n, std::to_string(n % 50));
+    }
+    EXPECT_EQ(writer.due(), start + 20ms);
+    writer.pump(start + 19ms);
+    EXPECT_EQ(log.end(), 0U);
+    writer.pump(start + 20ms);
+    EXPECT_EQ(log.end(), 1U);
+    EXPECT_FALSE(writer.due());
+    for (std::uint64_t n = 0; n < 100; ++n) {
+        EXPECT_EQ(got.at(n), n < 50 ? claim_status::won : claim_status::lost);
+    }
+    fault(append_fault::lose_request);
+    submit(200, "x");
+    EXPECT_EQ(writer.due(), start + 340ms);
+    writer.pump(start + 340ms);
+    EXPECT_EQ(writer.due(), start + 390ms);
+}
+
+// Guards against a lost append answer taken for a lost or refused claim.
+TEST_F(claim_writer_test, resolves_a_lost_answer_by_reading)
+{
+    fault(append_fault::lose_answer);
+    submit(1, "a");
+    writer.pump(start + 20ms);
+    EXPECT_EQ(got.at(1), claim_status::won);
+}
+
+// Guards against not_claimed for a claim that may still arrive, and against a
+// given-up claim that wins late and runs.
+TEST_F(claim_writer_test, late_win_of_a_given_up_claim_never_runs)
+{
+    used_table used;
+    const state::request_id id{state::request_id_kind::claim, {2, 1}};
+    ASSERT_TRUE(used.reserve(id, {3, 3}, 1000, 0));
+    fault(append_fault::delay);
+    submit(1, "a");
+    writer.pump(start + 20ms);
+    fault(append_fault::refuse);
+    writer.pump(start + 3s);
+    ASSERT_EQ(got.at(1), claim_status::unresolved);
+    const auto way = claimant_step(used, {1, 1}, {2, 1}, {});
+    EXPECT_EQ(std::get<refuse_request>(way).outcome,
+              state::run_outcome::unknown);
+    log.land_late();
+    writer.pump(start + 4s);
+    EXPECT_EQ(writer.winner(state::digest_of({"a"}))->nonce, id.value);
+    const auto late = used.try_start(id, {3, 3}, 0, 0, {});
+    EXPECT_EQ(std::get<replay>(late).result.outcome,
+              state::run_outcome::not_run);
+}
+
+// Guards against claims kept for ever when the log is down or the queue full.
+TEST_F(claim_writer_test, refuses_when_the_log_refuses_or_the_queue_is_full)
+{
+    fault(append_fault::refuse);
+    for (std::uint64_t n = 0; n < 4097; ++n) {
+        submit(n, std::to_string(n));
+    }
+    EXPECT_EQ(got.size(), 1U);
+    EXPECT_EQ(got.at(4096), claim_status::not_claimed);
+    for (int i = 0; i < 16; ++i) {
+        writer.pump(start + 320ms * i + 1s);
+    }
+    EXPECT_EQ(got.size(), 4097U);
+    EXPECT_EQ(got.at(0), claim_status::not_claimed);
+    EXPECT_FALSE(writer.due());
+}
+
+// Guards against claims that retention drops although a writer is alive.
+TEST_F(claim_writer_test, checkpoint_carries_claims_past_a_trim)
+{
+    submit(1, "a");
+    writer.pump(start + 20ms);
+    writer.maintain(start + 30ms);
+    log.trim_to(1);
+    writer_type late(log, fakes::numbering_codec(batches), 0);
+    late.pump(start + 40ms);
+    EXPECT_TRUE(late.complete());
+    EXPECT_TRUE(late.winner(state::digest_of({"a"})));
+    log.trim_to(log.end());
+    writer_type blind(log, fakes::numbering_codec(batches), 0);
+    blind.pump(start + 40ms);
+    EXPECT_FALSE(blind.complete());
+}
+
+} // namespace
