--- a/src/coordination/attempt_policy.cpp
+++ b/src/coordination/attempt_policy.cpp
@@ -23,7 +23,7 @@
     case attempt_result::shed:
         return reply_reason::shed;
     case attempt_result::expired:
-        return reply_reason::deadline_unknown;
+        return reply_reason::deadline;
     case attempt_result::expired_unsent:
         return reply_reason::deadline_not_run;
     case attempt_result::lost:
--- a/src/transport/caller_stream.cpp
+++ b/src/transport/caller_stream.cpp
@@ -35,7 +35,7 @@
     return boost::json::serialize(
                boost::json::object{{"reason", state::name_of(reason)},
                                    {"outcome", state::name_of(outcome)},
-                                   {"message", state::row_of(reason).text}}) +
+                                   {"message", state::reply_of(reason).text}}) +
            "\n";
 }
 
@@ -220,7 +220,7 @@
 {
     const auto body = reply_body(reason, outcome);
     protocol::answer_head head;
-    head.status = state::row_of(reason).status;
+    head.status = state::reply_of(reason).status;
     head.fields = std::move(fields);
     head.fields.set(protocol::header_field::outcome, state::name_of(outcome));
     head.fields.add("Content-Type", "application/json");
--- a/src/transport/entry_worker.cpp
+++ b/src/transport/entry_worker.cpp
@@ -86,7 +86,7 @@
 void reply(caller_answer& answer, reply_reason reason)
 {
     error_code ec;
-    send_reply(answer, reason, state::row_of(reason).outcome, {}, ec);
+    send_reply(answer, reason, state::reply_of(reason).outcome, {}, ec);
 }
 
 std::optional<std::uint32_t> schema_of(const protocol::request_head& head)
