--- /dev/null
+++ b/include/oriolegrade/state/peer_directory.hpp
@@ -0,0 +1,68 @@
+// The fleet's hosts as an entry process sees them: where their entries listen
+// for forwarded requests and which incarnations they hold.
+
+#ifndef ORIOLEGRADE_STATE_PEER_DIRECTORY_HPP
+#define ORIOLEGRADE_STATE_PEER_DIRECTORY_HPP
+
+#include <oriolegrade/state/endpoint.hpp>
+#include <oriolegrade/state/identifier.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace oriolegrade::state {
+
+/// Most incarnations that one host holds: its own and those handed over.
+inline constexpr std::size_t max_held_incarnations = 16;
+
+struct peer_entry
+{
+    std::string name;
+    std::string data_centre;
+    /// Address of the entry for forwarded requests.
+    endpoint forward;
+    /// Own incarnation first; empty while the entry is not known.
+    std::vector<identifier> incarnations;
+    bool leaving = false;
+
+    bool operator==(const peer_entry&) const = default;
+};
+
+/// Immutable once built; workers read it by RCU.
+class peer_directory
+{
+public:
+    peer_directory() = default;
+    explicit peer_directory(std::vector<peer_entry> peers);
+
+    const std::vector<peer_entry>& peers() const
+    {
+        return peers_;
+    }
+
+    /// Host that holds an incarnation, or null.
+    const peer_entry* find_incarnation(const identifier& incarnation) const;
+
+    /// Host with a name, or null.
+    const peer_entry* find_name(std::string_view name) const;
+
+    /// Names of hosts that are not leaving, sorted.
+    const std::vector<std::string>& live_names() const
+    {
+        return live_names_;
+    }
+
+private:
+    std::vector<peer_entry> peers_;
+    std::vector<std::string> live_names_;
+    /// Index into peers_.
+    std::unordered_map<identifier, std::size_t, identifier_hash>
+        by_incarnation_;
+};
+
+} // namespace oriolegrade::state
+
+#endif
--- a/include/oriolegrade/transport/caller_stream.hpp
+++ b/include/oriolegrade/transport/caller_stream.hpp
@@ -110,12 +110,6 @@
         serializer_;
 };
 
-/// Reply of the system's own.
-/// @param fields further header fields, for example an offered token
-void send_reply(caller_answer& answer, state::reply_reason reason,
-                state::run_outcome outcome, protocol::http_fields fields,
-                error_code& ec);
-
 /// Reply for an error of caller_request::read_head(), if there is one.
 std::optional<state::reply_reason> reply_for(const error_code& ec);
 
--- a/src/transport/caller_stream.cpp
+++ b/src/transport/caller_stream.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <boost/json.hpp>
 
 namespace oriolegrade::transport {
 
@@ -30,15 +29,6 @@
            field == http::field::expect || field == http::field::host;
 }
 
-std::string reply_body(state::reply_reason reason, state::run_outcome outcome)
-{
-    return boost::json::serialize(
-               boost::json::object{{"reason", state::name_of(reason)},
-                                   {"outcome", state::name_of(outcome)},
-                                   {"message", state::reply_of(reason).text}}) +
-           "\n";
-}
-
 } // namespace
 
 caller_request::caller_request(tcp_stream& stream,
@@ -214,24 +204,6 @@
     finished_ = !ec;
 }
 
-void send_reply(caller_answer& answer, state::reply_reason reason,
-                state::run_outcome outcome, protocol::http_fields fields,
-                error_code& ec)
-{
-    const auto body = reply_body(reason, outcome);
-    protocol::answer_head head;
-    head.status = state::reply_of(reason).status;
-    head.fields = std::move(fields);
-    head.fields.set(protocol::header_field::outcome, state::name_of(outcome));
-    head.fields.add("Content-Type", "application/json");
-    head.framing.length = body.size();
-    answer.start(head, ec);
-    answer.write(body, ec);
-    if (!ec) {
-        answer.finish(ec);
-    }
-}
-
 std::optional<state::reply_reason> reply_for(const error_code& ec)
 {
     if (ec == http::error::header_limit) {
--- a/src/transport/entry_worker.cpp
+++ b/src/transport/entry_worker.cpp
@@ -3,6 +3,7 @@
 #include <oriolegrade/transport/entry_worker.hpp>
 
 #include <oriolegrade/transport/disconnect_watch.hpp>
+#include <oriolegrade/transport/reply.hpp>
 #include <oriolegrade/transport/request_runner.hpp>
 
 #include <boost/beast/http/error.hpp>
@@ -83,12 +84,6 @@
     std::atomic<std::int64_t>& count_;
 };
 
-void reply(caller_answer& answer, reply_reason reason)
-{
-    error_code ec;
-    send_reply(answer, reason, state::reply_of(reason).outcome, {}, ec);
-}
-
 std::optional<std::uint32_t> schema_of(const protocol::request_head& head)
 {
     const auto text = head.fields.find(protocol::header_field::schema);
@@ -146,7 +141,7 @@
     if (ec) {
         if (const auto reason = reply_for(ec)) {
             caller_answer answer(stream, limits_, 11, false, false);
-            reply(answer, *reason);
+            send_reply(answer, *reason);
         }
         return false;
     }
@@ -187,13 +182,13 @@
         return reply_status(head.target, answer);
     }
     if (!shared_.configured) {
-        return reply(answer, reply_reason::not_ready);
+        return send_reply(answer, reply_reason::not_ready);
     }
     const auto conf = shared_.configuration.read();
     const auto route =
         conf->find_route(head.method, protocol::path_of(head.target));
     if (!route) {
-        return reply(answer, reply_reason::no_route);
+        return send_reply(answer, reply_reason::no_route);
     }
     proxy_route(stream, head, *conf, std::get<state::route_spec>(route->body),
                 request, answer);
@@ -207,10 +202,10 @@
 {
     const auto service = conf.find_service(route.service, schema_of(head));
     if (!service) {
-        return reply(answer, reply_reason::no_service);
+        return send_reply(answer, reply_reason::no_service);
     }
     if (head.framing.length.value_or(0) > route.max_request_bytes) {
-        return reply(answer, reply_reason::too_large);
+        return send_reply(answer, reply_reason::too_large);
     }
     request.set_body_limit(route.max_request_bytes);
     random_choice choice(std::get<state::service_spec>(service->body), random_);
@@ -228,12 +223,11 @@
         !answer.started()) {
         const auto outcome = report.may_have_run ? state::run_outcome::unknown
                                                  : state::run_outcome::not_run;
-        error_code ec;
-        send_reply(answer, reply_reason::too_large, outcome, {}, ec);
+        send_reply(answer, reply_reason::too_large, outcome);
         return;
     }
     if (report.step == coordination::next_step::reply) {
-        reply(answer, report.reason);
+        send_reply(answer, report.reason);
     }
 }
 
