Route non-idempotent requests by token, key or refusal

The gate's decision is followed on the host that received the request: it runs locally, is forwarded to the entry that holds the incarnation, claims the key first, or is refused with a token offered.

--- a/include/oriolegrade/transport/entry_server.hpp
+++ b/include/oriolegrade/transport/entry_server.hpp
@@ -4,6 +4,7 @@
 #define ORIOLEGRADE_TRANSPORT_ENTRY_SERVER_HPP
 
 #include <oriolegrade/transport/entry_shared.hpp>
+#include <oriolegrade/transport/once_shared.hpp>
 
 #include <boost/fiber/future/promise.hpp>
 
@@ -19,7 +20,7 @@
     /// Starts the worker threads and returns when all of them listen.
     /// @param threads at least 1
     /// @throws boost::system::system_error when an address is not available
-    entry_server(entry_shared& shared, unsigned threads);
+    entry_server(entry_shared& shared, once_shared& once, unsigned threads);
     ~entry_server();
 
     entry_server(const entry_server&) = delete;
--- a/include/oriolegrade/transport/entry_shared.hpp
+++ b/include/oriolegrade/transport/entry_shared.hpp
@@ -18,6 +18,8 @@
 {
     /// Address that callers connect to.
     state::endpoint caller_listen;
+    /// Address for requests that other entries forward.
+    state::endpoint forward_listen;
     /// Caller connections of one worker thread.
     std::size_t max_connections = 4096;
     caller_io_limits caller;
@@ -42,6 +44,27 @@
     std::atomic<std::int64_t> requests_in_flight{0};
 };
 
+/// Counts a request as in flight while it lives.
+class request_guard
+{
+public:
+    explicit request_guard(std::atomic<std::int64_t>& count)
+        : count_(count)
+    {
+        ++count_;
+    }
+    ~request_guard()
+    {
+        --count_;
+    }
+
+    request_guard(const request_guard&) = delete;
+    request_guard& operator=(const request_guard&) = delete;
+
+private:
+    std::atomic<std::int64_t>& count_;
+};
+
 } // namespace oriolegrade::transport
 
 #endif
--- a/include/oriolegrade/transport/entry_worker.hpp
+++ b/include/oriolegrade/transport/entry_worker.hpp
@@ -5,24 +5,26 @@
 
 #include <oriolegrade/transport/caller_stream.hpp>
 #include <oriolegrade/transport/entry_shared.hpp>
+#include <oriolegrade/transport/forward_server.hpp>
 #include <oriolegrade/transport/listener.hpp>
-#include <oriolegrade/transport/upstream_pool.hpp>
+#include <oriolegrade/transport/once_path.hpp>
+#include <oriolegrade/transport/upstream_runner.hpp>
 
 #include <boost/asio/io_context.hpp>
 
-#include <random>
-
 namespace oriolegrade::transport {
 
 class entry_worker
 {
 public:
-    entry_worker(boost::asio::io_context& ioc, entry_shared& shared);
+    /// @throws boost::system::system_error when an address is not available
+    entry_worker(boost::asio::io_context& ioc, entry_shared& shared,
+                 once_shared& once);
 
     entry_worker(const entry_worker&) = delete;
     entry_worker& operator=(const entry_worker&) = delete;
 
-    /// Stops accepting connections.
+    /// Stops accepting connections of callers.
     void close_listener()
     {
         listener_.close();
@@ -39,17 +41,16 @@
     /// Serves one request; true when the connection may carry another.
     bool serve_request(tcp_stream& stream, boost::beast::flat_buffer& buffer);
     void reply_status(std::string_view target, caller_answer& answer);
-    void proxy(tcp_stream& stream, const protocol::request_head& head,
+    void proxy(tcp_stream& stream, protocol::request_head head,
                caller_request& request, caller_answer& answer);
-    void proxy_route(tcp_stream& stream, const protocol::request_head& head,
-                     const state::configuration& conf,
-                     const state::route_spec& route, caller_request& request,
-                     caller_answer& answer);
+    void proxy_idempotent(tcp_stream& stream, const request_context& context,
+                          caller_request& request, caller_answer& answer);
 
     entry_shared& shared_;
     const caller_io_limits& limits_;
-    upstream_pool pool_;
-    std::minstd_rand random_;
+    upstream_runner runner_;
+    once_path once_path_;
+    forward_server forward_;
     listener listener_;
 };
 
--- /dev/null
+++ b/include/oriolegrade/transport/forward_client.hpp
@@ -0,0 +1,144 @@
+// Forwards requests to the entry that holds their incarnation.
+
+#ifndef ORIOLEGRADE_TRANSPORT_FORWARD_CLIENT_HPP
+#define ORIOLEGRADE_TRANSPORT_FORWARD_CLIENT_HPP
+
+#include <oriolegrade/protocol/once_messages.hpp>
+#include <oriolegrade/transport/body_stream.hpp>
+#include <oriolegrade/transport/forward_message.hpp>
+#include <oriolegrade/transport/message_frame.hpp>
+#include <oriolegrade/transport/stream_client.hpp>
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace oriolegrade::transport {
+
+enum class forward_result : std::uint8_t
+{
+    /// The whole answer was passed on.
+    answered,
+    /// No answer has begun; the caller gets a reply.
+    failed,
+    /// The answer broke off; the caller's connection must be aborted.
+    broken,
+};
+
+/// Connections of one worker thread to other entries.
+class forward_client
+{
+public:
+    forward_client(boost::asio::io_context& ioc, std::string fleet_key);
+
+    stream_client& to(const state::endpoint& peer);
+
+    /// Sends a request and passes its answer on.
+    template <body_source Source, answer_sink Sink>
+    forward_result forward(const state::endpoint& peer,
+                           const protocol::forward_request& request,
+                           Source& source, Sink& sink)
+    {
+        auto opened = to(peer).open(
+            forward_path, {}, std::chrono::milliseconds(request.deadline_ms));
+        if (!opened) {
+            return forward_result::failed;
+        }
+        auto& stream = opened.value();
+        if (!send(stream, request, source)) {
+            return forward_result::failed;
+        }
+        const auto status = stream.status();
+        if (!status || status.value() != 200) {
+            return forward_result::failed;
+        }
+        return receive(stream, sink);
+    }
+
+private:
+    static constexpr std::size_t buffer_bytes = 16 * 1024;
+    /// Answer bytes held back before the first is passed on.
+    static constexpr std::size_t hold_bytes = 64 * 1024;
+
+    template <body_source Source>
+    bool send(client_stream& stream, const protocol::forward_request& request,
+              Source& source)
+    {
+        if (!write_message(stream, protocol::encode(request))) {
+            return false;
+        }
+        std::vector<char> buf(buffer_bytes);
+        for (;;) {
+            error_code ec;
+            const auto n = source.read_some(buf, ec);
+            if (ec) {
+                return false;
+            }
+            if (n == 0) {
+                stream.finish();
+                return true;
+            }
+            if (!stream.write_all(boost::asio::buffer(buf.data(), n))) {
+                return false;
+            }
+        }
+    }
+
+    template <answer_sink Sink>
+    forward_result receive(client_stream& stream, Sink& sink)
+    {
+        const auto block =
+            read_message(stream, protocol::once_limits::header_block_bytes);
+        if (!block || !block.value()) {
+            return forward_result::failed;
+        }
+        const auto answer = protocol::decode_forward_answer(*block.value());
+        if (!answer) {
+            return forward_result::failed;
+        }
+        std::vector<char> buf(buffer_bytes);
+        std::string held;
+        bool whole = false;
+        while (!whole && held.size() < hold_bytes) {
+            const auto n = stream.read_some(boost::asio::buffer(buf));
+            if (!n) {
+                return forward_result::failed;
+            }
+            whole = n.value() == 0;
+            held.append(buf.data(), n.value());
+        }
+        error_code ec;
+        sink.start(head_of(answer.value()), ec);
+        pass(sink, held, ec);
+        while (!whole && !ec) {
+            const auto n = stream.read_some(boost::asio::buffer(buf));
+            if (!n) {
+                return forward_result::broken;
+            }
+            whole = n.value() == 0;
+            pass(sink, {buf.data(), n.value()}, ec);
+        }
+        if (!ec) {
+            sink.finish(ec);
+        }
+        return ec ? forward_result::broken : forward_result::answered;
+    }
+
+    template <answer_sink Sink>
+    static void pass(Sink& sink, std::string_view bytes, error_code& ec)
+    {
+        if (!bytes.empty() && !ec) {
+            sink.write(bytes, ec);
+        }
+    }
+
+    boost::asio::io_context& ioc_;
+    std::string fleet_key_;
+    std::unordered_map<state::endpoint, std::unique_ptr<stream_client>,
+                       state::endpoint_hash>
+        clients_;
+};
+
+} // namespace oriolegrade::transport
+
+#endif
--- a/src/transport/entry_server.cpp
+++ b/src/transport/entry_server.cpp
@@ -28,12 +28,12 @@
     boost::fibers::promise<void> process_end;
     std::thread thread;
 
-    void run(entry_shared& shared)
+    void run(entry_shared& shared, once_shared& once)
     {
         run_fibers([&](boost::asio::io_context& ioc) {
             std::unique_ptr<entry_worker> worker;
             try {
-                worker = std::make_unique<entry_worker>(ioc, shared);
+                worker = std::make_unique<entry_worker>(ioc, shared, once);
             } catch (...) {
                 listening.set_exception(std::current_exception());
                 return;
@@ -47,13 +47,15 @@
     }
 };
 
-entry_server::entry_server(entry_shared& shared, unsigned threads)
+entry_server::entry_server(entry_shared& shared, once_shared& once,
+                           unsigned threads)
     : shared_(shared)
 {
     for (unsigned n = 0; n < threads; ++n) {
         auto& it = workers_.emplace_back(std::make_unique<worker_thread>());
         auto listening = it->listening.get_future();
-        it->thread = std::thread([&shared, w = it.get()] { w->run(shared); });
+        it->thread = std::thread(
+            [&shared, &once, w = it.get()] { w->run(shared, once); });
         it->thread.detach();
         listening.get();
     }
--- a/src/transport/entry_worker.cpp
+++ b/src/transport/entry_worker.cpp
@@ -4,7 +4,6 @@
 
 #include <oriolegrade/transport/disconnect_watch.hpp>
 #include <oriolegrade/transport/reply.hpp>
-#include <oriolegrade/transport/request_runner.hpp>
 
 #include <boost/beast/http/error.hpp>
 
@@ -16,74 +15,11 @@
 
 using state::reply_reason;
 
-constexpr std::size_t max_idle_per_upstream = 8;
-
 /// Targets for the load balancer's checks; no route can take them.
 constexpr std::string_view status_prefix = "/.oriolegrade/";
 constexpr std::string_view alive_target = "/.oriolegrade/healthz";
 constexpr std::string_view ready_target = "/.oriolegrade/readyz";
 
-/// Random choice among the upstreams of a service.
-class random_choice
-{
-public:
-    random_choice(const state::service_spec& service, std::minstd_rand& random)
-        : service_(service)
-        , random_(random)
-    {}
-
-    std::optional<state::endpoint> next()
-    {
-        std::vector<state::endpoint> left;
-        for (const auto& it : service_.upstreams) {
-            if (std::find(tried_.begin(), tried_.end(), it.address) ==
-                tried_.end()) {
-                left.push_back(it.address);
-            }
-        }
-        if (left.empty()) {
-            return std::nullopt;
-        }
-        tried_.push_back(left[random_() % left.size()]);
-        return tried_.back();
-    }
-
-    bool may_retry() const
-    {
-        return tried_.size() < service_.upstreams.size();
-    }
-
-    void ended(state::attempt_result, const protocol::answer_head*,
-               state::duration)
-    {}
-
-private:
-    const state::service_spec& service_;
-    std::minstd_rand& random_;
-    std::vector<state::endpoint> tried_;
-};
-
-/// Counts a request as in flight while it lives.
-class in_flight
-{
-public:
-    explicit in_flight(std::atomic<std::int64_t>& count)
-        : count_(count)
-    {
-        ++count_;
-    }
-    ~in_flight()
-    {
-        --count_;
-    }
-
-    in_flight(const in_flight&) = delete;
-    in_flight& operator=(const in_flight&) = delete;
-
-private:
-    std::atomic<std::int64_t>& count_;
-};
-
 std::optional<std::uint32_t> schema_of(const protocol::request_head& head)
 {
     const auto text = head.fields.find(protocol::header_field::schema);
@@ -91,6 +27,16 @@
     return n ? std::optional(static_cast<std::uint32_t>(*n)) : std::nullopt;
 }
 
+std::string caller_of(const protocol::request_head& head, tcp_stream& stream)
+{
+    if (const auto name = head.fields.find(protocol::header_field::caller)) {
+        return std::string(*name);
+    }
+    error_code ec;
+    const auto peer = stream.socket().remote_endpoint(ec);
+    return ec ? std::string() : peer.address().to_string();
+}
+
 state::time_point deadline_of(const protocol::request_head& head,
                               const state::route_spec& route)
 {
@@ -108,11 +54,13 @@
 
 } // namespace
 
-entry_worker::entry_worker(boost::asio::io_context& ioc, entry_shared& shared)
+entry_worker::entry_worker(boost::asio::io_context& ioc, entry_shared& shared,
+                           once_shared& once)
     : shared_(shared)
     , limits_(shared.options.caller)
-    , pool_(ioc, max_idle_per_upstream)
-    , random_(std::random_device()())
+    , runner_(ioc)
+    , once_path_(ioc, once, runner_)
+    , forward_(ioc, shared, once, runner_, shared.options.forward_listen)
     , listener_(ioc, shared.options.caller_listen,
                 shared.options.max_connections,
                 [this](tcp_stream stream) { serve(std::move(stream)); })
@@ -136,8 +84,8 @@
     if (ec) {
         return false;
     }
-    const in_flight guard(shared_.requests_in_flight);
-    const auto head = request.read_head(ec);
+    const request_guard guard(shared_.requests_in_flight);
+    auto head = request.read_head(ec);
     if (ec) {
         if (const auto reason = reply_for(ec)) {
             caller_answer answer(stream, limits_, 11, false, false);
@@ -148,7 +96,7 @@
     const bool keep = request.keep_alive() && !shared_.stopping;
     caller_answer answer(stream, limits_, request.version(), request.is_head(),
                          keep);
-    proxy(stream, head, request, answer);
+    proxy(stream, std::move(head), request, answer);
     if (!answer.finished()) {
         // A reset shows the caller that the answer is incomplete even when
         // it has no length.
@@ -175,7 +123,7 @@
     answer.finish(ec);
 }
 
-void entry_worker::proxy(tcp_stream& stream, const protocol::request_head& head,
+void entry_worker::proxy(tcp_stream& stream, protocol::request_head head,
                          caller_request& request, caller_answer& answer)
 {
     if (head.target.starts_with(status_prefix)) {
@@ -185,46 +133,49 @@
         return send_reply(answer, reply_reason::not_ready);
     }
     const auto conf = shared_.configuration.read();
-    const auto route =
+    request_context context;
+    context.route =
         conf->find_route(head.method, protocol::path_of(head.target));
-    if (!route) {
+    if (!context.route) {
         return send_reply(answer, reply_reason::no_route);
     }
-    proxy_route(stream, head, *conf, std::get<state::route_spec>(route->body),
-                request, answer);
-}
-
-void entry_worker::proxy_route(tcp_stream& stream,
-                               const protocol::request_head& head,
-                               const state::configuration& conf,
-                               const state::route_spec& route,
-                               caller_request& request, caller_answer& answer)
-{
-    const auto service = conf.find_service(route.service, schema_of(head));
-    if (!service) {
+    const auto& route = context.route_spec();
+    context.service = conf->find_service(route.service, schema_of(head));
+    if (!context.service) {
         return send_reply(answer, reply_reason::no_service);
     }
     if (head.framing.length.value_or(0) > route.max_request_bytes) {
         return send_reply(answer, reply_reason::too_large);
     }
     request.set_body_limit(route.max_request_bytes);
-    random_choice choice(std::get<state::service_spec>(service->body), random_);
-    request_runner runner(pool_, route, deadline_of(head, route), request,
-                          answer, choice);
-    // A non-idempotent request goes on: its caller may come back for the
-    // outcome.
-    std::optional<disconnect_watch> watch;
-    if (route.request == state::request_class::idempotent && !head.has_body()) {
-        watch.emplace(stream, [&runner] { runner.cancel(); });
+    context.deadline = deadline_of(head, route);
+    context.caller = caller_of(head, stream);
+    context.head = std::move(head);
+    if (route.request == state::request_class::non_idempotent) {
+        once_path_.serve(context, request, answer);
+    } else {
+        proxy_idempotent(stream, context, request, answer);
     }
-    const auto report = runner.run(head);
+}
+
+void entry_worker::proxy_idempotent(tcp_stream& stream,
+                                    const request_context& context,
+                                    caller_request& request,
+                                    caller_answer& answer)
+{
+    std::optional<disconnect_watch> watch;
+    const auto arm = [&](std::function<void()> cancel) {
+        if (!context.head.has_body()) {
+            watch.emplace(stream, std::move(cancel));
+        }
+    };
+    const auto report = runner_.run(context, request, answer, arm);
     watch.reset();
     if (report.caller_error == boost::beast::http::error::body_limit &&
         !answer.started()) {
         const auto outcome = report.may_have_run ? state::run_outcome::unknown
                                                  : state::run_outcome::not_run;
-        send_reply(answer, reply_reason::too_large, outcome);
-        return;
+        return send_reply(answer, reply_reason::too_large, outcome);
     }
     if (report.step == coordination::next_step::reply) {
         send_reply(answer, report.reason);
