Find live hosts by gossip

Applied offsets travel as hashes of claims. A hash that a host does not know tells it which claim it lacks, and it asks for exactly that one.

--- /dev/null
+++ b/src/coordination/membership_messages.cpp
@@ -0,0 +1,265 @@
+// Handling and composition of gossip messages.
+
+#include <oriolegrade/coordination/membership.hpp>
+
+#include <algorithm>
+
+namespace oriolegrade::coordination {
+
+using state::gossip_kind;
+using state::member_state;
+
+namespace {
+
+/// Bytes of one message, estimated. With headers it stays within one Ethernet
+/// frame for names of usual length.
+constexpr std::size_t message_bytes = 1'300;
+/// Bytes of the claims that are news, and of all claims in a message that
+/// brings wanted ones.
+constexpr std::size_t news_bytes = 600;
+constexpr std::size_t wanted_bytes = 1'100;
+/// Encoded size of a claim without its texts, and of one progress.
+constexpr std::size_t claim_overhead = 56;
+constexpr std::size_t progress_bytes = 6;
+
+/// Claims asked for in one message; answered by about four.
+constexpr std::size_t max_wanted = 32;
+
+/// Time for which the end of a member is still told by its hash.
+constexpr state::duration dead_progress_time = std::chrono::minutes(2);
+
+/// Pings on behalf of others that are remembered at a time.
+constexpr std::size_t max_relays = 64;
+
+std::size_t estimated_bytes(const state::member_info& it)
+{
+    return it.name.size() + it.data_centre.size() + claim_overhead;
+}
+
+} // namespace
+
+std::vector<outgoing_gossip>
+membership::receive(state::time_point now, const state::endpoint& from,
+                    const state::gossip_message& message)
+{
+    outbox out;
+    if (message.sender.name == self_.name) {
+        // Another host with this name, or an own datagram that came back.
+        refute(message.sender);
+        return out;
+    }
+    auto lacking = merge_claims(message, now);
+    bring(from, message.wanted, out);
+    switch (message.kind) {
+    case gossip_kind::ping:
+        answer_ping(from, message, std::move(lacking), out);
+        return out;
+    case gossip_kind::ping_request:
+        pass_on_ping(now, from, message, out);
+        break;
+    case gossip_kind::ack:
+        take_ack(message, out);
+        break;
+    case gossip_kind::news:
+        break;
+    }
+    ask_for(from, std::move(lacking), out);
+    return out;
+}
+
+std::vector<std::uint32_t>
+membership::merge_claims(const state::gossip_message& message,
+                         state::time_point now)
+{
+    merge_claim(message.sender, now);
+    for (const auto& it : message.members) {
+        merge_claim(it, now);
+    }
+    const auto own = claim_hash(self_);
+    std::vector<std::uint32_t> lacking;
+    for (const auto& it : message.progress) {
+        if (!table_.merge(it, now) && it.claim != own &&
+            lacking.size() < max_wanted) {
+            lacking.push_back(it.claim);
+        }
+    }
+    return lacking;
+}
+
+void membership::merge_claim(const state::member_info& claim,
+                             state::time_point now)
+{
+    if (claim.name == self_.name) {
+        refute(claim);
+    } else if (table_.merge(claim, now)) {
+        table_.find(claim.name)->sends_left = sends_per_claim();
+    }
+}
+
+void membership::refute(const state::member_info& claim)
+{
+    const bool wrong = claim.incarnation == self_.incarnation &&
+                       claim.state != member_state::alive;
+    if (wrong || claim.incarnation > self_.incarnation) {
+        self_.incarnation = claim.incarnation + 1;
+    }
+}
+
+void membership::answer_ping(const state::endpoint& from,
+                             const state::gossip_message& message,
+                             std::vector<std::uint32_t> wanted, outbox& out)
+{
+    auto ack = compose(gossip_kind::ack, message.sequence, message.sender.name);
+    ack.wanted = std::move(wanted);
+    out.push_back({from, std::move(ack)});
+}
+
+void membership::pass_on_ping(state::time_point now,
+                              const state::endpoint& from,
+                              const state::gossip_message& message, outbox& out)
+{
+    if (relays_.size() == max_relays) {
+        relays_.pop_front();
+    }
+    relays_.push_back({++sequence_, from, message.sequence, now});
+    out.push_back({message.target,
+                   compose(gossip_kind::ping, relays_.back().sequence, {})});
+}
+
+void membership::take_ack(const state::gossip_message& message, outbox& out)
+{
+    if (probe_ && probe_->sequence == message.sequence) {
+        probe_->answered = true;
+        return;
+    }
+    const auto it =
+        std::find_if(relays_.begin(), relays_.end(), [&](const relay& r) {
+            return r.sequence == message.sequence;
+        });
+    if (it != relays_.end()) {
+        out.push_back(
+            {it->origin, compose(gossip_kind::ack, it->origin_sequence, {})});
+        relays_.erase(it);
+    }
+}
+
+void membership::ask_for(const state::endpoint& from,
+                         std::vector<std::uint32_t> wanted, outbox& out)
+{
+    if (wanted.empty() || asks_left_ == 0) {
+        return;
+    }
+    --asks_left_;
+    state::gossip_message message;
+    message.kind = gossip_kind::news;
+    message.sender = self_;
+    message.wanted = std::move(wanted);
+    out.push_back({from, std::move(message)});
+}
+
+void membership::bring(const state::endpoint& to,
+                       const std::vector<std::uint32_t>& wanted, outbox& out)
+{
+    auto next = wanted.begin();
+    while (next != wanted.end() && brings_left_ > 0) {
+        --brings_left_;
+        state::gossip_message message;
+        message.kind = gossip_kind::news;
+        message.sender = self_;
+        std::size_t bytes = 0;
+        for (; next != wanted.end() && bytes < wanted_bytes; ++next) {
+            if (const auto* it = table_.find_claim(*next)) {
+                bytes += estimated_bytes(it->info);
+                message.members.push_back(it->info);
+            }
+        }
+        out.push_back({to, std::move(message)});
+    }
+}
+
+state::gossip_message membership::compose(gossip_kind kind,
+                                          std::uint64_t sequence,
+                                          const std::string& about)
+{
+    state::gossip_message message;
+    message.kind = kind;
+    message.sequence = sequence;
+    message.sender = self_;
+    add_progress(message, add_claims(message, about));
+    return message;
+}
+
+std::size_t membership::add_claims(state::gossip_message& message,
+                                   const std::string& about)
+{
+    std::size_t bytes = estimated_bytes(self_);
+    const auto add = [&](const member& it) {
+        bytes += estimated_bytes(it.info);
+        message.members.push_back(it.info);
+    };
+    // The receiver learns first what is claimed about itself.
+    const auto* receiver = table_.find(about);
+    if (receiver && receiver->heard &&
+        receiver->info.state != member_state::alive) {
+        add(*receiver);
+    }
+    std::vector<member*> news;
+    for (auto& [name, it] : table_.all()) {
+        if (it.sends_left > 0 && &it != receiver) {
+            news.push_back(&it);
+        }
+    }
+    std::stable_sort(news.begin(), news.end(),
+                     [](const member* a, const member* b) {
+                         return a->sends_left > b->sends_left;
+                     });
+    for (auto* it : news) {
+        if (bytes >= news_bytes) {
+            break;
+        }
+        --it->sends_left;
+        add(*it);
+    }
+    return message_bytes - std::min(bytes, message_bytes);
+}
+
+void membership::add_progress(state::gossip_message& message, std::size_t bytes)
+{
+    std::vector<const member*> all;
+    for (const auto& [name, it] : table_.all()) {
+        const bool dead = it.info.state == member_state::dead;
+        if (it.heard &&
+            (!dead || last_advance_ - it.state_since < dead_progress_time)) {
+            all.push_back(&it);
+        }
+    }
+    const auto count = std::min(all.size(), bytes / progress_bytes);
+    const auto add = [&](const member& it) {
+        message.progress.push_back({claim_hash(it.info), it.info.next_offset});
+    };
+    // Half is news, half goes round for hosts that missed it.
+    const auto recent = std::min(all.size(), (count + 1) / 2);
+    const auto end = all.begin() + static_cast<std::ptrdiff_t>(recent);
+    std::partial_sort(all.begin(), end, all.end(),
+                      [](const member* a, const member* b) {
+                          return a->progress_since > b->progress_since;
+                      });
+    std::for_each(all.begin(), end, [&](const member* it) { add(*it); });
+    std::sort(end, all.end(), [](const member* a, const member* b) {
+        return a->info.name < b->info.name;
+    });
+    const auto rest = all.end() - end;
+    auto it = std::upper_bound(end, all.end(), progress_cursor_,
+                               [](const std::string& name, const member* m) {
+                                   return name < m->info.name;
+                               });
+    for (std::size_t n = recent; n < count && rest > 0; ++n, ++it) {
+        if (it == all.end()) {
+            it = end;
+        }
+        add(**it);
+        progress_cursor_ = (*it)->info.name;
+    }
+}
+
+} // namespace oriolegrade::coordination
