--- a/include/oriolegrade/protocol/json_document.hpp
+++ b/include/oriolegrade/protocol/json_document.hpp
@@ -55,6 +55,8 @@
     name,
     /// Printable ASCII without spaces.
     printable,
+    /// Printable ASCII with spaces.
+    line,
 };
 
 /// What an address is for.
--- a/src/protocol/json_document.cpp
+++ b/src/protocol/json_document.cpp
@@ -7,6 +7,7 @@
 #include <boost/json/string.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace oriolegrade::protocol {
@@ -38,17 +39,31 @@
 
 bool has_form(std::string_view text, text_form form)
 {
-    if (form == text_form::printable) {
+    switch (form) {
+    case text_form::name:
+        return !text.empty() && is_letter_or_digit(text.front()) &&
+               std::all_of(text.begin(), text.end(), [](char c) {
+                   return is_letter_or_digit(c) || c == '.' || c == '_' ||
+                          c == ':' || c == '-';
+               });
+    case text_form::printable:
         return std::all_of(text.begin(), text.end(),
                            [](char c) { return c > ' ' && c < '\x7f'; });
+    case text_form::line:
+        return std::all_of(text.begin(), text.end(),
+                           [](char c) { return c >= ' ' && c < '\x7f'; });
     }
-    return !text.empty() && is_letter_or_digit(text.front()) &&
-           std::all_of(text.begin(), text.end(), [](char c) {
-               return is_letter_or_digit(c) || c == '.' || c == '_' ||
-                      c == ':' || c == '-';
-           });
+    return false;
 }
 
+/// What a text of a form may contain, indexed by text_form.
+constexpr std::array<std::string_view, 3> form_rules{
+    "may contain letters, digits and . _ : - only, and begins with a letter "
+    "or digit",
+    "may contain printable ASCII without spaces only",
+    "may contain printable ASCII only",
+};
+
 std::optional<std::uint64_t> whole_number(const boost::json::value& value)
 {
     if (value.is_uint64()) {
@@ -174,10 +189,7 @@
                                             std::to_string(bytes.max)));
     } else if (!has_form(*text, form)) {
         add(finding_code::out_of_range, key,
-            form == text_form::name
-                ? "may contain letters, digits and . _ : - only, and begins "
-                  "with a letter or digit"
-                : "may contain printable ASCII without spaces only");
+            std::string(form_rules[static_cast<std::size_t>(form)]));
     }
     return *text;
 }
