--- a/include/oriolegrade/coordination/incarnation_set.hpp
+++ b/include/oriolegrade/coordination/incarnation_set.hpp
@@ -65,6 +65,9 @@
     /// Held incarnation with the id, or null.
     held_ptr find(const state::identifier& incarnation) const;
 
+    /// Ids of all held incarnations, the own one first.
+    std::vector<state::identifier> held_ids() const;
+
     /// Stops all held incarnations for good and returns what `successor`
     /// needs to go on with each; empty when another successor was named
     /// before. Imports that arrive later are refused.
--- a/src/coordination/incarnation_set.cpp
+++ b/src/coordination/incarnation_set.cpp
@@ -22,6 +22,17 @@
     return found == map->end() ? nullptr : found->second;
 }
 
+std::vector<state::identifier> incarnation_set::held_ids() const
+{
+    std::vector<state::identifier> ids{own_->authority.incarnation()};
+    for (const auto& [id, held] : *held_.read()) {
+        if (id != ids.front()) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
 std::vector<state::handover_state>
 incarnation_set::export_all(const state::identifier& successor,
                             state::time_point now)
