Wire tokens, claims and hand-over into the entry process

The entry process owns its incarnation, a claim service on the control thread and the peer stream. On SIGTERM it drains, then hands its tables to a live host chosen by rendezvous.

--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -166,7 +166,7 @@
             "name": host.name, "data_centre": host.data_centre,
             "caller_listen": host.at(CALLER_PORT),
             "forward_listen": host.at(FORWARD_PORT),
-            "agent": host.at(FEED_PORT),
+            "agent": host.at(FEED_PORT), "platform": self.platform,
             "fleet_key": FLEET_KEY, "threads": 2,
             "shutdown": {"notice_ms": 300, "drain_limit_ms": 10000},
         }
--- a/include/oriolegrade/protocol/settings.hpp
+++ b/include/oriolegrade/protocol/settings.hpp
@@ -53,6 +53,7 @@
     state::endpoint caller_listen;
     state::endpoint forward_listen;
     state::endpoint agent;
+    state::endpoint platform;
     std::string fleet_key;
     unsigned threads = 1;
     state::log_level log_level = state::log_level::info;
--- a/include/oriolegrade/protocol/settings_key.hpp
+++ b/include/oriolegrade/protocol/settings_key.hpp
@@ -60,6 +60,7 @@
     caller_listen,
     forward_listen,
     agent,
+    platform,
     fleet_key,
     threads,
     log_level,
@@ -96,7 +97,7 @@
 inline constexpr std::uint64_t min_secret_bytes = 16;
 inline constexpr std::uint64_t max_secret_bytes = 256;
 
-inline constexpr std::array<settings_row, 18> entry_settings_table{{
+inline constexpr std::array<settings_row, 19> entry_settings_table{{
     {"name", settings_kind::name, "", "", 1, 128,
      "Name of the host; unique in the fleet."},
     {"data_centre", settings_kind::name, "", "", 1, 128,
@@ -107,6 +108,8 @@
      "Address for other hosts' forwarded requests."},
     {"agent", settings_kind::address, "", "", 0, 0,
      "Address of the agent on this host (its feed_listen)."},
+    {"platform", settings_kind::address, "", "", 0, 0,
+     "Address of the platform's log, for claims of callers' keys."},
     {"fleet_key", settings_kind::secret, "", "", min_secret_bytes,
      max_secret_bytes, "Secret between the fleet's own processes."},
     {"threads", settings_kind::number, "threads", "4", 1, 256,
--- a/src/programs/oriole-entry/main.cpp
+++ b/src/programs/oriole-entry/main.cpp
@@ -4,12 +4,16 @@
 #include "../common/settings_file.hpp"
 
 #include <oriolegrade/protocol/settings.hpp>
+#include <oriolegrade/transport/claim_service.hpp>
 #include <oriolegrade/transport/entry_feed.hpp>
+#include <oriolegrade/transport/entry_peers.hpp>
 #include <oriolegrade/transport/entry_server.hpp>
 #include <oriolegrade/transport/event_log.hpp>
 #include <oriolegrade/transport/fiber_scheduler.hpp>
+#include <oriolegrade/transport/handover.hpp>
 #include <oriolegrade/transport/stop_signal.hpp>
 
+#include <boost/asio/post.hpp>
 #include <gflags/gflags.h>
 
 DEFINE_string(settings, "", "settings file: JSON with comments");
@@ -24,7 +28,9 @@
 {
     transport::entry_options options;
     options.caller_listen = settings.caller_listen;
-    options.max_connections = settings.limits.caller_connections;
+    options.forward_listen = settings.forward_listen;
+    options.max_connections =
+        settings.limits.caller_connections / settings.threads + 1;
     options.caller.max_head_bytes =
         static_cast<std::uint32_t>(settings.limits.header_bytes);
     options.caller.idle = settings.limits.idle_timeout;
@@ -32,23 +38,58 @@
     return options;
 }
 
+/// Connects the claims of all threads to the control thread's service.
+void connect_claims(transport::once_shared& once,
+                    transport::claim_service& claims)
+{
+    once.submit_claim = [&claims](const state::claim& what,
+                                  state::duration limit,
+                                  coordination::claim_callback done) {
+        claims.submit(what, limit, std::move(done));
+    };
+    once.write_claim = [&claims](const state::claim& what,
+                                 coordination::claim_callback done) {
+        claims.write(what, std::move(done));
+    };
+}
+
+void stop(const protocol::entry_settings& settings,
+          boost::asio::io_context& ioc, transport::entry_server& server,
+          transport::once_shared& once)
+{
+    transport::event(log_level::info, "entry_stopping");
+    const bool drained =
+        server.stop(settings.shutdown.notice, settings.shutdown.drain_limit);
+    const bool handed_over = transport::hand_over(ioc, once);
+    transport::event(log_level::info, "entry_stopped")
+        .with("drained", drained ? "yes" : "no")
+        .with("handed_over", handed_over ? "yes" : "no");
+    transport::exit_process(0);
+}
+
 void serve(const protocol::entry_settings& settings,
            boost::asio::io_context& ioc)
 {
     transport::entry_shared shared(options_from(settings));
+    transport::once_shared once(settings.name, settings.fleet_key,
+                                std::chrono::steady_clock::now());
+    transport::claim_service claims(ioc, once, settings.platform);
+    connect_claims(once, claims);
     transport::entry_feed feed(ioc, shared, settings.agent, settings.fleet_key);
-    transport::entry_server server(shared, settings.threads);
+    transport::entry_peers peers(ioc, once, settings.agent);
+    once.on_incarnations_changed = [&] {
+        boost::asio::post(ioc, [&peers] { peers.announce(); });
+    };
+    transport::entry_server server(shared, once, settings.threads);
     transport::spawn_fiber([&] { feed.follow(); });
+    transport::spawn_fiber([&] { peers.follow(); });
     transport::event(log_level::info, "entry_started")
         .with("callers", to_string(settings.caller_listen))
+        .with("incarnation",
+              to_string(once.incarnations.own()->authority.incarnation()))
         .with("threads", settings.threads);
     transport::wait_for_stop_signal(ioc);
-    transport::event(log_level::info, "entry_stopping");
-    const bool drained =
-        server.stop(settings.shutdown.notice, settings.shutdown.drain_limit);
-    transport::event(log_level::info, "entry_stopped")
-        .with("drained", drained ? "yes" : "no");
-    transport::exit_process(0);
+    stop(settings, ioc, server, once);
 }
 
 int run(const protocol::entry_settings& settings)
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -48,6 +48,7 @@
     s.caller_listen = in.endpoint(row_of(entry_key::caller_listen));
     s.forward_listen = in.endpoint(row_of(entry_key::forward_listen));
     s.agent = in.endpoint(row_of(entry_key::agent));
+    s.platform = in.endpoint(row_of(entry_key::platform));
     s.fleet_key = in.secret(row_of(entry_key::fleet_key));
     s.threads = static_cast<unsigned>(in.number(row_of(entry_key::threads)));
     s.log_level = in.log_level(row_of(entry_key::log_level));
--- a/test/protocol/settings_test.cpp
+++ b/test/protocol/settings_test.cpp
@@ -15,6 +15,7 @@
 const std::string minimal_entry = R"(
     "name":"h1","data_centre":"dc1","caller_listen":"127.0.0.1:8080",
     "forward_listen":"127.0.0.1:8081","agent":"127.0.0.1:7000",
+    "platform":"127.0.0.1:9000",
     "fleet_key":"0123456789abcdef")";
 
 // Guards against a table whose rows stand in another order than its enum.
--- a/test/transport/entry_worker_test.cpp
+++ b/test/transport/entry_worker_test.cpp
@@ -119,6 +119,7 @@
 {
     transport::entry_options options;
     options.caller_listen = {0x7f000001, 0};
+    options.forward_listen = {0x7f000001, 0};
     return options;
 }
 
@@ -131,7 +132,8 @@
         , first(ioc)
         , second(ioc)
         , shared(test_options())
-        , worker(ioc, shared)
+        , once("host", "fleet-key", std::chrono::steady_clock::now())
+        , worker(ioc, shared, once)
     {
         state::service_spec service;
         service.upstreams = {{first.address(), "dc1", 4, 400},
@@ -165,6 +167,7 @@
     test::scripted_upstream first;
     test::scripted_upstream second;
     transport::entry_shared shared;
+    transport::once_shared once;
     transport::entry_worker worker;
 };
 
