--- a/include/oriolegrade/transport/entry_worker.hpp
+++ b/include/oriolegrade/transport/entry_worker.hpp
@@ -36,6 +36,12 @@
         return listener_.address();
     }
 
+    /// Address that other entries forward requests to.
+    state::endpoint forward_address() const
+    {
+        return forward_.address();
+    }
+
 private:
     void serve(tcp_stream stream);
     /// Serves one request; true when the connection may carry another.
--- a/include/oriolegrade/transport/forward_server.hpp
+++ b/include/oriolegrade/transport/forward_server.hpp
@@ -24,6 +24,12 @@
                    once_shared& once, upstream_runner& runner,
                    const state::endpoint& address);
 
+    /// Address that other entries connect to.
+    state::endpoint address() const
+    {
+        return address_;
+    }
+
 private:
     void serve(server_stream& stream);
     void serve_forward(server_stream& stream);
@@ -33,6 +39,7 @@
     entry_shared& shared_;
     once_shared& once_;
     upstream_runner& runner_;
+    state::endpoint address_;
     std::unique_ptr<stream_server> server_;
 };
 
--- a/src/transport/forward_server.cpp
+++ b/src/transport/forward_server.cpp
@@ -101,6 +101,7 @@
     if (!acceptor) {
         throw boost::system::system_error(acceptor.error(), "forward_listen");
     }
+    address_ = from_tcp(acceptor.value().local_endpoint());
     server_ = std::make_unique<stream_server>(
         std::move(acceptor.value()), once_.fleet_key, stream_limits(),
         [this](server_stream& stream) { serve(stream); });
--- a/test/transport/entry_worker_test.cpp
+++ b/test/transport/entry_worker_test.cpp
@@ -2,6 +2,7 @@
 // or lose answers, and against malformed or slow callers.
 
 #include "fakes/fiber_thread.hpp"
+#include "fakes/request_path.hpp"
 #include "fakes/scripted_upstream.hpp"
 
 #include <oriolegrade/transport/entry_worker.hpp>
@@ -21,108 +22,13 @@
 using namespace std::chrono_literals;
 using test::after_answer;
 using test::answer_text;
-namespace http = boost::beast::http;
+using test::fake_caller;
+using test::make_entry;
+using test::make_route;
+using test::outcome_of;
+using test::test_options;
 namespace asio = boost::asio;
 
-using answer_type = http::response<http::string_body>;
-
-/// Raw connection of a caller.
-class fake_caller
-{
-public:
-    fake_caller(asio::io_context& ioc, const state::endpoint& entry)
-        : stream_(ioc)
-    {
-        transport::error_code ec;
-        stream_.async_connect(transport::to_tcp(entry),
-                              transport::fiber_yield(ec));
-        EXPECT_FALSE(ec);
-    }
-
-    void send(const std::string& bytes)
-    {
-        transport::error_code ec;
-        asio::async_write(stream_, asio::buffer(bytes),
-                          transport::fiber_yield(ec));
-    }
-
-    answer_type receive(transport::error_code& ec)
-    {
-        http::response_parser<http::string_body> parser;
-        stream_.expires_after(5s);
-        http::async_read(stream_, buffer_, parser, transport::fiber_yield(ec));
-        return parser.release();
-    }
-
-    answer_type receive()
-    {
-        transport::error_code ec;
-        auto answer = receive(ec);
-        EXPECT_FALSE(ec) << ec.message();
-        return answer;
-    }
-
-    answer_type get(const std::string& target)
-    {
-        send("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
-        return receive();
-    }
-
-    answer_type post(const std::string& target, const std::string& body)
-    {
-        send("POST " + target + " HTTP/1.1\r\nHost: x\r\nContent-Length: " +
-             std::to_string(body.size()) + "\r\n\r\n" + body);
-        return receive();
-    }
-
-    void close()
-    {
-        stream_.close();
-    }
-
-private:
-    transport::tcp_stream stream_;
-    boost::beast::flat_buffer buffer_;
-};
-
-std::string outcome_of(const answer_type& answer)
-{
-    const auto it = answer.find("Oriolegrade-Outcome");
-    return it == answer.end() ? "" : std::string(it->value());
-}
-
-state::entry_ptr make_entry(state::record_kind kind, std::string name,
-                            state::record_body body)
-{
-    return std::make_shared<state::entry>(state::entry{
-        {kind, std::move(name), 1}, 1, 0, {}, {}, std::move(body)});
-}
-
-state::route_spec make_route(std::string prefix, std::string method,
-                             state::request_class request)
-{
-    state::route_spec route;
-    route.path_prefix = std::move(prefix);
-    route.methods = {std::move(method)};
-    route.service = "s";
-    route.request = request;
-    route.deadline = 300ms;
-    route.max_request_bytes = 1'000'000;
-    route.max_response_bytes = 10'000'000;
-    route.max_attempts =
-        request == state::request_class::non_idempotent ? 1 : 3;
-    route.allow_unkeyed = true;
-    return route;
-}
-
-transport::entry_options test_options()
-{
-    transport::entry_options options;
-    options.caller_listen = {0x7f000001, 0};
-    options.forward_listen = {0x7f000001, 0};
-    return options;
-}
-
 /// Entry worker with two scripted upstreams, all on one thread.
 class bench
 {
--- /dev/null
+++ b/test/transport/once_path_test.cpp
@@ -0,0 +1,322 @@
+// Guards the at-most-once promise on the wire: tokens and keys at several
+// hosts, lost answers, hosts that are gone, and hand-over.
+
+#include "fakes/fiber_thread.hpp"
+#include "fakes/request_path.hpp"
+#include "fakes/scripted_upstream.hpp"
+
+#include <oriolegrade/protocol/once_messages.hpp>
+#include <oriolegrade/transport/entry_worker.hpp>
+
+#include <boost/fiber/fiber.hpp>
+
+#include <map>
+#include <vector>
+
+namespace {
+
+using namespace oriolegrade;
+using namespace std::chrono_literals;
+using test::after_answer;
+using test::answer_text;
+using test::fake_caller;
+using test::outcome_of;
+namespace asio = boost::asio;
+
+/// Log of claims in memory: the first claim of a key wins.
+class fake_claims
+{
+public:
+    coordination::claim_status when_down =
+        coordination::claim_status::not_claimed;
+    bool down = false;
+
+    void submit(const state::claim& what,
+                const coordination::claim_callback& done)
+    {
+        if (down) {
+            return done({when_down, {}});
+        }
+        const auto [it, won] = first_.emplace(what.key, what);
+        done({won ? coordination::claim_status::won
+                  : coordination::claim_status::lost,
+              it->second});
+    }
+
+private:
+    std::map<state::digest256, state::claim> first_;
+};
+
+/// One host with its own incarnation.
+struct host
+{
+    host(asio::io_context& ioc, const std::string& name, fake_claims& claims)
+        : shared(test::test_options())
+        , once(name, "fleet-key", std::chrono::steady_clock::now())
+        , worker(ioc, shared, once)
+    {
+        once.submit_claim = [&claims](const state::claim& what, state::duration,
+                                      const auto& done) {
+            claims.submit(what, done);
+        };
+        once.write_claim = [&claims](const state::claim& what,
+                                     const auto& done) {
+            claims.submit(what, done);
+        };
+    }
+
+    state::peer_entry peer() const
+    {
+        return {once.host, "dc1", worker.forward_address(),
+                once.incarnations.held_ids(), false};
+    }
+
+    transport::entry_shared shared;
+    transport::once_shared once;
+    transport::entry_worker worker;
+};
+
+/// Two hosts before one upstream.
+class fleet
+{
+public:
+    explicit fleet(asio::io_context& ioc_in)
+        : ioc(ioc_in)
+        , upstream(ioc)
+        , a(ioc, "a", claims)
+        , b(ioc, "b", claims)
+    {
+        state::service_spec service;
+        service.upstreams = {{upstream.address(), "dc1", 4, 400}};
+        auto route = test::make_route("/book", "POST",
+                                      state::request_class::non_idempotent);
+        route.allow_unkeyed = false;
+        route.deadline = 1s;
+        state::configuration conf;
+        conf.put(test::make_entry(state::record_kind::service, "s", service));
+        conf.put(test::make_entry(state::record_kind::route, "book", route));
+        for (auto* it : {&a, &b}) {
+            it->shared.configuration.publish(
+                std::make_shared<const state::configuration>(conf));
+            it->shared.configured = true;
+        }
+        publish_peers({a.peer(), b.peer()});
+    }
+
+    void publish_peers(const std::vector<state::peer_entry>& peers)
+    {
+        for (auto* it : {&a, &b}) {
+            it->once.peers.publish(
+                std::make_shared<const state::peer_directory>(peers));
+        }
+    }
+
+    test::answer_type book(host& at, const std::string& fields,
+                           const std::string& body = "carton")
+    {
+        fake_caller caller(ioc, at.worker.address());
+        return caller.post("/book", body,
+                           "Oriolegrade-Caller: shop\r\n" + fields);
+    }
+
+    std::string token(host& at)
+    {
+        const auto offer = book(at, "");
+        EXPECT_EQ(offer.result_int(), 428U);
+        EXPECT_EQ(outcome_of(offer), "not-run");
+        return "Oriolegrade-Token: " + std::string(offer["Oriolegrade-Token"]) +
+               "\r\n";
+    }
+
+    asio::io_context& ioc;
+    fake_claims claims;
+    test::scripted_upstream upstream;
+    host a;
+    host b;
+};
+
+/// Kept until the process ends: fibers that wait on sockets refer to it.
+void on_fleet(const std::function<void(fleet&)>& body)
+{
+    static std::vector<std::unique_ptr<fleet>> fleets;
+    fleets.push_back(std::make_unique<fleet>(test::fiber_context()));
+    body(*fleets.back());
+}
+
+// Guards against a repeat with a token running again, at whichever host.
+TEST(once_path, token_runs_once_and_replays_at_both_hosts)
+{
+    on_fleet([](fleet& f) {
+        f.upstream.add({answer_text("booked", "X-Id: 7\r\n")});
+        const auto token = f.token(f.a);
+        for (auto* at : {&f.b, &f.a, &f.b}) {
+            const auto answer = f.book(*at, token);
+            EXPECT_EQ(answer.result_int(), 200U);
+            EXPECT_EQ(answer.body(), "booked");
+            EXPECT_EQ(answer["X-Id"], "7");
+            EXPECT_EQ(outcome_of(answer), "ran");
+        }
+        EXPECT_EQ(f.upstream.runs, 1);
+    });
+}
+
+// Guards against two attempts at the same time both running.
+TEST(once_path, concurrent_attempts_run_once)
+{
+    on_fleet([](fleet& f) {
+        f.upstream.add({answer_text("booked"), 100ms});
+        const auto token = f.token(f.a);
+        boost::fibers::fiber other(
+            [&] { EXPECT_EQ(f.book(f.b, token).body(), "booked"); });
+        EXPECT_EQ(f.book(f.a, token).body(), "booked");
+        other.join();
+        EXPECT_EQ(f.upstream.runs, 1);
+    });
+}
+
+// Guards against a second run, or a false not-run, after a lost answer.
+TEST(once_path, lost_answer_stays_unknown)
+{
+    on_fleet([](fleet& f) {
+        f.upstream.add({"", 0ms, after_answer::close});
+        const auto token = f.token(f.a);
+        for (auto* at : {&f.a, &f.b}) {
+            EXPECT_EQ(outcome_of(f.book(*at, token)), "unknown");
+        }
+        EXPECT_EQ(f.upstream.runs, 1);
+    });
+}
+
+// Guards against the same key winning at two hosts.
+TEST(once_path, key_at_two_hosts_runs_once)
+{
+    on_fleet([](fleet& f) {
+        f.upstream.add({answer_text("booked"), 50ms});
+        const std::string key = "Idempotency-Key: order-17\r\n";
+        boost::fibers::fiber other(
+            [&] { EXPECT_EQ(f.book(f.b, key).body(), "booked"); });
+        EXPECT_EQ(f.book(f.a, key).body(), "booked");
+        other.join();
+        EXPECT_EQ(f.book(f.b, key).body(), "booked");
+        EXPECT_EQ(f.upstream.runs, 1);
+    });
+}
+
+// Guards against a key used for a different request being answered with the
+// first one's answer.
+TEST(once_path, key_of_another_request_is_a_conflict)
+{
+    on_fleet([](fleet& f) {
+        f.upstream.add({answer_text("booked")});
+        const std::string key = "Idempotency-Key: order-18\r\n";
+        EXPECT_EQ(f.book(f.a, key).result_int(), 200U);
+        const auto other = f.book(f.b, key, "other carton");
+        EXPECT_EQ(other.result_int(), 409U);
+        EXPECT_EQ(outcome_of(other), "not-run");
+        EXPECT_EQ(f.upstream.runs, 1);
+    });
+}
+
+// Guards against not-run for a key while the log is unavailable: an earlier
+// attempt may have run.
+TEST(once_path, key_without_log_is_unknown_and_does_not_run)
+{
+    on_fleet([](fleet& f) {
+        for (const auto status : {coordination::claim_status::not_claimed,
+                                  coordination::claim_status::unresolved}) {
+            f.claims.down = true;
+            f.claims.when_down = status;
+            const auto answer = f.book(f.a, "Idempotency-Key: order-19\r\n");
+            EXPECT_EQ(answer.result_int(), 503U);
+            EXPECT_EQ(outcome_of(answer), "unknown");
+        }
+        EXPECT_EQ(f.upstream.runs, 0);
+    });
+}
+
+// Guards against tokens that stop working while the log is unavailable.
+TEST(once_path, tokens_run_without_log)
+{
+    on_fleet([](fleet& f) {
+        f.claims.down = true;
+        f.upstream.add({answer_text("booked")});
+        EXPECT_EQ(f.book(f.b, f.token(f.a)).body(), "booked");
+    });
+}
+
+// Guards against another host running the token of a host that is gone.
+TEST(once_path, token_of_a_gone_host_is_unknown)
+{
+    on_fleet([](fleet& f) {
+        const auto token = f.token(f.a);
+        f.publish_peers({f.b.peer()});
+        const auto answer = f.book(f.b, token);
+        EXPECT_EQ(answer.result_int(), 410U);
+        EXPECT_EQ(outcome_of(answer), "unknown");
+        EXPECT_EQ(f.upstream.runs, 0);
+    });
+}
+
+// Guards against forged tokens and tokens of another caller.
+TEST(once_path, forged_and_foreign_tokens_do_not_run)
+{
+    on_fleet([](fleet& f) {
+        auto token = f.token(f.a);
+        fake_caller caller(f.ioc, f.a.worker.address());
+        const auto foreign = caller.post(
+            "/book", "carton", "Oriolegrade-Caller: thief\r\n" + token);
+        EXPECT_EQ(foreign.result_int(), 409U);
+        const auto last = token.size() - 3;
+        token[last] = token[last] == 'A' ? 'B' : 'A';
+        EXPECT_EQ(f.book(f.a, token).result_int(), 400U);
+        EXPECT_EQ(f.upstream.runs, 0);
+    });
+}
+
+// Guards against the loss of outcomes at a graceful stop, and against the
+// stopped host still running tokens.
+TEST(once_path, handover_moves_outcomes_and_the_right_to_run)
+{
+    on_fleet([](fleet& f) {
+        f.upstream.add({answer_text("first")});
+        f.upstream.add({answer_text("second")});
+        const auto used = f.token(f.a);
+        const auto fresh = f.token(f.a);
+        EXPECT_EQ(f.book(f.a, used).body(), "first");
+        const auto now = std::chrono::steady_clock::now();
+        const auto successor =
+            f.b.once.incarnations.own()->authority.incarnation();
+        for (const auto& it :
+             f.a.once.incarnations.export_all(successor, now)) {
+            const auto bytes = protocol::encode(it);
+            f.b.once.incarnations.import(
+                protocol::decode_handover(bytes).value(), now);
+        }
+        EXPECT_EQ(outcome_of(f.book(f.a, fresh)), "unknown");
+        EXPECT_EQ(f.upstream.runs, 1);
+        f.publish_peers({f.b.peer()});
+        EXPECT_EQ(f.book(f.b, used).body(), "first");
+        EXPECT_EQ(f.book(f.b, fresh).body(), "second");
+        EXPECT_EQ(f.book(f.b, fresh).body(), "second");
+        EXPECT_EQ(f.upstream.runs, 2);
+    });
+}
+
+// Guards against a shed request being called unknown, and against the same
+// token running after its caller was told not-run.
+TEST(once_path, shed_token_is_not_run_for_good)
+{
+    on_fleet([](fleet& f) {
+        f.upstream.add({"HTTP/1.1 503 Busy\r\nOriolegrade-Shed: "
+                        "1\r\nContent-Length: 0\r\n\r\n"});
+        f.upstream.add({answer_text("booked")});
+        const auto token = f.token(f.a);
+        const auto shed = f.book(f.a, token);
+        EXPECT_EQ(shed.result_int(), 503U);
+        EXPECT_EQ(outcome_of(shed), "not-run");
+        EXPECT_EQ(outcome_of(f.book(f.b, token)), "not-run");
+        EXPECT_EQ(f.upstream.runs, 1);
+    });
+}
+
+} // namespace
