--- /dev/null
+++ b/include/oriolegrade/state/upstream_load.hpp
@@ -0,0 +1,152 @@
+// Load of one upstream as a host sees it. Worker threads share the object and
+// change it with relaxed atomics: each value is a hint on its own.
+
+#ifndef ORIOLEGRADE_STATE_UPSTREAM_LOAD_HPP
+#define ORIOLEGRADE_STATE_UPSTREAM_LOAD_HPP
+
+#include <oriolegrade/state/time_type.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <limits>
+
+namespace oriolegrade::state {
+
+/// Slots in use as an upstream reported them.
+struct load_report
+{
+    std::uint32_t in_use = 0;
+    /// Zero while there is no report.
+    time_point at{};
+
+    bool present() const
+    {
+        return at != time_point{};
+    }
+};
+
+/// Moving average of a latency. A lost concurrent update only delays it.
+class latency_average
+{
+public:
+    void add(duration sample)
+    {
+        const auto old = value_.load(std::memory_order_relaxed);
+        const auto fresh = sample.count();
+        value_.store(old == 0 ? fresh : old + (fresh - old) / weight,
+                     std::memory_order_relaxed);
+    }
+
+    /// Zero while there is no sample.
+    duration value() const
+    {
+        return duration(value_.load(std::memory_order_relaxed));
+    }
+
+private:
+    /// One sample moves the average by 1/16: a single slow answer must not
+    /// look like load.
+    static constexpr std::int64_t weight = 16;
+    std::atomic<std::int64_t> value_{0};
+};
+
+/// Shared load of one upstream. Aligned to a cache line so that workers do
+/// not slow each other down on neighbouring upstreams.
+class alignas(64) upstream_load
+{
+public:
+    static constexpr std::uint32_t no_limit =
+        std::numeric_limits<std::uint32_t>::max();
+
+    /// Counts a request in, unless the adaptive limit is reached.
+    bool try_begin()
+    {
+        const auto before = in_flight_.fetch_add(1, std::memory_order_relaxed);
+        if (before < limit()) {
+            return true;
+        }
+        end();
+        return false;
+    }
+
+    void end()
+    {
+        in_flight_.fetch_sub(1, std::memory_order_relaxed);
+    }
+
+    std::uint32_t in_flight() const
+    {
+        return in_flight_.load(std::memory_order_relaxed);
+    }
+
+    std::uint32_t limit() const
+    {
+        return limit_.load(std::memory_order_relaxed);
+    }
+
+    void set_limit(std::uint32_t limit)
+    {
+        limit_.store(std::max(limit, 1U), std::memory_order_relaxed);
+    }
+
+    /// Stores a load report. Value and time share one word, so a reader
+    /// never combines the halves of two reports.
+    void set_report(std::uint32_t in_use, time_point at)
+    {
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                            at.time_since_epoch())
+                            .count();
+        report_.store((static_cast<std::uint64_t>(ms + 1) << in_use_bits) |
+                          std::min(in_use, max_in_use),
+                      std::memory_order_relaxed);
+    }
+
+    load_report report() const
+    {
+        const auto word = report_.load(std::memory_order_relaxed);
+        if (word == 0) {
+            return {};
+        }
+        const auto ms = static_cast<std::int64_t>(word >> in_use_bits) - 1;
+        return {static_cast<std::uint32_t>(word & max_in_use),
+                time_point(std::chrono::milliseconds(ms))};
+    }
+
+    /// This host alone avoids the upstream until `until`.
+    void avoid_until(time_point until)
+    {
+        avoid_until_.store(until.time_since_epoch().count(),
+                           std::memory_order_relaxed);
+    }
+
+    bool avoided(time_point now) const
+    {
+        return now.time_since_epoch().count() <
+               avoid_until_.load(std::memory_order_relaxed);
+    }
+
+    latency_average& latency()
+    {
+        return latency_;
+    }
+    const latency_average& latency() const
+    {
+        return latency_;
+    }
+
+private:
+    static constexpr unsigned in_use_bits = 20;
+    static constexpr std::uint32_t max_in_use = (1U << in_use_bits) - 1;
+
+    std::atomic<std::uint32_t> in_flight_{0};
+    std::atomic<std::uint32_t> limit_{no_limit};
+    std::atomic<std::uint64_t> report_{0};
+    std::atomic<std::int64_t> avoid_until_{0};
+    latency_average latency_;
+};
+
+} // namespace oriolegrade::state
+
+#endif
--- /dev/null
+++ b/src/coordination/subset.cpp
@@ -0,0 +1,268 @@
+// Balanced rendezvous assignment of servers to hosts.
+
+#include <oriolegrade/coordination/subset.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <limits>
+
+namespace oriolegrade::coordination {
+
+namespace {
+
+/// Own servers are preferred by this factor. The per-server share keeps the
+/// preference from overloading servers of a data centre with many hosts.
+constexpr double own_data_centre_weight = 2.0;
+
+std::uint64_t mix(std::uint64_t x)
+{
+    // Finaliser of splitmix64.
+    x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9;
+    x = (x ^ (x >> 27U)) * 0x94d049bb133111eb;
+    return x ^ (x >> 31U);
+}
+
+/// FNV-1a: hosts of different builds must agree, which std::hash does not
+/// promise.
+std::uint64_t hash_of(std::string_view text)
+{
+    std::uint64_t h = 0xcbf29ce484222325;
+    for (const char c : text) {
+        h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3;
+    }
+    return mix(h);
+}
+
+double score_of(std::uint64_t host_hash, const state::upstream_spec& up,
+                bool own)
+{
+    const auto server =
+        (static_cast<std::uint64_t>(up.address.address) << 16U) |
+        up.address.port;
+    const auto h = mix(host_hash ^ mix(server + 0x9e3779b97f4a7c15));
+    const double uniform = (static_cast<double>(h >> 11U) + 1) * 0x1p-53;
+    return -(own ? own_data_centre_weight : 1.0) / std::log(uniform);
+}
+
+struct pair_score
+{
+    double score;
+    std::uint32_t host;
+    std::uint32_t server;
+};
+
+std::vector<pair_score> ordered_pairs(const state::service_spec& spec,
+                                      std::span<const subset_host> hosts)
+{
+    std::vector<pair_score> pairs;
+    pairs.reserve(hosts.size() * spec.upstreams.size());
+    for (std::uint32_t h = 0; h < hosts.size(); ++h) {
+        const auto host_hash = hash_of(hosts[h].name);
+        for (std::uint32_t s = 0; s < spec.upstreams.size(); ++s) {
+            const auto& up = spec.upstreams[s];
+            pairs.push_back({score_of(host_hash, up,
+                                      up.data_centre == hosts[h].data_centre),
+                             h, s});
+        }
+    }
+    std::sort(pairs.begin(), pairs.end(),
+              [](const pair_score& a, const pair_score& b) {
+                  return a.score > b.score;
+              });
+    return pairs;
+}
+
+/// Hosts per server in proportion to its slots.
+std::vector<std::size_t> shares_of(const state::service_spec& spec,
+                                   std::size_t hosts, std::size_t per_host)
+{
+    double slots = 0;
+    for (const auto& up : spec.upstreams) {
+        slots += up.slots;
+    }
+    std::vector<std::size_t> shares;
+    for (const auto& up : spec.upstreams) {
+        const double share =
+            static_cast<double>(hosts * per_host) * up.slots / slots;
+        shares.push_back(
+            std::min(hosts, static_cast<std::size_t>(std::ceil(share))));
+    }
+    return shares;
+}
+
+/// State of one assignment run.
+class assigner
+{
+public:
+    assigner(const state::service_spec& spec,
+             std::span<const subset_host> hosts, std::size_t per_host)
+        : spec_(spec)
+        , hosts_(hosts)
+        , per_host_(per_host)
+        , shares_(shares_of(spec, hosts.size(), per_host))
+        , own_(hosts.size(), 0)
+    {
+        out_.servers_of_host.resize(hosts.size());
+        out_.hosts_of_server.resize(spec.upstreams.size(), 0);
+        several_ = std::any_of(
+            spec.upstreams.begin(), spec.upstreams.end(), [&](const auto& up) {
+                return up.data_centre != spec.upstreams[0].data_centre;
+            });
+    }
+
+    subset_assignment run()
+    {
+        for (const auto& pair : ordered_pairs(spec_, hosts_)) {
+            if (out_.hosts_of_server[pair.server] < shares_[pair.server] &&
+                spreads(pair.host, pair.server)) {
+                take(pair.host, pair.server);
+            }
+        }
+        for (std::uint32_t h = 0; h < hosts_.size(); ++h) {
+            complete(h);
+        }
+        return std::move(out_);
+    }
+
+private:
+    bool is_own(std::uint32_t host, std::size_t server) const
+    {
+        return spec_.upstreams[server].data_centre == hosts_[host].data_centre;
+    }
+
+    /// The last place of a host goes to another data centre when all others
+    /// went to its own.
+    bool spreads(std::uint32_t host, std::size_t server) const
+    {
+        return !several_ || per_host_ < 2 || !is_own(host, server) ||
+               own_[host] + 1 < per_host_;
+    }
+
+    void take(std::uint32_t host, std::size_t server)
+    {
+        auto& mine = out_.servers_of_host[host];
+        if (mine.size() >= per_host_) {
+            return;
+        }
+        mine.push_back(server);
+        ++out_.hosts_of_server[server];
+        own_[host] += is_own(host, server) ? 1 : 0;
+    }
+
+    /// Fills places left when all servers with room were already taken by
+    /// this host: the server furthest below its share comes first.
+    void complete(std::uint32_t host)
+    {
+        auto& mine = out_.servers_of_host[host];
+        while (mine.size() < per_host_) {
+            std::size_t best = spec_.upstreams.size();
+            double least = std::numeric_limits<double>::max();
+            for (std::size_t s = 0; s < spec_.upstreams.size(); ++s) {
+                const double fill =
+                    static_cast<double>(out_.hosts_of_server[s]) /
+                    static_cast<double>(std::max<std::size_t>(shares_[s], 1));
+                if (fill < least && spreads(host, s) &&
+                    std::find(mine.begin(), mine.end(), s) == mine.end()) {
+                    least = fill;
+                    best = s;
+                }
+            }
+            if (best == spec_.upstreams.size()) {
+                return;
+            }
+            take(host, best);
+        }
+    }
+
+    const state::service_spec& spec_;
+    std::span<const subset_host> hosts_;
+    std::size_t per_host_;
+    std::vector<std::size_t> shares_;
+    std::vector<std::size_t> own_;
+    bool several_ = false;
+    subset_assignment out_;
+};
+
+bool in_service(const state::upstream_spec& up,
+                std::span<const state::upstream_standing> standings)
+{
+    using state::upstream_state;
+    for (const auto& s : standings) {
+        if (s.address == up.address) {
+            return s.state == upstream_state::in_service ||
+                   s.state == upstream_state::ramping ||
+                   (s.kept_by_floor && s.state != upstream_state::leaving);
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+std::size_t subset_size(const state::service_spec& spec, std::size_t hosts,
+                        const subset_options& options)
+{
+    double connections = 0;
+    for (const auto& up : spec.upstreams) {
+        connections += up.max_connections;
+    }
+    const auto fitting =
+        hosts == 0 ? options.wanted
+                   : static_cast<std::size_t>(connections * options.warm_share /
+                                              static_cast<double>(hosts));
+    return std::min({spec.upstreams.size(), options.wanted,
+                     std::max<std::size_t>(fitting, 1)});
+}
+
+subset_assignment assign_subsets(const state::service_spec& spec,
+                                 std::span<const subset_host> hosts,
+                                 const subset_options& options)
+{
+    if (spec.upstreams.empty()) {
+        return {std::vector<std::vector<std::size_t>>(hosts.size()), {}, {}};
+    }
+    auto out =
+        assigner(spec, hosts, subset_size(spec, hosts.size(), options)).run();
+    for (std::size_t s = 0; s < spec.upstreams.size(); ++s) {
+        const double warm =
+            spec.upstreams[s].max_connections * options.warm_share;
+        const auto users = std::max<std::size_t>(out.hosts_of_server[s], 1);
+        out.connections_of_server.push_back(
+            static_cast<std::uint32_t>(warm / static_cast<double>(users)));
+    }
+    return out;
+}
+
+std::vector<state::subset_member>
+subset_of_host(const state::service_spec& spec,
+               std::span<const subset_host> hosts,
+               const subset_assignment& assignment, std::size_t host,
+               std::span<const state::upstream_standing> standings,
+               const subset_options& options)
+{
+    assert(host < hosts.size());
+    std::vector<state::subset_member> members;
+    std::vector<bool> taken(spec.upstreams.size(), false);
+    std::size_t usable = 0;
+    for (const auto s : assignment.servers_of_host[host]) {
+        members.push_back({s, assignment.connections_of_server[s]});
+        taken[s] = true;
+        usable += in_service(spec.upstreams[s], standings) ? 1 : 0;
+    }
+    // Order of preference of this host alone. Different hosts widen to
+    // different servers.
+    for (const auto& pair : ordered_pairs(spec, hosts.subspan(host, 1))) {
+        if (usable >= options.least_in_service) {
+            break;
+        }
+        if (!taken[pair.server] &&
+            in_service(spec.upstreams[pair.server], standings)) {
+            members.push_back({pair.server, 1});
+            ++usable;
+        }
+    }
+    return members;
+}
+
+} // namespace oriolegrade::coordination
