--- /dev/null
+++ b/include/oriolegrade/coordination/caller_limits.hpp
@@ -0,0 +1,91 @@
+// Rate limit per caller in memory that does not grow with callers.
+
+#ifndef ORIOLEGRADE_COORDINATION_CALLER_LIMITS_HPP
+#define ORIOLEGRADE_COORDINATION_CALLER_LIMITS_HPP
+
+#include <oriolegrade/state/enum_names.hpp>
+#include <oriolegrade/state/result.hpp>
+#include <oriolegrade/state/time_type.hpp>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+namespace oriolegrade::coordination {
+
+enum class caller_refusal : std::uint8_t
+{
+    rate,
+};
+
+struct caller_limits_options
+{
+    /// Requests of one caller per window.
+    std::uint32_t most_per_window = 100;
+    state::duration window = std::chrono::seconds(1);
+    /// Power of two; 8 bytes each.
+    std::size_t counters = 32768;
+};
+
+/// Counts requests per caller in a fixed time window, in a table of tagged
+/// counters shared by worker threads. A counter of an earlier window counts
+/// as empty, so a new window costs no sweep. A full bucket gives up its
+/// smallest counter: heavy callers stay, and no caller inherits the count of
+/// another.
+class caller_limits
+{
+public:
+    /// @param hash_seed random, so that no caller can aim at the counter of
+    ///     another
+    caller_limits(const caller_limits_options& options,
+                  std::uint64_t hash_seed);
+
+    /// Counts a request of a caller, refused ones included.
+    state::result<void, caller_refusal> count(std::uint64_t caller_hash,
+                                              state::time_point now)
+    {
+        if (add(caller_hash, now) > options_.most_per_window) {
+            return caller_refusal::rate;
+        }
+        return state::outcome::success();
+    }
+
+    std::size_t bytes() const
+    {
+        return buckets_count_ * sizeof(bucket);
+    }
+
+private:
+    static constexpr std::size_t bucket_size = 8;
+
+    /// Fills one cache line. Each word holds window (16 bits), tag (24) and
+    /// count (24).
+    struct alignas(64) bucket
+    {
+        std::array<std::atomic<std::uint64_t>, bucket_size> words{};
+    };
+
+    std::uint32_t add(std::uint64_t caller_hash, state::time_point now);
+
+    caller_limits_options options_;
+    std::uint64_t seed_;
+    std::size_t buckets_count_;
+    std::unique_ptr<bucket[]> buckets_;
+};
+
+} // namespace oriolegrade::coordination
+
+namespace oriolegrade::state {
+
+template <>
+struct enum_names<coordination::caller_refusal>
+{
+    static constexpr std::array<std::string_view, 1> value{"rate"};
+};
+
+} // namespace oriolegrade::state
+
+#endif
--- /dev/null
+++ b/include/oriolegrade/coordination/deadline.hpp
@@ -0,0 +1,97 @@
+// Deadlines that shrink along the way of a request.
+
+#ifndef ORIOLEGRADE_COORDINATION_DEADLINE_HPP
+#define ORIOLEGRADE_COORDINATION_DEADLINE_HPP
+
+#include <oriolegrade/state/enum_names.hpp>
+#include <oriolegrade/state/result.hpp>
+#include <oriolegrade/state/time_type.hpp>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdint>
+
+namespace oriolegrade::coordination {
+
+enum class deadline_refusal : std::uint8_t
+{
+    expired,
+    /// Less time is left than the fastest answer takes.
+    hopeless,
+};
+
+/// Point in time by which the caller needs its answer.
+class deadline
+{
+public:
+    explicit deadline(state::time_point at)
+        : at_(at)
+    {}
+
+    /// The earlier of the route's deadline and the caller's own.
+    /// @param caller what the caller stated; zero or less counts as expired
+    static deadline of_request(state::time_point now, state::duration route,
+                               state::duration caller)
+    {
+        return deadline(now + std::min(route, caller));
+    }
+
+    state::time_point at() const
+    {
+        return at_;
+    }
+
+    state::duration remaining(state::time_point now) const
+    {
+        return std::max(at_ - now, state::duration::zero());
+    }
+
+    /// Deadline of the next hop: earlier by the time that its answer needs
+    /// on the way back, so that the hop gives up before this host does.
+    deadline for_next_hop(state::duration way_back) const
+    {
+        return deadline(at_ - std::max(way_back, state::duration::zero()));
+    }
+
+    /// Whole milliseconds to state to the next hop, rounded down: rounding
+    /// up would let the next hop work past the deadline.
+    std::int64_t milliseconds(state::time_point now) const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   remaining(now))
+            .count();
+    }
+
+    /// Judges work before it is sent.
+    /// @param fastest least time in which an answer is plausible
+    state::result<void, deadline_refusal> check(state::time_point now,
+                                                state::duration fastest) const
+    {
+        if (now >= at_) {
+            return deadline_refusal::expired;
+        }
+        if (at_ - now < fastest) {
+            return deadline_refusal::hopeless;
+        }
+        return state::outcome::success();
+    }
+
+private:
+    state::time_point at_;
+};
+
+} // namespace oriolegrade::coordination
+
+namespace oriolegrade::state {
+
+template <>
+struct enum_names<coordination::deadline_refusal>
+{
+    static constexpr std::array<std::string_view, 2> value{"expired",
+                                                           "hopeless"};
+};
+
+} // namespace oriolegrade::state
+
+#endif
--- /dev/null
+++ b/include/oriolegrade/coordination/hedge_policy.hpp
@@ -0,0 +1,121 @@
+// When a second attempt runs beside a slow one.
+
+#ifndef ORIOLEGRADE_COORDINATION_HEDGE_POLICY_HPP
+#define ORIOLEGRADE_COORDINATION_HEDGE_POLICY_HPP
+
+#include <oriolegrade/coordination/retry_budget.hpp>
+#include <oriolegrade/state/request_class.hpp>
+#include <oriolegrade/state/time_type.hpp>
+
+#include <cmath>
+
+namespace oriolegrade::coordination {
+
+/// Streaming estimate of a percentile: each sample moves the estimate by a
+/// fixed ratio up or down. Unlike P-square it needs one word, so worker
+/// threads share it, and it follows a change. A lost concurrent update only
+/// delays it.
+class percentile_estimate
+{
+public:
+    explicit percentile_estimate(double quantile)
+        : up_(std::exp(step * quantile))
+        , down_(std::exp(-step * (1 - quantile)))
+    {}
+
+    void add(state::duration sample)
+    {
+        const auto ns = static_cast<double>(sample.count());
+        const double old = value_.load(std::memory_order_relaxed);
+        const double fresh = old == 0 ? ns : old * (ns > old ? up_ : down_);
+        value_.store(std::max(fresh, 1.0), std::memory_order_relaxed);
+        samples_.fetch_add(1, std::memory_order_relaxed);
+    }
+
+    state::duration value() const
+    {
+        return state::duration(
+            static_cast<std::int64_t>(value_.load(std::memory_order_relaxed)));
+    }
+
+    std::uint64_t samples() const
+    {
+        return samples_.load(std::memory_order_relaxed);
+    }
+
+private:
+    /// Larger steps follow faster and scatter more around the percentile.
+    static constexpr double step = 0.05;
+    double up_;
+    double down_;
+    std::atomic<double> value_{0};
+    std::atomic<std::uint64_t> samples_{0};
+};
+
+enum class hedge_refusal : std::uint8_t
+{
+    not_idempotent,
+    /// Too few latencies seen to know what is slow.
+    no_estimate,
+    budget,
+};
+
+/// Decides on hedges of one request class of a service.
+class hedge_policy
+{
+public:
+    /// @param quantile latency above which an attempt counts as slow
+    explicit hedge_policy(double quantile = 0.95)
+        : slow_(quantile)
+    {}
+
+    void add_latency(state::duration sample)
+    {
+        slow_.add(sample);
+    }
+
+    /// Time after which a hedge may start.
+    state::result<state::duration, hedge_refusal>
+    delay(state::request_class request) const
+    {
+        if (request == state::request_class::non_idempotent) {
+            return hedge_refusal::not_idempotent;
+        }
+        if (slow_.samples() < least_samples) {
+            return hedge_refusal::no_estimate;
+        }
+        return slow_.value();
+    }
+
+    /// Decides at the end of the delay, when the first attempt still runs.
+    state::result<void, hedge_refusal> start(state::request_class request,
+                                             retry_budget& budget) const
+    {
+        if (request == state::request_class::non_idempotent) {
+            return hedge_refusal::not_idempotent;
+        }
+        if (!budget.try_take(attempt_kind::hedge)) {
+            return hedge_refusal::budget;
+        }
+        return state::outcome::success();
+    }
+
+private:
+    static constexpr std::uint64_t least_samples = 100;
+    percentile_estimate slow_;
+};
+
+} // namespace oriolegrade::coordination
+
+namespace oriolegrade::state {
+
+template <>
+struct enum_names<coordination::hedge_refusal>
+{
+    static constexpr std::array<std::string_view, 3> value{
+        "not_idempotent", "no_estimate", "budget"};
+};
+
+} // namespace oriolegrade::state
+
+#endif
--- /dev/null
+++ b/include/oriolegrade/coordination/workspace_limits.hpp
@@ -0,0 +1,90 @@
+// Rate and concurrency limits per workspace in a table of fixed size.
+
+#ifndef ORIOLEGRADE_COORDINATION_WORKSPACE_LIMITS_HPP
+#define ORIOLEGRADE_COORDINATION_WORKSPACE_LIMITS_HPP
+
+#include <oriolegrade/state/enum_names.hpp>
+#include <oriolegrade/state/record_type.hpp>
+#include <oriolegrade/state/result.hpp>
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string_view>
+#include <utility>
+
+namespace oriolegrade::coordination {
+
+enum class workspace_refusal : std::uint8_t
+{
+    rate,
+    concurrency,
+    /// More workspaces are active at once than the table holds.
+    table_full,
+};
+
+/// Limits of all workspaces, shared by worker threads. A workspace without
+/// requests in flight and with a full bucket is equal to an unknown one, so
+/// its place is reused.
+class workspace_limits
+{
+    struct slot;
+
+public:
+    /// @param slots power of two; twice the number of workspaces keeps the
+    ///     probing short
+    /// @param hash_seed random, so that nobody can choose names that collide
+    workspace_limits(std::size_t slots, std::uint64_t hash_seed);
+    ~workspace_limits();
+    workspace_limits(const workspace_limits&) = delete;
+    workspace_limits& operator=(const workspace_limits&) = delete;
+
+    /// Right to run one request; gives its place back at the end.
+    class permit
+    {
+    public:
+        permit(permit&& other) noexcept
+            : slot_(std::exchange(other.slot_, nullptr))
+        {}
+        permit& operator=(permit&&) = delete;
+        ~permit();
+
+    private:
+        friend class workspace_limits;
+        explicit permit(slot* s)
+            : slot_(s)
+        {}
+        slot* slot_;
+    };
+
+    /// Takes a place and a token of the workspace.
+    state::result<permit, workspace_refusal>
+    try_begin(std::string_view workspace, const state::workspace_spec& spec,
+              state::time_point now);
+
+    std::size_t bytes() const;
+
+private:
+    slot* hold(std::uint64_t key, state::time_point now);
+    bool take_over(slot& s, std::uint64_t key, state::time_point now);
+
+    std::size_t mask_;
+    std::uint64_t seed_;
+    std::unique_ptr<slot[]> slots_;
+};
+
+} // namespace oriolegrade::coordination
+
+namespace oriolegrade::state {
+
+template <>
+struct enum_names<coordination::workspace_refusal>
+{
+    static constexpr std::array<std::string_view, 3> value{
+        "rate", "concurrency", "table_full"};
+};
+
+} // namespace oriolegrade::state
+
+#endif
--- /dev/null
+++ b/src/coordination/caller_limits.cpp
@@ -0,0 +1,71 @@
+// Windowed counting of callers.
+
+#include <oriolegrade/coordination/caller_limits.hpp>
+
+#include <cassert>
+
+namespace oriolegrade::coordination {
+
+namespace {
+
+constexpr unsigned count_bits = 24;
+constexpr std::uint64_t count_mask = (1U << count_bits) - 1;
+
+std::uint64_t mix(std::uint64_t x)
+{
+    x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9;
+    x = (x ^ (x >> 27U)) * 0x94d049bb133111eb;
+    return x ^ (x >> 31U);
+}
+
+} // namespace
+
+caller_limits::caller_limits(const caller_limits_options& options,
+                             std::uint64_t hash_seed)
+    : options_(options)
+    , seed_(hash_seed)
+    , buckets_count_(options.counters / bucket_size)
+    , buckets_(new bucket[buckets_count_])
+{
+    assert(buckets_count_ > 0 && (buckets_count_ & (buckets_count_ - 1)) == 0);
+}
+
+std::uint32_t caller_limits::add(std::uint64_t caller_hash,
+                                 state::time_point now)
+{
+    const auto hash = mix(caller_hash ^ seed_);
+    // Window 0 never occurs, so an unused word belongs to no window.
+    const auto window = static_cast<std::uint64_t>(
+        now.time_since_epoch().count() / options_.window.count() % 65535 + 1);
+    const auto head = (window << 48U) | ((hash >> 40U) << count_bits);
+    auto& words = buckets_[hash & (buckets_count_ - 1)].words;
+
+    std::size_t least = 0;
+    std::uint64_t least_count = count_mask + 1;
+    std::uint64_t least_word = 0;
+    for (std::size_t i = 0; i < bucket_size; ++i) {
+        const auto word = words[i].load(std::memory_order_relaxed);
+        if ((word & ~count_mask) == head) {
+            if ((word & count_mask) == count_mask) {
+                return count_mask;
+            }
+            return static_cast<std::uint32_t>(
+                (words[i].fetch_add(1, std::memory_order_relaxed) &
+                 count_mask) +
+                1);
+        }
+        const auto count = (word >> 48U) == window ? (word & count_mask) : 0;
+        if (count < least_count) {
+            least = i;
+            least_count = count;
+            least_word = word;
+        }
+    }
+    // A lost exchange leaves this request uncounted, which costs the caller
+    // nothing; the next one finds or takes a word.
+    words[least].compare_exchange_strong(least_word, head | 1U,
+                                         std::memory_order_relaxed);
+    return 1;
+}
+
+} // namespace oriolegrade::coordination
--- /dev/null
+++ b/src/coordination/workspace_limits.cpp
@@ -0,0 +1,137 @@
+// Lock-free table of workspace limits.
+
+#include <oriolegrade/coordination/workspace_limits.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <functional>
+
+namespace oriolegrade::coordination {
+
+namespace {
+
+/// Mark in `in_flight` of a slot that changes its workspace.
+constexpr std::uint32_t changing = 1U << 31U;
+constexpr std::size_t probes = 16;
+
+std::uint64_t mix(std::uint64_t x)
+{
+    x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9;
+    x = (x ^ (x >> 27U)) * 0x94d049bb133111eb;
+    return x ^ (x >> 31U);
+}
+
+} // namespace
+
+struct workspace_limits::slot
+{
+    /// Hash of the workspace; zero while unused. Changes only under the mark.
+    std::atomic<std::uint64_t> key{0};
+    /// Time at which the bucket is full again (generic cell rate algorithm).
+    std::atomic<std::int64_t> full_at{0};
+    /// Requests in flight. Above zero the slot keeps its workspace.
+    std::atomic<std::uint32_t> in_flight{0};
+};
+
+workspace_limits::workspace_limits(std::size_t slots, std::uint64_t hash_seed)
+    : mask_(slots - 1)
+    , seed_(hash_seed)
+    , slots_(new slot[slots])
+{
+    assert(slots >= probes && (slots & (slots - 1)) == 0);
+}
+
+workspace_limits::~workspace_limits() = default;
+
+workspace_limits::permit::~permit()
+{
+    if (slot_) {
+        slot_->in_flight.fetch_sub(1, std::memory_order_acq_rel);
+    }
+}
+
+std::size_t workspace_limits::bytes() const
+{
+    return (mask_ + 1) * sizeof(slot);
+}
+
+/// Gives an unused or idle slot to `key`, counted in once. Fails when the
+/// slot is in use or another thread changes it.
+bool workspace_limits::take_over(slot& s, std::uint64_t key,
+                                 state::time_point now)
+{
+    std::uint32_t idle = 0;
+    if (s.full_at.load(std::memory_order_relaxed) >
+            now.time_since_epoch().count() ||
+        !s.in_flight.compare_exchange_strong(idle, changing + 1,
+                                             std::memory_order_acq_rel)) {
+        return false;
+    }
+    s.key.store(key, std::memory_order_relaxed);
+    s.full_at.store(0, std::memory_order_relaxed);
+    s.in_flight.fetch_sub(changing, std::memory_order_release);
+    return true;
+}
+
+/// Slot of `key`, counted in once; null when all places are in use. Two
+/// threads that meet a new workspace at the same moment may give it two
+/// slots; the later one becomes idle and is reused.
+workspace_limits::slot* workspace_limits::hold(std::uint64_t key,
+                                               state::time_point now)
+{
+    for (std::size_t i = 0; i < probes; ++i) {
+        auto& s = slots_[(key + i) & mask_];
+        if (s.key.load(std::memory_order_relaxed) != key) {
+            continue;
+        }
+        const auto before = s.in_flight.fetch_add(1, std::memory_order_acq_rel);
+        if (before < changing && s.key.load(std::memory_order_relaxed) == key) {
+            return &s;
+        }
+        s.in_flight.fetch_sub(1, std::memory_order_acq_rel);
+    }
+    for (std::size_t i = 0; i < probes; ++i) {
+        auto& s = slots_[(key + i) & mask_];
+        if (take_over(s, key, now)) {
+            return &s;
+        }
+    }
+    return nullptr;
+}
+
+state::result<workspace_limits::permit, workspace_refusal>
+workspace_limits::try_begin(std::string_view workspace,
+                            const state::workspace_spec& spec,
+                            state::time_point now)
+{
+    const auto key = std::max<std::uint64_t>(
+        mix(std::hash<std::string_view>()(workspace) ^ seed_), 1);
+    slot* s = hold(key, now);
+    if (!s) {
+        return workspace_refusal::table_full;
+    }
+    permit held(s);
+    if (s->in_flight.load(std::memory_order_relaxed) > spec.max_concurrent) {
+        return workspace_refusal::concurrency;
+    }
+    if (spec.requests_per_second <= 0) {
+        return workspace_refusal::rate;
+    }
+    const auto gap = static_cast<std::int64_t>(1e9 / spec.requests_per_second);
+    const auto at = now.time_since_epoch().count();
+    auto full_at = s->full_at.load(std::memory_order_relaxed);
+    // A failed exchange means that another request took a token, so the loop
+    // ends with the tokens.
+    for (;;) {
+        const auto next = std::max(full_at, at) + gap;
+        if (next - at > gap * std::max<std::int64_t>(spec.burst, 1)) {
+            return workspace_refusal::rate;
+        }
+        if (s->full_at.compare_exchange_weak(full_at, next,
+                                             std::memory_order_relaxed)) {
+            return held;
+        }
+    }
+}
+
+} // namespace oriolegrade::coordination
