--- a/bench/coordination/picking_model.hpp
+++ b/bench/coordination/picking_model.hpp
@@ -71,6 +71,9 @@
     duration pause = std::chrono::milliseconds(2);
     /// Hosts that dispatch all requests of the service; 0: every host.
     std::uint32_t homes = 0;
+    /// Requests in flight from one host to one server; above it, requests
+    /// wait on the host for an answer. 0: no limit.
+    std::uint32_t host_limit = 0;
     std::size_t requests = 200000;
     std::uint64_t seed = 1;
 };
@@ -89,6 +92,7 @@
     duration service;
     std::uint32_t entry = 0;
     std::uint32_t host = 0;
+    bool guided = false;
     std::vector<state::endpoint> excluded;
 };
 
@@ -161,6 +165,7 @@
         , requests_(make_requests(o))
         , waits_(o.requests, 0)
         , servers_(o.servers)
+        , queues_(o.hosts)
         , random_{o.seed + 1}
     {
         state::service_spec spec;
@@ -172,8 +177,16 @@
         for (std::uint32_t h = 0; h < o.hosts; ++h) {
             registries_.push_back(
                 std::make_unique<state::upstream_load_registry>());
+            for (auto& m : members) {
+                m.near = m.index % o.centres == h % o.centres;
+            }
             tables_.push_back(state::build_pick_table(
                 spec, {}, members, *registries_.back(), nullptr));
+            if (o.host_limit > 0) {
+                for (const auto& c : tables_.back()->candidates) {
+                    c.load->set_limit(o.host_limit);
+                }
+            }
         }
     }
 
@@ -261,8 +274,11 @@
             load_at(e.request, e.server).end();
             load_at(e.request, e.server).set_report(e.reported, now_);
             load_at(e.request, e.server).latency().add(now_ - e.sent);
-            tables_[requests_[e.request].host]->latency->add(now_ - e.sent);
-            return;
+            tables_[requests_[e.request].host]->service->latency.add(now_ -
+                                                                     e.sent);
+            tables_[requests_[e.request].host]->service->trust.add(
+                requests_[e.request].guided, now_ - e.sent);
+            return resume(requests_[e.request].host);
         case kind::shed:
             // A shed proves that the server is full, whatever it reports.
             load_at(e.request, e.server).end();
@@ -272,6 +288,17 @@
         }
     }
 
+    /// Sends the request that waited longest on a host.
+    void resume(std::uint32_t host)
+    {
+        auto& queue = queues_[host];
+        if (!queue.empty()) {
+            const auto i = queue.front();
+            queue.pop_front();
+            dispatch(i);
+        }
+    }
+
     void dispatch(std::uint32_t i)
     {
         auto& r = requests_[i];
@@ -292,7 +319,12 @@
             }
         }
         const auto got = picker_.pick(table, {true, r.excluded}, random_, now_);
-        const auto s = static_cast<std::uint32_t>(got.value());
+        if (!got) {
+            queues_[r.host].push_back(i);
+            return;
+        }
+        const auto s = static_cast<std::uint32_t>(got.value().index);
+        r.guided = got.value().guided;
         r.excluded.push_back(table.candidates[s].address);
         if (!load_at(i, s).try_begin()) {
             std::abort();
@@ -377,6 +409,8 @@
     std::vector<model_request> requests_;
     std::vector<double> waits_;
     std::vector<server> servers_;
+    /// Requests that wait on each host for an answer.
+    std::vector<std::deque<std::uint32_t>> queues_;
     seeded_random random_;
     std::vector<std::unique_ptr<state::upstream_load_registry>> registries_;
     std::vector<std::shared_ptr<const state::pick_table>> tables_;
--- a/include/oriolegrade/coordination/caller_limits.hpp
+++ b/include/oriolegrade/coordination/caller_limits.hpp
@@ -44,10 +44,10 @@
                   std::uint64_t hash_seed);
 
     /// Counts a request of a caller, refused ones included.
-    state::result<void, caller_refusal> count(std::uint64_t caller_hash,
+    state::result<void, caller_refusal> count(std::string_view caller,
                                               state::time_point now)
     {
-        if (add(caller_hash, now) > options_.most_per_window) {
+        if (add(caller, now) > options_.most_per_window) {
             return caller_refusal::rate;
         }
         return state::outcome::success();
@@ -68,7 +68,7 @@
         std::array<std::atomic<std::uint64_t>, bucket_size> words{};
     };
 
-    std::uint32_t add(std::uint64_t caller_hash, state::time_point now);
+    std::uint32_t add(std::string_view caller, state::time_point now);
 
     caller_limits_options options_;
     std::uint64_t seed_;
--- a/include/oriolegrade/coordination/picker.hpp
+++ b/include/oriolegrade/coordination/picker.hpp
@@ -36,9 +36,17 @@
     std::span<const state::endpoint> excluded;
 };
 
-using pick_result = state::result<std::size_t, pick_refusal>;
+struct pick_choice
+{
+    /// Index of a candidate in the table.
+    std::size_t index = 0;
+    /// Whether load reports chose it; state::report_trust wants to know.
+    bool guided = false;
+};
+
+using pick_result = state::result<pick_choice, pick_refusal>;
 
-/// Chooses a candidate of a table by index.
+/// Chooses a candidate of a table.
 template <class Picker, class Random>
 concept picker = requires(const Picker& p, const state::pick_table& table,
                           const pick_request& request, Random& random,
@@ -52,6 +60,12 @@
 /// One of this many idempotent picks goes to an upstream on trial.
 inline constexpr std::uint64_t trial_period = 50;
 
+/// Weight of other data centres in attempts after the first. An attempt that
+/// ends in a shed costs a round trip, which is short in the own data centre.
+/// First attempts do not prefer it: data centres with few servers would be
+/// overloaded.
+inline constexpr double far_redirect_weight = 0.1;
+
 /// Uniform number in [0, 1).
 template <random_source Random>
 double uniform(Random& random)
@@ -150,7 +164,9 @@
         } else if (c.load->in_flight() >= c.load->limit()) {
             out.reason = pick_refusal::over_limit;
         } else {
-            out.set.add(i, c.weight * c.slots);
+            const bool far = !request.excluded.empty() && !c.near;
+            out.set.add(i,
+                        c.weight * c.slots * (far ? far_redirect_weight : 1.0));
         }
     }
     return out;
@@ -194,7 +210,7 @@
     {
         return detail::pick_eligible(
             table, request, random, now,
-            [&](const auto& set) { return set.draw(random); });
+            [&](const auto& set) { return pick_choice{set.draw(random)}; });
     }
 };
 
@@ -216,7 +232,7 @@
                 for (std::size_t i = 0; i < set.size(); ++i) {
                     best = load(set[i]) < load(best) ? set[i] : best;
                 }
-                return best;
+                return pick_choice{best};
             });
     }
 };
@@ -273,11 +289,15 @@
         return detail::pick_eligible(
             table, request, random, now, [&](const auto& set) {
                 const auto a = set.draw(random);
+                if (uniform(random) >= table.service->trust.share()) {
+                    return pick_choice{a};
+                }
                 auto b = set.draw(random);
                 for (int i = 0; b == a && i < 4; ++i) {
                     b = set.draw(random);
                 }
-                return load(table, b, now) < load(table, a, now) ? b : a;
+                const bool second = load(table, b, now) < load(table, a, now);
+                return pick_choice{second ? b : a, true};
             });
     }
 
@@ -285,8 +305,8 @@
     double load(const state::pick_table& table, std::size_t i,
                 state::time_point now) const
     {
-        return estimated_load(table.candidates[i], *table.latency, options,
-                              now);
+        return estimated_load(table.candidates[i], table.service->latency,
+                              options, now);
     }
 };
 
@@ -301,12 +321,15 @@
                      state::time_point now) const
     {
         const auto load = [&](std::size_t i) {
-            return estimated_load(table.candidates[i], *table.latency, options,
-                                  now);
+            return estimated_load(table.candidates[i], table.service->latency,
+                                  options, now);
         };
         return detail::pick_eligible(
             table, request, random, now, [&](const auto& set) {
                 std::size_t best = set.draw(random);
+                if (uniform(random) >= table.service->trust.share()) {
+                    return pick_choice{best};
+                }
                 double least = load(best);
                 for (std::size_t i = 0; i < set.size(); ++i) {
                     const double l = load(set[i]);
@@ -315,7 +338,7 @@
                         best = set[i];
                     }
                 }
-                return best;
+                return pick_choice{best, true};
             });
     }
 };
--- a/include/oriolegrade/coordination/workspace_limits.hpp
+++ b/include/oriolegrade/coordination/workspace_limits.hpp
@@ -40,7 +40,8 @@
     workspace_limits(const workspace_limits&) = delete;
     workspace_limits& operator=(const workspace_limits&) = delete;
 
-    /// Right to run one request; gives its place back at the end.
+    /// Right to run one request; gives its place back at the end. Must not
+    /// outlive the limits.
     class permit
     {
     public:
--- a/include/oriolegrade/state/pick_table.hpp
+++ b/include/oriolegrade/state/pick_table.hpp
@@ -26,6 +26,8 @@
     std::size_t index = 0;
     /// Connections that this host may hold to the upstream.
     std::uint32_t max_connections = 1;
+    /// In the data centre of this host.
+    bool near = false;
 };
 
 /// One upstream in a pick table.
@@ -42,14 +44,15 @@
     bool kept_by_floor = false;
     /// Connections that this host may hold.
     std::uint32_t max_connections = 1;
+    /// In the data centre of this host.
+    bool near = false;
 };
 
 /// Candidates of one service entry. Immutable but for the shared loads.
 struct pick_table
 {
     std::vector<pick_candidate> candidates;
-    /// Latency over all upstreams of the service.
-    std::shared_ptr<latency_average> latency;
+    std::shared_ptr<service_load> service;
 };
 
 using pick_table_cell = rcu_cell<pick_table>;
--- a/include/oriolegrade/state/upstream_load.hpp
+++ b/include/oriolegrade/state/upstream_load.hpp
@@ -31,11 +31,16 @@
 class latency_average
 {
 public:
+    /// @param weight one sample moves the average by 1/weight
+    explicit latency_average(std::int64_t weight = 16)
+        : weight_(weight)
+    {}
+
     void add(duration sample)
     {
         const auto old = value_.load(std::memory_order_relaxed);
         const auto fresh = sample.count();
-        value_.store(old == 0 ? fresh : old + (fresh - old) / weight,
+        value_.store(old == 0 ? fresh : old + (fresh - old) / weight_,
                      std::memory_order_relaxed);
     }
 
@@ -46,12 +51,66 @@
     }
 
 private:
-    /// One sample moves the average by 1/16: a single slow answer must not
-    /// look like load.
-    static constexpr std::int64_t weight = 16;
+    std::int64_t weight_;
     std::atomic<std::int64_t> value_{0};
 };
 
+/// How far load reports of a service may guide the picker. A share of the
+/// picks ignores the reports. When guided picks do no better than those, the
+/// reports lag or lie, and hosts that follow them crowd the same upstreams.
+class report_trust
+{
+public:
+    /// Counts the latency of an answer.
+    /// @param guided whether reports chose the upstream
+    void add(bool guided, duration latency)
+    {
+        (guided ? guided_ : unguided_).add(latency);
+        if (!guided) {
+            return;
+        }
+        const auto with = static_cast<double>(guided_.value().count());
+        const auto without = static_cast<double>(unguided_.value().count());
+        if (without == 0) {
+            return;
+        }
+        const double old = share_.load(std::memory_order_relaxed);
+        double fresh = old;
+        if (with > without) {
+            fresh -= step;
+        } else if (with < without * clearly_better) {
+            fresh += step;
+        }
+        share_.store(std::clamp(fresh, least_share, most_share),
+                     std::memory_order_relaxed);
+    }
+
+    /// Share of picks that reports may guide.
+    double share() const
+    {
+        return share_.load(std::memory_order_relaxed);
+    }
+
+private:
+    static constexpr std::int64_t weight = 128;
+    static constexpr double step = 1.0 / 128;
+    /// Averages over this many samples differ by some percent by chance.
+    static constexpr double clearly_better = 0.95;
+    static constexpr double least_share = 0.05;
+    static constexpr double most_share = 0.9;
+
+    latency_average guided_{weight};
+    latency_average unguided_{weight};
+    std::atomic<double> share_{0.5};
+};
+
+/// What worker threads learn about a service as a whole.
+struct service_load
+{
+    latency_average latency;
+    report_trust trust;
+};
+
 /// Shared load of one upstream. Aligned to a cache line so that workers do
 /// not slow each other down on neighbouring upstreams.
 class alignas(64) upstream_load
--- a/src/coordination/caller_limits.cpp
+++ b/src/coordination/caller_limits.cpp
@@ -4,6 +4,9 @@
 
 #include <cassert>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 namespace oriolegrade::coordination {
 
 namespace {
@@ -11,13 +14,6 @@
 constexpr unsigned count_bits = 24;
 constexpr std::uint64_t count_mask = (1U << count_bits) - 1;
 
-std::uint64_t mix(std::uint64_t x)
-{
-    x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9;
-    x = (x ^ (x >> 27U)) * 0x94d049bb133111eb;
-    return x ^ (x >> 31U);
-}
-
 } // namespace
 
 caller_limits::caller_limits(const caller_limits_options& options,
@@ -30,10 +26,9 @@
     assert(buckets_count_ > 0 && (buckets_count_ & (buckets_count_ - 1)) == 0);
 }
 
-std::uint32_t caller_limits::add(std::uint64_t caller_hash,
-                                 state::time_point now)
+std::uint32_t caller_limits::add(std::string_view caller, state::time_point now)
 {
-    const auto hash = mix(caller_hash ^ seed_);
+    const auto hash = XXH3_64bits_withSeed(caller.data(), caller.size(), seed_);
     // Window 0 never occurs, so an unused word belongs to no window.
     const auto window = static_cast<std::uint64_t>(
         now.time_since_epoch().count() / options_.window.count() % 65535 + 1);
--- a/src/coordination/subset.cpp
+++ b/src/coordination/subset.cpp
@@ -246,7 +246,9 @@
     std::vector<bool> taken(spec.upstreams.size(), false);
     std::size_t usable = 0;
     for (const auto s : assignment.servers_of_host[host]) {
-        members.push_back({s, assignment.connections_of_server[s]});
+        members.push_back(
+            {s, assignment.connections_of_server[s],
+             spec.upstreams[s].data_centre == hosts[host].data_centre});
         taken[s] = true;
         usable += in_service(spec.upstreams[s], standings) ? 1 : 0;
     }
@@ -258,7 +260,9 @@
         }
         if (!taken[pair.server] &&
             in_service(spec.upstreams[pair.server], standings)) {
-            members.push_back({pair.server, 1});
+            members.push_back({pair.server, 1,
+                               spec.upstreams[pair.server].data_centre ==
+                                   hosts[host].data_centre});
             ++usable;
         }
     }
--- a/src/coordination/workspace_limits.cpp
+++ b/src/coordination/workspace_limits.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <cassert>
-#include <functional>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 
 namespace oriolegrade::coordination {
 
@@ -14,13 +16,6 @@
 constexpr std::uint32_t changing = 1U << 31U;
 constexpr std::size_t probes = 16;
 
-std::uint64_t mix(std::uint64_t x)
-{
-    x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9;
-    x = (x ^ (x >> 27U)) * 0x94d049bb133111eb;
-    return x ^ (x >> 31U);
-}
-
 } // namespace
 
 struct workspace_limits::slot
@@ -105,7 +100,7 @@
                             state::time_point now)
 {
     const auto key = std::max<std::uint64_t>(
-        mix(std::hash<std::string_view>()(workspace) ^ seed_), 1);
+        XXH3_64bits_withSeed(workspace.data(), workspace.size(), seed_), 1);
     slot* s = hold(key, now);
     if (!s) {
         return workspace_refusal::table_full;
--- a/src/state/pick_table.cpp
+++ b/src/state/pick_table.cpp
@@ -62,8 +62,8 @@
                  upstream_load_registry& loads, const pick_table* previous)
 {
     auto table = std::make_shared<pick_table>();
-    table->latency =
-        previous ? previous->latency : std::make_shared<latency_average>();
+    table->service =
+        previous ? previous->service : std::make_shared<service_load>();
     table->candidates.reserve(members.size());
     for (const auto& member : members) {
         assert(member.index < spec.upstreams.size());
@@ -72,7 +72,7 @@
         table->candidates.push_back(
             {up.address, loads.load_of(up.address), up.slots, up.data_centre,
              weight_of(standing), standing.state == upstream_state::trial,
-             standing.kept_by_floor, member.max_connections});
+             standing.kept_by_floor, member.max_connections, member.near});
     }
     return table;
 }
--- a/test/coordination/picker_test.cpp
+++ b/test/coordination/picker_test.cpp
@@ -63,7 +63,7 @@
         if (!got) {
             continue;
         }
-        const auto& s = standings[got.value()];
+        const auto& s = standings[got.value().index];
         RC_ASSERT(s.address != address(0));
         RC_ASSERT(s.state != upstream_state::leaving);
         RC_ASSERT(s.state != upstream_state::ejected || s.kept_by_floor);
@@ -84,7 +84,8 @@
     for (int i = 0; i < 10000; ++i) {
         trial += static_cast<int>(coordination::two_choices_picker()
                                       .pick(*table, {true, {}}, random, now)
-                                      .value());
+                                      .value()
+                                      .index);
     }
     EXPECT_GT(trial, 100);
     EXPECT_LT(trial, 400);
@@ -102,7 +103,8 @@
     for (int i = 0; i < 10000; ++i) {
         ramping += static_cast<int>(coordination::random_picker()
                                         .pick(*table, {}, random, now)
-                                        .value());
+                                        .value()
+                                        .index);
     }
     EXPECT_NEAR(ramping, 2000, 200);
 }
