Keep upstreams that the floor needs at a usable weight

An ejected upstream kept by the floor may arrive with weight zero; the table then gives it its full weight, since dropping it would undercut the floor.

--- a/bench/coordination/picking_bench.cpp
+++ b/bench/coordination/picking_bench.cpp
@@ -83,8 +83,13 @@
     auto o = options_of(s, load);
     const auto central = run_central_queue(o);
     o.reports = report_mode::oracle;
+    const least_estimate_picker oracle{{.doubt_reports = false}};
     print_row("least estimate, oracle", "always true", "unbounded",
-              run_model<least_estimate_picker>(o), central);
+              run_model(o, oracle), central);
+    o.reports = report_mode::lagging;
+    print_row("two choices, reports never doubted", "2 s late", "unbounded",
+              run_model(o, two_choices_picker{{.doubt_reports = false}}),
+              central);
     o.reports = report_mode::fresh;
     o.attempts = s.servers;
     for (const std::uint32_t homes : {1U, 2U}) {
--- a/include/oriolegrade/coordination/picker.hpp
+++ b/include/oriolegrade/coordination/picker.hpp
@@ -247,6 +247,9 @@
     /// Latency above this multiple of the service's average counts as
     /// load, whatever the upstream reports.
     double suspicious_latency = 1.5;
+    /// Lets the picker ignore reports that do not help. Off only to measure
+    /// what reports without fault are worth.
+    bool doubt_reports = true;
 };
 
 /// Expected use per slot: own requests plus the aged report of others'.
@@ -289,7 +292,8 @@
         return detail::pick_eligible(
             table, request, random, now, [&](const auto& set) {
                 const auto a = set.draw(random);
-                if (uniform(random) >= table.service->trust.share()) {
+                if (options.doubt_reports &&
+                    uniform(random) >= table.service->trust.share()) {
                     return pick_choice{a};
                 }
                 auto b = set.draw(random);
@@ -327,7 +331,8 @@
         return detail::pick_eligible(
             table, request, random, now, [&](const auto& set) {
                 std::size_t best = set.draw(random);
-                if (uniform(random) >= table.service->trust.share()) {
+                if (options.doubt_reports &&
+                    uniform(random) >= table.service->trust.share()) {
                     return pick_choice{best};
                 }
                 double least = load(best);
--- a/src/state/pick_table.cpp
+++ b/src/state/pick_table.cpp
@@ -29,7 +29,10 @@
         return 1.0;
     case upstream_state::probing:
     case upstream_state::ejected:
-        return s.kept_by_floor ? std::clamp(s.weight, 0.0, 1.0) : 0.0;
+        // Kept upstreams carry the floor, so a weight of zero, which others
+        // have in these states, must not take them out.
+        return s.kept_by_floor ? (s.weight > 0 ? std::min(s.weight, 1.0) : 1.0)
+                               : 0.0;
     case upstream_state::leaving:
         return 0.0;
     }
--- a/test/coordination/picker_test.cpp
+++ b/test/coordination/picker_test.cpp
@@ -132,6 +132,25 @@
               pick_refusal::no_upstream);
 }
 
+// Guards against capacity below the floor: an ejected upstream that the floor
+// keeps must receive work whatever its weight, and a leaving one none.
+TEST(pick_table, upstreams_kept_by_floor_receive_work)
+{
+    state::upstream_load_registry loads;
+    const auto table =
+        table_of({{address(0), upstream_state::ejected, 0, true},
+                  {address(1), upstream_state::leaving, 1, true}},
+                 loads);
+    fake_random random{7};
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(coordination::two_choices_picker()
+                      .pick(*table, {}, random, now)
+                      .value()
+                      .index,
+                  0U);
+    }
+}
+
 // Guards against a rebuild that forgets requests in flight.
 TEST(pick_table, loads_survive_a_rebuild)
 {
