Even out the hosts per server after the assignment

A random run of the property failed: 9 hosts in front of 23 servers gave one server 3 hosts where the mean was 6.3, since the spare room of the rounded shares fell on one server.

--- a/src/coordination/subset.cpp
+++ b/src/coordination/subset.cpp
@@ -122,6 +122,8 @@
         for (std::uint32_t h = 0; h < hosts_.size(); ++h) {
             complete(h);
         }
+        while (move_one()) {
+        }
         return std::move(out_);
     }
 
@@ -159,12 +161,9 @@
             std::size_t best = spec_.upstreams.size();
             double least = std::numeric_limits<double>::max();
             for (std::size_t s = 0; s < spec_.upstreams.size(); ++s) {
-                const double fill =
-                    static_cast<double>(out_.hosts_of_server[s]) /
-                    static_cast<double>(std::max<std::size_t>(shares_[s], 1));
-                if (fill < least && spreads(host, s) &&
+                if (fill(s) < least && spreads(host, s) &&
                     std::find(mine.begin(), mine.end(), s) == mine.end()) {
-                    least = fill;
+                    least = fill(s);
                     best = s;
                 }
             }
@@ -175,6 +174,57 @@
         }
     }
 
+    double fill(std::size_t server, std::size_t added = 0) const
+    {
+        return static_cast<double>(out_.hosts_of_server[server] + added) /
+               spec_.upstreams[server].slots;
+    }
+
+    /// Moves a host from the fullest server to the emptiest. The rounded
+    /// shares leave room on all servers together, which may end up on one.
+    /// Each move evens the two out, so the moves end.
+    bool move_one()
+    {
+        std::size_t low = 0;
+        std::size_t high = 0;
+        for (std::size_t s = 0; s < spec_.upstreams.size(); ++s) {
+            low = fill(s) < fill(low) ? s : low;
+            high = fill(s) > fill(high) ? s : high;
+        }
+        if (fill(low, 1) >= fill(high)) {
+            return false;
+        }
+        std::size_t best = hosts_.size();
+        double best_score = 0;
+        for (std::uint32_t h = 0; h < hosts_.size(); ++h) {
+            const auto score = score_of(hash_of(hosts_[h].name),
+                                        spec_.upstreams[low], is_own(h, low));
+            if (score > best_score && can_move(h, high, low)) {
+                best = h;
+                best_score = score;
+            }
+        }
+        if (best == hosts_.size()) {
+            return false;
+        }
+        auto& mine = out_.servers_of_host[best];
+        *std::find(mine.begin(), mine.end(), high) = low;
+        const auto host = static_cast<std::uint32_t>(best);
+        own_[best] += is_own(host, low) ? 1 : 0;
+        own_[best] -= is_own(host, high) ? 1 : 0;
+        --out_.hosts_of_server[high];
+        ++out_.hosts_of_server[low];
+        return true;
+    }
+
+    bool can_move(std::uint32_t host, std::size_t from, std::size_t to) const
+    {
+        const auto& mine = out_.servers_of_host[host];
+        return std::find(mine.begin(), mine.end(), from) != mine.end() &&
+               std::find(mine.begin(), mine.end(), to) == mine.end() &&
+               (is_own(host, from) || spreads(host, to));
+    }
+
     const state::service_spec& spec_;
     std::span<const subset_host> hosts_;
     std::size_t per_host_;
