--- a/bench/coordination/limits_bench.cpp
+++ b/bench/coordination/limits_bench.cpp
@@ -113,6 +113,7 @@
 {
     constexpr int workspaces = 34000;
     std::vector<std::string> names;
+    names.reserve(workspaces);
     for (int i = 0; i < workspaces; ++i) {
         names.push_back("workspace-" + std::to_string(i));
     }
