--- a/fuzz/gossip_datagram_fuzz.cpp
+++ b/fuzz/gossip_datagram_fuzz.cpp
@@ -1,6 +1,7 @@
 // The decoder of datagrams must refuse or read any input. Input is also tried
 // with a right authentication code, so that the content is reached.
 
+#include <oriolegrade/coordination/membership.hpp>
 #include <oriolegrade/protocol/gossip_datagram.hpp>
 
 #include <openssl/evp.h>
@@ -17,6 +18,19 @@
 
 constexpr std::string_view key = "0123456789abcdef";
 
+/// A host must survive any message of the fleet.
+void feed_host(const state::gossip_message& message)
+{
+    const state::endpoint ep{0x0a000001, 7001};
+    const state::time_point now{std::chrono::hours(1)};
+    coordination::membership host(
+        {"h2", "dc1", ep, ep, ep, 5, state::member_state::alive, false, 0}, {},
+        now);
+    host.receive(now, ep, message);
+    host.receive(now + std::chrono::seconds(1), ep, message);
+    static_cast<void>(host.progress());
+}
+
 void check(const std::string& datagram)
 {
     const auto message = protocol::decode_gossip(datagram, key);
@@ -28,6 +42,7 @@
     if (again && !(again.value() == message.value())) {
         std::abort();
     }
+    feed_host(message.value());
 }
 
 } // namespace
--- a/include/oriolegrade/protocol/record_json.hpp
+++ b/include/oriolegrade/protocol/record_json.hpp
@@ -6,6 +6,7 @@
 #define ORIOLEGRADE_PROTOCOL_RECORD_JSON_HPP
 
 #include <oriolegrade/protocol/json_document.hpp>
+#include <oriolegrade/state/configuration.hpp>
 #include <oriolegrade/state/finding.hpp>
 #include <oriolegrade/state/record_type.hpp>
 #include <oriolegrade/state/result.hpp>
@@ -60,6 +61,10 @@
 /// JSON text that decode_record reads back to an equal record.
 std::string encode_record(const state::record& rec);
 
+/// JSON text of an entry in force, for an operator to edit and publish: its
+/// base revision is the one in force, and it has no change id or operator.
+std::string encode_editable(const state::entry& it);
+
 /// Floor in slots that keeps `percent` of the number of upstreams in service,
 /// whichever they are. Schema version 1 counts upstreams, not slots, so this
 /// is the sum of the largest ones.
--- a/src/protocol/record_body_decode.cpp
+++ b/src/protocol/record_body_decode.cpp
@@ -243,11 +243,11 @@
 
 state::route_spec read_route(json_object_reader& in, state::findings& out)
 {
-    const auto before = out.items().size();
     state::route_spec spec;
     spec.path_prefix = read_path(in);
     spec.methods = read_methods(in, out);
     spec.service = in.name("service");
+    const auto before = out.items().size();
     spec.request = in.enumerator<state::request_class>("request_class");
     const bool class_known = out.items().size() == before;
     spec.deadline = std::chrono::milliseconds(in.number(
--- a/src/protocol/record_decode.cpp
+++ b/src/protocol/record_decode.cpp
@@ -77,16 +77,24 @@
     return body;
 }
 
-/// Reads the kind and schema version. False when this binary does not know
-/// them, which makes the rest of the record unreadable.
-bool read_schema(json_object_reader& in, state::record_key& key,
-                 const state::findings& out)
+/// How much of a record this binary can read.
+enum class schema_support : std::uint8_t
+{
+    whole,
+    /// Kind or version is missing or wrong, so the body has no known form.
+    envelope,
+    /// A later version; nothing about it is wrong.
+    none,
+};
+
+schema_support read_schema(json_object_reader& in, state::record_key& key,
+                           const state::findings& out)
 {
     const auto before = out.items().size();
     key.kind = in.enumerator<state::record_kind>("kind");
     const auto version = in.number("schema_version", {1, max_number});
     if (out.items().size() != before) {
-        return false;
+        return schema_support::envelope;
     }
     if (!is_known_schema_version(key.kind, version)) {
         in.add(finding_code::unknown_schema_version, "schema_version",
@@ -94,10 +102,10 @@
                    std::string(name_of(key.kind)) +
                    " is unknown; this program knows 1 to " +
                    std::to_string(highest_version[index_of(key.kind)]));
-        return false;
+        return schema_support::none;
     }
     key.schema_version = static_cast<std::uint32_t>(version);
-    return true;
+    return schema_support::whole;
 }
 
 state::record read_record(const boost::json::value& value,
@@ -106,14 +114,19 @@
 {
     state::record rec;
     json_object_reader in(value, place, out);
-    if (!value.is_object() || !read_schema(in, rec.key, out)) {
+    if (!value.is_object()) {
+        return rec;
+    }
+    const auto support = read_schema(in, rec.key, out);
+    if (support == schema_support::none) {
         return rec;
     }
     rec.key.name = in.name("name");
     rec.base_revision = in.number("base_revision", {0, max_number});
     rec.change_id = read_change_id(in, source);
     rec.operator_name = read_operator(in, source);
-    if (const auto* body = in.member("body", true)) {
+    const auto* body = in.member("body", true);
+    if (body && support == schema_support::whole) {
         rec.body = read_body(rec.key, *body, member_place(place, "body"), out);
     }
     in.finish();
--- a/src/protocol/record_encode.cpp
+++ b/src/protocol/record_encode.cpp
@@ -86,32 +86,48 @@
     };
 }
 
-boost::json::object body(const state::record& rec)
+boost::json::object body_object(const state::record_key& key,
+                                const state::record_body& body)
 {
-    switch (rec.key.kind) {
+    switch (key.kind) {
     case state::record_kind::service:
-        return service_body(std::get<state::service_spec>(rec.body),
-                            rec.key.schema_version);
+        return service_body(std::get<state::service_spec>(body),
+                            key.schema_version);
     case state::record_kind::route:
-        return route_body(std::get<state::route_spec>(rec.body));
+        return route_body(std::get<state::route_spec>(body));
     case state::record_kind::workspace:
-        return workspace_body(std::get<state::workspace_spec>(rec.body));
+        return workspace_body(std::get<state::workspace_spec>(body));
     }
     return {};
 }
 
+/// Members that every record begins with.
+boost::json::object head(const state::record_key& key,
+                         std::uint64_t base_revision)
+{
+    boost::json::object out;
+    out["kind"] = text(name_of(key.kind));
+    out["name"] = key.name;
+    out["schema_version"] = key.schema_version;
+    out["base_revision"] = base_revision;
+    return out;
+}
+
 } // namespace
 
 std::string encode_record(const state::record& rec)
 {
-    boost::json::object out;
-    out["kind"] = text(name_of(rec.key.kind));
-    out["name"] = rec.key.name;
-    out["schema_version"] = rec.key.schema_version;
-    out["base_revision"] = rec.base_revision;
+    auto out = head(rec.key, rec.base_revision);
     out["change_id"] = to_string(rec.change_id);
     out["operator"] = rec.operator_name;
-    out["body"] = body(rec);
+    out["body"] = body_object(rec.key, rec.body);
+    return boost::json::serialize(out);
+}
+
+std::string encode_editable(const state::entry& it)
+{
+    auto out = head(it.key, it.revision);
+    out["body"] = body_object(it.key, it.body);
     return boost::json::serialize(out);
 }
 
--- a/test/coordination/configuration_follower_test.cpp
+++ b/test/coordination/configuration_follower_test.cpp
@@ -8,6 +8,7 @@
 #include <fakes/fake_clock.hpp>
 #include <fakes/fake_log.hpp>
 #include <fakes/fake_record.hpp>
+#include <fakes/seeded_random.hpp>
 
 #include <gtest/gtest.h>
 
@@ -56,6 +57,19 @@
     store.append(configuration_stream, encode(rec));
 }
 
+void expect_equal(const host& a, const host& b, std::uint64_t seed)
+{
+    const auto x = a.follower.state().snapshot();
+    const auto y = b.follower.state().snapshot();
+    ASSERT_TRUE(x && y);
+    EXPECT_EQ(x->next_offset, y->next_offset) << seed;
+    EXPECT_EQ(x->deferred, y->deferred) << seed;
+    ASSERT_EQ(x->entries.size(), y->entries.size()) << seed;
+    for (std::size_t n = 0; n < x->entries.size(); ++n) {
+        EXPECT_EQ(*x->entries[n], *y->entries[n]) << seed;
+    }
+}
+
 // Guards against a record between two good ones that stops a host.
 TEST(configuration_follower, undecodable_record_is_skipped_and_reported)
 {
@@ -144,6 +158,48 @@
     EXPECT_EQ(h.conf().next_offset(), 2U);
 }
 
+// Guards against hosts that read the same log in different pieces, or start
+// from a snapshot, and then differ.
+TEST(configuration_follower, content_is_a_function_of_the_offset)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        seeded_random random(seed);
+        fake_log_store store;
+        for (std::uint64_t n = 0; n < 60; ++n) {
+            // Racing, repeated, unreadable and later records.
+            auto rec = workspace_record(
+                "w" + std::to_string(random.next() % 4), random.next() % 4,
+                1 + random.next() % 50, "ann", 1 + random.next() % 2);
+            store.append(configuration_stream,
+                         random.next() % 10 == 0 ? "?" : encode(rec));
+        }
+        host whole(store);
+        whole.read();
+        host pieces(store);
+        const auto& records =
+            store.streams[std::string(configuration_stream)].records;
+        while (pieces.conf().next_offset() < records.size()) {
+            const auto first = pieces.conf().next_offset();
+            // Batches overlap with what the host has.
+            state::record_batch batch{first - std::min<std::uint64_t>(first, 3),
+                                      first + 1 + random.next() % 7,
+                                      {}};
+            batch.next_offset =
+                std::min<std::uint64_t>(batch.next_offset, records.size());
+            for (auto n = batch.first_offset; n < batch.next_offset; ++n) {
+                batch.records.push_back({n, records[n]});
+            }
+            pieces.follower.receive(batch, pieces.change);
+            host fresh(store);
+            fresh.follower.restore(*pieces.follower.state().snapshot(),
+                                   fresh.change);
+            fresh.read();
+            expect_equal(whole, fresh, seed);
+        }
+        expect_equal(whole, pieces, seed);
+    }
+}
+
 // Guards against an entry that misses a change between updates, or goes back.
 TEST(feed, entry_follows_its_agent_without_gaps)
 {
--- a/test/protocol/record_json_test.cpp
+++ b/test/protocol/record_json_test.cpp
@@ -130,6 +130,41 @@
     expect_finding(text, finding_code::conflict, "/body/hedge");
 }
 
+// Guards against errors that hide others: a bad path or kind is no reason to
+// keep quiet about the rest.
+TEST(record_json, one_error_does_not_hide_another)
+{
+    const auto text = record_text(
+        "route", 1,
+        R"({"path_prefix":"/a/","methods":["GET","get"],"service":"archive",
+            "deadline_ms":0,"request_class":"non_idempotent",
+            "max_attempts":2})");
+    expect_finding(text, finding_code::out_of_range, "/body/path_prefix");
+    expect_finding(text, finding_code::unknown_name, "/body/methods/1");
+    expect_finding(text, finding_code::out_of_range, "/body/deadline_ms");
+    expect_finding(text, finding_code::conflict, "/body/max_attempts");
+    const std::string head = R"({"kind":"rout","schema_version":1,"nam":""})";
+    expect_finding(head, finding_code::unknown_name, "/kind");
+    expect_finding(head, finding_code::missing_key, "/name");
+    expect_finding(head, finding_code::unknown_key, "/nam");
+}
+
+// Guards against a published record that cannot be edited and published again.
+TEST(record_json, entry_in_force_can_be_edited)
+{
+    const state::entry it{{state::record_kind::workspace, "shop", 1},
+                          7,
+                          9,
+                          {0, 1},
+                          "ann",
+                          state::workspace_spec{1, 2, 3}};
+    const auto file =
+        protocol::decode_record_file(protocol::encode_editable(it));
+    ASSERT_TRUE(file.has_value()) << file.error().to_text("file");
+    EXPECT_EQ(file.value()[0].base_revision, 7U);
+    EXPECT_EQ(file.value()[0].body, it.body);
+}
+
 // Guards against a record of a later schema that an older binary reads as
 // broken instead of as unknown.
 TEST(record_json, unknown_schema_version_is_the_only_finding)
