--- a/test/protocol/settings_test.cpp
+++ b/test/protocol/settings_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <set>
@@ -78,14 +79,10 @@
 
 std::string example(const std::string& name)
 {
-    // Tests run from the build directory or from the root.
-    for (const std::string folder : {"settings/", "../settings/"}) {
-        std::ifstream file(folder + name);
-        if (file) {
-            return {std::istreambuf_iterator<char>(file), {}};
-        }
-    }
-    return {};
+    const auto root =
+        std::filesystem::path(__FILE__).parent_path() / ".." / "..";
+    std::ifstream file(root / "settings" / name);
+    return {std::istreambuf_iterator<char>(file), {}};
 }
 
 // Guards against example files that the programs refuse.
