--- a/include/oriolegrade/transport/entry_shared.hpp
+++ b/include/oriolegrade/transport/entry_shared.hpp
@@ -42,24 +42,26 @@
     std::atomic<bool> stopping{false};
     /// Requests that were read and not yet answered.
     std::atomic<std::int64_t> requests_in_flight{0};
+    /// Open connections of callers, idle ones included.
+    std::atomic<std::int64_t> caller_connections{0};
 };
 
-/// Counts a request as in flight while it lives.
-class request_guard
+/// Counts a request or a connection while it lives.
+class count_guard
 {
 public:
-    explicit request_guard(std::atomic<std::int64_t>& count)
+    explicit count_guard(std::atomic<std::int64_t>& count)
         : count_(count)
     {
         ++count_;
     }
-    ~request_guard()
+    ~count_guard()
     {
         --count_;
     }
 
-    request_guard(const request_guard&) = delete;
-    request_guard& operator=(const request_guard&) = delete;
+    count_guard(const count_guard&) = delete;
+    count_guard& operator=(const count_guard&) = delete;
 
 private:
     std::atomic<std::int64_t>& count_;
--- a/src/transport/entry_server.cpp
+++ b/src/transport/entry_server.cpp
@@ -15,6 +15,9 @@
 
 /// Interval at which a stopping process looks for requests in flight.
 constexpr std::chrono::milliseconds drain_check{20};
+/// Time for idle connections to go away by themselves. A request that a
+/// caller sends while its connection is being closed would be lost.
+constexpr std::chrono::seconds idle_grace{2};
 
 } // namespace
 
@@ -78,9 +81,14 @@
         it->stop_listening.set_value();
         closed.wait();
     }
-    const auto limit = std::chrono::steady_clock::now() + drain_limit;
-    while (shared_.requests_in_flight > 0 &&
-           std::chrono::steady_clock::now() < limit) {
+    const auto closed = std::chrono::steady_clock::now();
+    const auto drained = [&](state::time_point now) {
+        const bool idle =
+            shared_.caller_connections == 0 || now - closed >= idle_grace;
+        return shared_.requests_in_flight == 0 && idle;
+    };
+    for (auto now = closed; !drained(now) && now - closed < drain_limit;
+         now = std::chrono::steady_clock::now()) {
         boost::this_fiber::sleep_for(drain_check);
     }
     return shared_.requests_in_flight == 0;
--- a/src/transport/entry_worker.cpp
+++ b/src/transport/entry_worker.cpp
@@ -68,6 +68,7 @@
 
 void entry_worker::serve(tcp_stream stream)
 {
+    const count_guard guard(shared_.caller_connections);
     boost::beast::flat_buffer buffer;
     while (serve_request(stream, buffer)) {
     }
@@ -84,7 +85,7 @@
     if (ec) {
         return false;
     }
-    const request_guard guard(shared_.requests_in_flight);
+    const count_guard guard(shared_.requests_in_flight);
     auto head = request.read_head(ec);
     if (ec) {
         if (const auto reason = reply_for(ec)) {
--- a/src/transport/forward_server.cpp
+++ b/src/transport/forward_server.cpp
@@ -132,7 +132,7 @@
         (void)stream.reply(400, request.error().message);
         return;
     }
-    const request_guard guard(shared_.requests_in_flight);
+    const count_guard guard(shared_.requests_in_flight);
     const auto& it = request.value();
     forwarded_body source(stream);
     forwarded_answer sink(stream);
