--- /dev/null
+++ b/test/transport/standin_upstream_test.cpp
@@ -0,0 +1,161 @@
+// Behaviours of the upstream stand-in that proofs about the fleet rely on.
+
+#include "fiber_thread.hpp"
+#include "standin_process.hpp"
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace {
+
+using oriolegrade::test::standin_process;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+struct answer
+{
+    boost::system::error_code ec;
+    http::response<http::string_body> message;
+};
+
+answer send(const standin_process& upstream, http::verb method,
+            const std::string& target, const std::string& id,
+            const std::string& body = {})
+{
+    answer out;
+    asio::io_context ioc;
+    boost::beast::tcp_stream stream(ioc);
+    stream.connect(asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(),
+                                           upstream.port()),
+                   out.ec);
+    http::request<http::string_body> request{method, target, 11, body};
+    request.set("X-Request-Id", id);
+    request.prepare_payload();
+    if (!out.ec) {
+        http::write(stream, request, out.ec);
+    }
+    boost::beast::flat_buffer buffer;
+    if (!out.ec) {
+        http::response_parser<http::string_body> parser;
+        http::read(stream, buffer, parser, out.ec);
+        // Also what arrived before an error.
+        out.message = std::move(parser.get());
+    }
+    return out;
+}
+
+void control(const standin_process& upstream, const std::string& faults)
+{
+    const auto reply = send(upstream, http::verb::post, "/control", "", faults);
+    ASSERT_FALSE(reply.ec);
+    ASSERT_EQ(reply.message.result_int(), 200U);
+}
+
+std::int64_t runs(const standin_process& upstream, const char* key)
+{
+    const auto reply = send(upstream, http::verb::get, "/control/runs", "");
+    return json::parse(reply.message.body()).at(key).to_number<std::int64_t>();
+}
+
+// Guards against a stand-in that counts shed requests as run, which would
+// make every honest not-run look false.
+TEST(standin_upstream, shed_is_not_counted_as_run)
+{
+    const standin_process upstream({"upstream", "--slots=1", "--queue=1",
+                                    "--queue_ms=20", "--service_ms=200"});
+    ASSERT_NE(upstream.port(), 0);
+    std::vector<std::thread> threads;
+    std::atomic<int> shed = 0;
+    std::atomic<int> ran = 0;
+    for (int i = 0; i < 6; ++i) {
+        threads.emplace_back([&, i] {
+            const auto reply = send(upstream, http::verb::post, "/x",
+                                    "id-" + std::to_string(i));
+            const bool is_shed = reply.message["Oriolegrade-Shed"] == "1";
+            EXPECT_EQ(reply.message.result_int(), is_shed ? 503U : 200U);
+            ++(is_shed ? shed : ran);
+        });
+    }
+    for (auto& it : threads) {
+        it.join();
+    }
+    EXPECT_GE(shed, 4);
+    EXPECT_EQ(runs(upstream, "total"), ran);
+    EXPECT_EQ(runs(upstream, "shed"), shed);
+    control(upstream, R"({"shed_all":true})");
+    EXPECT_EQ(send(upstream, http::verb::post, "/x", "late")
+                  .message["Oriolegrade-Shed"],
+              "1");
+    EXPECT_EQ(runs(upstream, "total"), ran);
+}
+
+// Guards against truncation that a correct client would not notice, or that
+// is not a truncation at all.
+TEST(standin_upstream, truncation_ends_short_of_the_framing)
+{
+    const standin_process upstream({"upstream"});
+    ASSERT_NE(upstream.port(), 0);
+    for (const char* mode : {"content_length", "chunked"}) {
+        control(upstream, std::string(R"({"truncate":")") + mode + "\"}");
+        for (const char* target : {"/x?bytes=20000", "/x?bytes=0"}) {
+            const auto reply = send(upstream, http::verb::get, target, "t");
+            EXPECT_EQ(reply.ec, http::error::partial_message) << target;
+            EXPECT_EQ(reply.message.body().size(),
+                      target[9] == '0' ? 0U : 10'000U);
+            EXPECT_EQ(reply.message.chunked(), mode[1] == 'h');
+        }
+    }
+    control(upstream, R"({"clear":true})");
+    const auto whole =
+        send(upstream, http::verb::get, "/x?bytes=20000&chunked=1", "t");
+    EXPECT_FALSE(whole.ec);
+    EXPECT_EQ(whole.message.body().size(), 20'000U);
+}
+
+// Guards against lost answers that are not counted: repeats of such requests
+// are what the duplicate check is about.
+TEST(standin_upstream, closed_before_answer_is_counted_as_run)
+{
+    const standin_process upstream({"upstream"});
+    ASSERT_NE(upstream.port(), 0);
+    control(upstream, R"({"close_before_answer":true})");
+    EXPECT_TRUE(send(upstream, http::verb::post, "/x", "a").ec);
+    EXPECT_TRUE(send(upstream, http::verb::post, "/x", "a").ec);
+    EXPECT_EQ(runs(upstream, "total"), 2);
+    EXPECT_EQ(runs(upstream, "duplicates"), 1);
+}
+
+// Guards against faults that lock the operator of a proof out, and against
+// health answers that ignore the switch.
+TEST(standin_upstream, control_works_under_every_fault)
+{
+    const standin_process upstream({"upstream", "--max_connections=1"});
+    ASSERT_NE(upstream.port(), 0);
+    control(upstream, R"({"reset_on_accept":true,"hang":true,"drain":true,
+                          "fail_share":1,"health":"always_ok"})");
+    EXPECT_TRUE(send(upstream, http::verb::get, "/x", "a").ec);
+    EXPECT_EQ(runs(upstream, "total"), 0);
+    control(upstream, R"({"reset_on_accept":false,"hang":false})");
+    const auto reply = send(upstream, http::verb::get, "/x", "a");
+    EXPECT_EQ(reply.message.result_int(), 500U);
+    EXPECT_EQ(reply.message["Oriolegrade-Draining"], "1");
+    EXPECT_FALSE(reply.message.keep_alive());
+    EXPECT_EQ(
+        send(upstream, http::verb::get, "/health", "h").message.result_int(),
+        200U);
+    control(upstream, R"({"health":"honest"})");
+    EXPECT_EQ(
+        send(upstream, http::verb::get, "/health", "h").message.result_int(),
+        503U);
+    EXPECT_EQ(send(upstream, http::verb::post, "/control", "", R"({"hang":1})")
+                  .message.result_int(),
+              400U);
+}
+
+} // namespace
