Let requests on their way finish when a stream server stops

The server sent its final GOAWAY at once and closed as soon as no stream was open, so requests in transit met a closed socket and their outcome was unknown. It now sends a shutdown notice (RFC 9113, section 6.8), serves what still arrives and waits until clients close after their last stream. The final GOAWAY follows only at the limit.

A test stops a server under 40 concurrent callers 20 times: each handled request was answered and no outcome was unknown.

--- a/include/oriolegrade/transport/stream_server.hpp
+++ b/include/oriolegrade/transport/stream_server.hpp
@@ -110,8 +110,9 @@
 
     /// Starts the accept loop.
     void start();
-    /// Stops accepting and sends GOAWAY. Streams in flight may finish until
-    /// the limit, then they are cut. Returns when all fibers have ended.
+    /// Stops accepting and sends GOAWAY. Streams in flight, and those opened
+    /// before the peer heard of it, may finish until the limit; then they are
+    /// cut. Returns when all fibers have ended.
     void stop(std::chrono::milliseconds limit);
 
     state::result<std::uint16_t, boost::system::error_code> port() const;
@@ -130,7 +131,7 @@
     void serve(const stream_session::stream_ptr& stream);
     bool is_member(const session_stream& stream) const;
     void drop_closed();
-    std::size_t stream_count() const;
+    void wait_for_peers(std::chrono::milliseconds limit);
 
     boost::asio::ip::tcp::acceptor acceptor_;
     const std::string fleet_key_;
--- a/include/oriolegrade/transport/stream_session.hpp
+++ b/include/oriolegrade/transport/stream_session.hpp
@@ -141,8 +141,12 @@
                                    const stream_headers& headers,
                                    bool with_body,
                                    session_stream::time_point deadline);
-    /// Takes no new streams; closes when the open ones have ended.
+    /// Asks the peer to open no more streams here. Those that it opens before
+    /// it has heard this are served. A client closes the connection after its
+    /// last stream; a server waits for that.
     void shut_down();
+    /// Refuses all streams that have not reached the application yet.
+    void refuse_new_streams();
     /// Ends the connection and all streams at once.
     void close();
     /// True when new streams can be opened.
@@ -190,7 +194,10 @@
     nghttp2_session* session_ = nullptr;
     std::unordered_map<std::int32_t, stream_ptr> streams_;
     bool closed_ = false;
+    /// One side said that it is going away.
     bool draining_ = false;
+    /// Streams that arrive now are refused.
+    bool refusing_ = false;
     bool write_pending_ = false;
     bool ping_pending_ = false;
     clock::time_point last_received_ = clock::now();
--- a/src/transport/stream_callbacks.cpp
+++ b/src/transport/stream_callbacks.cpp
@@ -82,7 +82,7 @@
     if (session.is_client()) {
         return;
     }
-    if (session.draining_) {
+    if (session.refusing_) {
         // Above the id that the GOAWAY names: never given to the application.
         stream->reset(NGHTTP2_REFUSED_STREAM);
         return;
--- a/src/transport/stream_server.cpp
+++ b/src/transport/stream_server.cpp
@@ -21,6 +21,8 @@
 /// Connections of one thread: about two per host of the largest fleet.
 constexpr std::size_t max_connections = 2048;
 constexpr int listen_backlog = 1024;
+/// Time for the final GOAWAY to reach peers before their streams are cut.
+constexpr std::chrono::milliseconds final_goaway_time = 50ms;
 
 } // namespace
 
@@ -151,13 +153,14 @@
     }
 }
 
-std::size_t stream_server::stream_count() const
+void stream_server::wait_for_peers(std::chrono::milliseconds limit)
 {
-    std::size_t n = 0;
-    for (const auto& it : sessions_) {
-        n += it->stream_count();
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    drop_closed();
+    while (!sessions_.empty() && std::chrono::steady_clock::now() < deadline) {
+        boost::this_fiber::sleep_for(5ms);
+        drop_closed();
     }
-    return n;
 }
 
 void stream_server::stop(std::chrono::milliseconds limit)
@@ -171,9 +174,12 @@
     for (const auto& it : sessions_) {
         it->shut_down();
     }
-    const auto deadline = std::chrono::steady_clock::now() + limit;
-    while (stream_count() > 0 && std::chrono::steady_clock::now() < deadline) {
-        boost::this_fiber::sleep_for(5ms);
+    wait_for_peers(limit);
+    if (!sessions_.empty()) {
+        for (const auto& it : sessions_) {
+            it->refuse_new_streams();
+        }
+        wait_for_peers(std::min(limit, final_goaway_time));
     }
     for (const auto& it : sessions_) {
         it->close();
--- a/src/transport/stream_session.cpp
+++ b/src/transport/stream_session.cpp
@@ -209,10 +209,13 @@
     }
     if (!streams_.empty()) {
         last_stream_ = now;
-    } else if (now - last_stream_ >= limits_.idle_timeout) {
+        return true;
+    }
+    if (now - last_stream_ >= limits_.idle_timeout) {
         shut_down();
     }
-    return true;
+    // A peer that ignores the GOAWAY is cut off.
+    return now - last_stream_ < 2 * limits_.idle_timeout;
 }
 
 void stream_session::schedule_write()
@@ -246,6 +249,24 @@
         return;
     }
     draining_ = true;
+    if (is_client()) {
+        nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE, 0, NGHTTP2_NO_ERROR,
+                              nullptr, 0);
+    } else {
+        // Not yet the final GOAWAY: requests may be on their way, and closing
+        // under them would make their outcome unknown (RFC 9113, section 6.8).
+        nghttp2_submit_shutdown_notice(session_);
+    }
+    schedule_write();
+}
+
+void stream_session::refuse_new_streams()
+{
+    if (closed_ || refusing_) {
+        return;
+    }
+    refusing_ = true;
+    draining_ = true;
     nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE,
                           nghttp2_session_get_last_proc_stream_id(session_),
                           NGHTTP2_NO_ERROR, nullptr, 0);
--- a/test/transport/standin_upstream_test.cpp
+++ b/test/transport/standin_upstream_test.cpp
@@ -71,6 +71,7 @@
                                     "--queue_ms=20", "--service_ms=200"});
     ASSERT_NE(upstream.port(), 0);
     std::vector<std::thread> threads;
+    threads.reserve(6);
     std::atomic<int> shed = 0;
     std::atomic<int> ran = 0;
     for (int i = 0; i < 6; ++i) {
--- a/test/transport/stream_test.cpp
+++ b/test/transport/stream_test.cpp
@@ -11,6 +11,9 @@
 #include <boost/fiber/operations.hpp>
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <future>
+
 namespace {
 
 using namespace oriolegrade;
@@ -306,6 +309,61 @@
     });
 }
 
+// Guards against a shutdown that leaves the outcome of any request unknown,
+// including those on their way when it begins.
+TEST(stream, graceful_stop_leaves_no_outcome_unknown)
+{
+    for (int round = 0; round < 20; ++round) {
+        std::size_t handled = 0;
+        std::promise<std::uint16_t> port;
+        std::atomic<bool> stop = false;
+        std::thread server_side([&] {
+            run_fibers([&](asio::io_context& ioc) {
+                stream_server server(open_port(ioc), "key", {},
+                                     [&](server_stream& s) {
+                                         ++handled;
+                                         echo(s);
+                                     });
+                server.start();
+                port.set_value(server.port().value());
+                while (!stop) {
+                    sleep_for(1ms);
+                }
+                server.stop(5s);
+            });
+        });
+        std::size_t answered = 0;
+        std::size_t unknown = 0;
+        test::on_fiber_thread([&](asio::io_context& ioc) {
+            stream_client client(ioc, {loopback, port.get_future().get()},
+                                 "key", {});
+            std::vector<boost::fibers::fiber> callers;
+            for (int i = 0; i < 40; ++i) {
+                callers.emplace_back([&] {
+                    while (true) {
+                        const auto reply = client.call("/", {}, "x", 5s);
+                        if (!reply) {
+                            unknown += reply.error().maybe_processed ? 1 : 0;
+                            return;
+                        }
+                        ++answered;
+                    }
+                });
+            }
+            sleep_for(10ms);
+            stop = true;
+            for (auto& it : callers) {
+                it.join();
+            }
+            client.stop();
+        });
+        server_side.join();
+        EXPECT_GT(answered, 0U);
+        EXPECT_EQ(unknown, 0U);
+        EXPECT_EQ(answered, handled);
+    }
+}
+
 // Guards against connection failures that are slow or reported as unknown.
 TEST(stream, connect_refused_is_not_processed)
 {
