Fix dead-peer detection after a pause; admit members only

The idle test failed once in ten runs on a busy machine: the connection was gone after 400 ms. Two faults made a live peer look dead. An answered ping stayed marked as outstanding when the next check came late, and a check after a pause of the own process counted the pause as the peer's silence. Any received byte now answers the ping, a late check never decides, and unread bytes in the socket count as life.

--- a/include/oriolegrade/transport/stream_server.hpp
+++ b/include/oriolegrade/transport/stream_server.hpp
@@ -108,6 +108,13 @@
     {}
     ~stream_server();
 
+    /// Closes connections from other addresses at once. Call before start.
+    /// @param is_admitted gets the peer's IPv4 address in host byte order
+    template <std::predicate<std::uint32_t> Filter>
+    void admit_only(Filter is_admitted)
+    {
+        is_admitted_ = std::move(is_admitted);
+    }
     /// Starts the accept loop.
     void start();
     /// Stops accepting and sends GOAWAY. Streams in flight, and those opened
@@ -127,6 +134,7 @@
                   std::function<void(server_stream&)> handler, int);
 
     void accept_loop();
+    bool is_welcome(const boost::asio::ip::tcp::socket& socket) const;
     void start_session(boost::asio::ip::tcp::socket socket);
     void serve(const stream_session::stream_ptr& stream);
     bool is_member(const session_stream& stream) const;
@@ -137,6 +145,7 @@
     const std::string fleet_key_;
     const stream_limits limits_;
     const std::function<void(server_stream&)> handler_;
+    std::function<bool(std::uint32_t)> is_admitted_;
     std::set<std::shared_ptr<stream_session>> sessions_;
     fiber_group fibers_;
     bool stopping_ = false;
--- a/include/oriolegrade/transport/stream_session.hpp
+++ b/include/oriolegrade/transport/stream_session.hpp
@@ -202,6 +202,7 @@
     bool ping_pending_ = false;
     clock::time_point last_received_ = clock::now();
     clock::time_point last_stream_ = clock::now();
+    clock::time_point last_check_ = clock::now();
     fiber_signal writable_;
     fiber_signal ended_;
     fiber_signal capacity_;
--- a/src/transport/stream_callbacks.cpp
+++ b/src/transport/stream_callbacks.cpp
@@ -141,11 +141,18 @@
 int stream_callbacks::before_send(nghttp2_session*, const nghttp2_frame* frame,
                                   void* user)
 {
-    if (frame->hd.type == NGHTTP2_HEADERS) {
-        if (const auto stream = session_of(user).find(frame->hd.stream_id)) {
-            stream->headers_sent_ = true;
-        }
+    if (frame->hd.type != NGHTTP2_HEADERS) {
+        return 0;
+    }
+    const auto stream = session_of(user).find(frame->hd.stream_id);
+    if (!stream) {
+        return 0;
+    }
+    if (stream->closed_ && !stream->headers_sent_) {
+        // The caller was told that nothing was sent, so nothing may be.
+        return NGHTTP2_ERR_CANCEL;
     }
+    stream->headers_sent_ = true;
     return 0;
 }
 
--- a/src/transport/stream_server.cpp
+++ b/src/transport/stream_server.cpp
@@ -106,12 +106,28 @@
                 .with("reason", ec.message());
             // Out of descriptors, most likely: wait for connections to end.
             boost::this_fiber::sleep_for(20ms);
-        } else if (sessions_.size() < max_connections) {
+        } else if (is_welcome(socket)) {
             start_session(std::move(socket));
         }
     }
 }
 
+bool stream_server::is_welcome(const boost::asio::ip::tcp::socket& socket) const
+{
+    if (sessions_.size() >= max_connections) {
+        event(log_level::warning, "too_many_stream_connections")
+            .with("limit", max_connections);
+        return false;
+    }
+    if (!is_admitted_) {
+        return true;
+    }
+    boost::system::error_code ec;
+    const auto peer = socket.remote_endpoint(ec);
+    return !ec && peer.address().is_v4() &&
+           is_admitted_(peer.address().to_v4().to_uint());
+}
+
 void stream_server::start_session(boost::asio::ip::tcp::socket socket)
 {
     boost::system::error_code ec;
--- a/src/transport/stream_session.cpp
+++ b/src/transport/stream_session.cpp
@@ -129,6 +129,8 @@
             break;
         }
         last_received_ = clock::now();
+        // Whatever arrives answers the ping.
+        ping_pending_ = false;
         if (nghttp2_session_mem_recv(session_, buffer.data(), n) < 0) {
             break;
         }
@@ -198,10 +200,19 @@
 bool stream_session::check_liveness()
 {
     const auto now = clock::now();
-    if (now - last_received_ < limits_.ping_interval) {
+    // A check that comes late shows that this process was paused, and bytes
+    // that wait in the socket show that the peer is alive: neither silence
+    // proves a dead peer.
+    const bool was_paused = now - last_check_ > limits_.ping_interval * 5 / 4;
+    last_check_ = now;
+    boost::system::error_code ec;
+    const bool has_input = socket_.socket().available(ec) > 0;
+    if (now - last_received_ < limits_.ping_interval || has_input) {
         ping_pending_ = false;
     } else if (ping_pending_) {
-        return false;
+        if (!was_paused) {
+            return false;
+        }
     } else {
         ping_pending_ = true;
         nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
--- a/test/transport/stream_test.cpp
+++ b/test/transport/stream_test.cpp
@@ -3,7 +3,7 @@
 #include "fiber_thread.hpp"
 
 #include <oriolegrade/transport/fiber_yield.hpp>
-#include <oriolegrade/transport/stream_client.hpp>
+#include <oriolegrade/transport/stream_client_map.hpp>
 #include <oriolegrade/transport/stream_server.hpp>
 
 #include <boost/asio.hpp>
@@ -287,6 +287,60 @@
     });
 }
 
+// Guards against a request that crossed a GOAWAY and is reported as possibly
+// processed, or that reaches the application all the same.
+TEST(stream, goaway_below_the_id_proves_not_processed)
+{
+    test::on_fiber_thread([](asio::io_context& ioc) {
+        auto acceptor = open_port(ioc);
+        asio::ip::tcp::socket near(ioc);
+        near.connect(acceptor.local_endpoint());
+        std::vector<stream_session::stream_ptr> handled;
+        fiber_group fibers;
+        const auto server = std::make_shared<stream_session>(
+            boost::beast::tcp_stream(acceptor.accept()), stream_limits(),
+            [&](const stream_session::stream_ptr& s) { handled.push_back(s); });
+        const auto client = std::make_shared<stream_session>(
+            boost::beast::tcp_stream(std::move(near)), stream_limits(),
+            nullptr);
+        server->start(fibers);
+        client->start(fibers);
+        const auto limit = std::chrono::steady_clock::now() + 2s;
+        const auto first = client->open("/1", {}, false, limit).value();
+        sleep_for(20ms);
+        server->refuse_new_streams();
+        const auto second = client->open("/2", {}, false, limit).value();
+        const auto refused = second->wait_headers();
+        ASSERT_FALSE(refused);
+        EXPECT_EQ(refused.error().failure, stream_failure::refused);
+        EXPECT_FALSE(refused.error().maybe_processed);
+        ASSERT_EQ(handled.size(), 1U);
+        handled[0]->respond(200, {}, false).value();
+        EXPECT_TRUE(first->wait_headers());
+        handled.clear();
+        server->close();
+        client->close();
+        fibers.join();
+    });
+}
+
+// Guards against connections from addresses that are no members.
+TEST(stream, other_addresses_are_cut_off)
+{
+    test::on_fiber_thread([](asio::io_context& ioc) {
+        stream_server server(open_port(ioc), "key", {}, echo);
+        std::uint32_t member = 0x7f000002;
+        server.admit_only([&](std::uint32_t peer) { return peer == member; });
+        server.start();
+        stream_client client(ioc, {loopback, server.port().value()}, "key", {});
+        EXPECT_FALSE(client.call("/", {}, "x", 1s));
+        member = loopback;
+        EXPECT_TRUE(client.call("/", {}, "x", 1s));
+        client.stop();
+        server.stop(0ms);
+    });
+}
+
 // Guards against a shutdown that cuts streams in flight.
 TEST(stream, graceful_stop_finishes_streams_in_flight)
 {
@@ -338,6 +392,7 @@
             stream_client client(ioc, {loopback, port.get_future().get()},
                                  "key", {});
             std::vector<boost::fibers::fiber> callers;
+            callers.reserve(40);
             for (int i = 0; i < 40; ++i) {
                 callers.emplace_back([&] {
                     while (true) {
@@ -396,6 +451,45 @@
     });
 }
 
+// Guards against a client per address ever seen.
+TEST(stream, client_map_keeps_connected_clients_and_drops_others)
+{
+    test::on_fiber_thread([](asio::io_context& ioc) {
+        stream_server server(open_port(ioc), "key", {}, echo);
+        server.start();
+        stream_client_map clients(ioc, "key", {}, 3);
+        const state::endpoint peer{loopback, server.port().value()};
+        const auto* connected = clients.at(peer).get();
+        EXPECT_TRUE(clients.at(peer)->call("/", {}, "x", 1s));
+        for (std::uint16_t port = 1; port < 20; ++port) {
+            clients.at({loopback, port});
+            EXPECT_LE(clients.size(), 3U);
+        }
+        EXPECT_EQ(clients.at(peer).get(), connected);
+        clients.stop();
+        server.stop(0ms);
+    });
+}
+
+// Guards against a process that takes its peers for dead after it was paused
+// itself while a ping was on its way.
+TEST(stream, own_pause_does_not_make_the_peer_dead)
+{
+    test::on_fiber_thread([](asio::io_context& ioc) {
+        stream_limits limits;
+        limits.ping_interval = 100ms;
+        pair_of_ends ends(ioc, limits, echo);
+        EXPECT_TRUE(ends.client.call("/", {}, "x", 2s));
+        for (int i = 0; i < 6; ++i) {
+            sleep_for(std::chrono::milliseconds(95 + 5 * i));
+            // Blocks the thread and with it both ends.
+            std::this_thread::sleep_for(220ms);
+        }
+        sleep_for(50ms);
+        EXPECT_TRUE(ends.client.is_connected());
+    });
+}
+
 // Guards against header blocks without bound.
 TEST(stream, large_header_block_fails_alone)
 {
