--- /dev/null
+++ b/test/protocol/settings_page_test.cpp
@@ -0,0 +1,70 @@
+// Guards against a settings page that differs from the tables that the
+// decoder reads. With ORIOLE_UPDATE_DOCS=1 the test rewrites the page.
+
+#include <oriolegrade/protocol/settings_key.hpp>
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+
+namespace {
+
+using namespace oriolegrade::protocol;
+
+std::string limits_of(const settings_row& row)
+{
+    if (row.min == 0 && row.max == 0) {
+        return "";
+    }
+    return std::to_string(row.min) + " to " + std::to_string(row.max);
+}
+
+template <class Table>
+void write_table(std::ostream& out, const Table& table)
+{
+    out << "| key | unit | default | limits | meaning "
+           "|\n|---|---|---|---|---|\n";
+    for (const settings_row& it : table) {
+        out << "| `" << it.path << "` | " << it.unit << " | "
+            << (it.is_required() ? "required" : it.fallback) << " | "
+            << limits_of(it) << " | " << it.meaning << " |\n";
+    }
+}
+
+std::string settings_page()
+{
+    std::ostringstream out;
+    out << "# Settings\n\n"
+           "JSON with comments. A key with a dot stands in an object: "
+           "`shutdown.notice_ms` is\n`{\"shutdown\": {\"notice_ms\": ...}}`. "
+           "Unknown keys are refused, and all findings are\nreported "
+           "together. `--check_settings` checks a file and exits. Examples "
+           "are in\n`settings/`. This page is written from the tables in "
+           "`settings_key.hpp` by\n`test/protocol/settings_page_test.cpp`.\n\n"
+           "## oriole-entry\n\n";
+    write_table(out, entry_settings_table);
+    out << "\n## oriole-agent\n\n";
+    write_table(out, agent_settings_table);
+    return out.str();
+}
+
+TEST(settings_page, lists_every_key_as_the_decoder_knows_it)
+{
+    const auto path = std::filesystem::path(__FILE__)
+                          .parent_path()
+                          .parent_path()
+                          .parent_path() /
+                      "docs" / "settings.md";
+    if (std::getenv("ORIOLE_UPDATE_DOCS")) {
+        std::ofstream(path) << settings_page();
+    }
+    std::ifstream in(path);
+    const std::string page(std::istreambuf_iterator<char>(in), {});
+    EXPECT_EQ(page, settings_page());
+}
+
+} // namespace
