--- a/include/oriolegrade/transport/http_client.hpp
+++ b/include/oriolegrade/transport/http_client.hpp
@@ -47,8 +47,8 @@
 };
 
 /// Request with a body and a target.
-http_request make_request(boost::beast::http::verb method, std::string target,
-                          std::string body);
+http_request make_request(boost::beast::http::verb method,
+                          const std::string& target, std::string body);
 
 } // namespace oriolegrade::transport
 
--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -272,20 +272,12 @@
         if (ec) {
             return lost();
         }
-        auto head = *answer_head_;
-        head.fields.set(protocol::header_field::outcome,
-                        state::name_of(state::run_outcome::ran));
         if (whole) {
             active_ = nullptr;
             pool_.release(std::move(connection));
-            if (!head.framing.length) {
-                head.framing = {false, held.size()};
-            }
-        }
-        answer_started_ = true;
-        sink_.start(head, caller_error);
-        write(held, caller_error);
-        if (!whole && !caller_error) {
+            pass_whole(held, caller_error);
+        } else {
+            start_answer(held, caller_error);
             const auto result =
                 stream_rest(*connection, held.size(), caller_error);
             if (result != state::attempt_result::answered) {
@@ -300,6 +292,23 @@
                             : state::attempt_result::answered;
     }
 
+    void pass_whole(std::string_view held, error_code& caller_error)
+    {
+        if (!answer_head_->framing.length) {
+            answer_head_->framing = {false, held.size()};
+        }
+        start_answer(held, caller_error);
+    }
+
+    void start_answer(std::string_view held, error_code& caller_error)
+    {
+        answer_head_->fields.set(protocol::header_field::outcome,
+                                 state::name_of(state::run_outcome::ran));
+        answer_started_ = true;
+        sink_.start(*answer_head_, caller_error);
+        write(held, caller_error);
+    }
+
     /// True when the whole answer was read into `held`.
     bool read_held(upstream_connection& connection, std::string& held,
                    error_code& ec)
@@ -318,7 +327,7 @@
                                       std::uint64_t passed_on,
                                       error_code& caller_error)
     {
-        for (;;) {
+        while (!caller_error) {
             error_code ec;
             const auto n = connection.read_body(buffer_, ec);
             if (ec) {
@@ -332,10 +341,8 @@
                 return state::attempt_result::lost;
             }
             write({buffer_.data(), n}, caller_error);
-            if (caller_error) {
-                return state::attempt_result::caller_lost;
-            }
         }
+        return state::attempt_result::caller_lost;
     }
 
     void write(std::string_view bytes, error_code& ec)
--- a/src/programs/oriolectl/agent_client.cpp
+++ b/src/programs/oriolectl/agent_client.cpp
@@ -21,7 +21,7 @@
 
 agent_client::agent_client(boost::asio::io_context& ioc,
                            const state::endpoint& agent,
-                           std::string operator_name, std::string secret)
+                           std::string operator_name, const std::string& secret)
     : http_(ioc, agent)
     , authorization_("Basic " + protocol::encode_base64(
                                     std::move(operator_name) + ":" + secret))
--- a/src/programs/oriolectl/agent_client.hpp
+++ b/src/programs/oriolectl/agent_client.hpp
@@ -25,7 +25,7 @@
 {
 public:
     agent_client(boost::asio::io_context& ioc, const state::endpoint& agent,
-                 std::string operator_name, std::string secret);
+                 std::string operator_name, const std::string& secret);
 
     /// Empty when no answer arrived; the reason is printed.
     std::optional<agent_answer> get(const std::string& target);
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -75,7 +75,7 @@
     return answer;
 }
 
-http_request make_request(http::verb method, std::string target,
+http_request make_request(http::verb method, const std::string& target,
                           std::string body)
 {
     http_request request(method, target, 11);
