Gossip the incarnations that an entry holds

Other hosts forward a token to the host that holds its incarnation, so the list must reach them. A change raises the member's incarnation and enters the hash of the claim, so that it replaces the earlier claim everywhere. The codec accepts at most max_held_incarnations.

--- a/include/oriolegrade/coordination/membership.hpp
+++ b/include/oriolegrade/coordination/membership.hpp
@@ -82,9 +82,23 @@
     /// Applied offset of this host; never decreases.
     void set_next_offset(std::uint64_t next_offset);
 
+    /// Replaces the incarnations that the entry of this host holds; at most
+    /// max_held_incarnations. A change spreads like a new claim.
+    void set_incarnations(std::vector<state::identifier> incarnations);
+
     /// Announces that this host is about to stop.
     void leave();
 
+    /// Messages that tell some members at once what changed here, without
+    /// the wait for the next period.
+    template <random_source Random>
+    std::vector<outgoing_gossip> announce(Random& random)
+    {
+        std::vector<outgoing_gossip> out;
+        tell_news(random.next(), out);
+        return out;
+    }
+
     const state::member_info& self() const
     {
         return self_;
--- a/include/oriolegrade/state/gossip_message_type.hpp
+++ b/include/oriolegrade/state/gossip_message_type.hpp
@@ -6,6 +6,7 @@
 
 #include <oriolegrade/state/endpoint.hpp>
 #include <oriolegrade/state/enum_names.hpp>
+#include <oriolegrade/state/identifier.hpp>
 
 #include <array>
 #include <cstdint>
@@ -48,6 +49,9 @@
     bool leaving = false;
     /// Offset of the next log record that the member will apply.
     std::uint64_t next_offset = 0;
+    /// Incarnations that its entry holds, the own one first; at most
+    /// max_held_incarnations. Empty while its agent has not heard of them.
+    std::vector<identifier> incarnations{};
 
     bool operator==(const member_info&) const = default;
 };
--- a/src/coordination/member_table.cpp
+++ b/src/coordination/member_table.cpp
@@ -34,8 +34,11 @@
 {
     const std::uint64_t seed = info.incarnation * 8 + index_of(info.state) * 2 +
                                (info.leaving ? 1 : 0);
-    return static_cast<std::uint32_t>(
-        XXH3_64bits_withSeed(info.name.data(), info.name.size(), seed));
+    auto hash = XXH3_64bits_withSeed(info.name.data(), info.name.size(), seed);
+    for (const auto& it : info.incarnations) {
+        hash = XXH3_64bits_withSeed(&it, sizeof it, hash);
+    }
+    return static_cast<std::uint32_t>(hash);
 }
 
 member* member_table::find(std::string_view name)
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -4,6 +4,8 @@
 
 #include "seeded_sequence.hpp"
 
+#include <oriolegrade/state/peer_directory.hpp>
+
 #include <algorithm>
 #include <cassert>
 #include <cmath>
@@ -25,6 +27,9 @@
 /// Periods in which a stopping host announces its end.
 constexpr unsigned leave_announcements = 3;
 
+/// Periods in which a host announces other news about itself.
+constexpr unsigned claim_announcements = 2;
+
 } // namespace
 
 membership::membership(state::member_info self, membership_settings settings,
@@ -58,6 +63,18 @@
     self_.next_offset = next_offset;
 }
 
+void membership::set_incarnations(std::vector<state::identifier> incarnations)
+{
+    assert(incarnations.size() <= state::max_held_incarnations);
+    if (incarnations == self_.incarnations) {
+        return;
+    }
+    self_.incarnations = std::move(incarnations);
+    // Others replace a claim only by one of a higher incarnation.
+    ++self_.incarnation;
+    announcements_left_ = std::max(announcements_left_, claim_announcements);
+}
+
 void membership::leave()
 {
     if (!self_.leaving) {
--- a/src/coordination/membership_messages.cpp
+++ b/src/coordination/membership_messages.cpp
@@ -33,7 +33,8 @@
 
 std::size_t estimated_bytes(const state::member_info& it)
 {
-    return it.name.size() + it.data_centre.size() + claim_overhead;
+    return it.name.size() + it.data_centre.size() + claim_overhead +
+           it.incarnations.size() * sizeof(state::identifier);
 }
 
 } // namespace
--- a/src/protocol/gossip_datagram.cpp
+++ b/src/protocol/gossip_datagram.cpp
@@ -4,6 +4,8 @@
 
 #include "message_check.hpp"
 
+#include <oriolegrade/state/peer_directory.hpp>
+
 #include <gossip.pb.h>
 
 #include <openssl/crypto.h>
@@ -56,6 +58,28 @@
     to.set_state(static_cast<std::uint32_t>(index_of(from.state)));
     to.set_leaving(from.leaving);
     to.set_next_offset(from.next_offset);
+    for (const auto& it : from.incarnations) {
+        to.add_held_high(it.high);
+        to.add_held_low(it.low);
+    }
+}
+
+std::vector<state::identifier>
+read_incarnations(const wire::gossip_member& from, const message_check& check)
+{
+    std::vector<state::identifier> ids;
+    const auto count = from.held_high_size();
+    if (!check.require(count == from.held_low_size() &&
+                           static_cast<std::size_t>(count) <=
+                               state::max_held_incarnations,
+                       "held_high", "are too many or unpaired")) {
+        return ids;
+    }
+    for (int n = 0; n < count; ++n) {
+        ids.push_back({from.held_high(n), from.held_low(n)});
+        check.require(static_cast<bool>(ids.back()), "held_high", "has none");
+    }
+    return ids;
 }
 
 state::member_info from_wire(const wire::gossip_member& from,
@@ -75,6 +99,7 @@
     to.state = check.enumerator<state::member_state>(from.state(), "state");
     to.leaving = from.leaving();
     to.next_offset = from.next_offset();
+    to.incarnations = read_incarnations(from, check);
     return to;
 }
 
--- a/test/protocol/gossip_datagram_test.cpp
+++ b/test/protocol/gossip_datagram_test.cpp
@@ -1,6 +1,7 @@
 // Guards against gossip that changes on the way or comes from strangers.
 
 #include <oriolegrade/protocol/gossip_datagram.hpp>
+#include <oriolegrade/state/peer_directory.hpp>
 
 #include <gtest/gtest.h>
 
@@ -28,6 +29,7 @@
     m.members = {m.sender};
     m.members[0].name = "h2";
     m.members[0].state = state::member_state::suspect;
+    m.members[0].incarnations = {{1, 2}, {3, 4}};
     m.progress = {{11, 1000}, {12, 3}, {13, 2000}};
     m.wanted = {21, 22};
     return m;
@@ -63,4 +65,16 @@
     EXPECT_EQ(bad.error().items()[0].place, "/members/0/incarnation");
 }
 
+// Guards against a claim whose list of incarnations is longer than any
+// directory of an entry accepts.
+TEST(gossip_datagram, incarnations_are_bounded)
+{
+    auto m = make_message();
+    m.sender.incarnations.assign(state::max_held_incarnations + 1, {1, 1});
+    const auto bad =
+        protocol::decode_gossip(protocol::encode_gossip(m, key), key);
+    ASSERT_FALSE(bad.has_value());
+    EXPECT_EQ(bad.error().items()[0].place, "/sender/held_high");
+}
+
 } // namespace
