--- a/include/oriolegrade/protocol/admin_json.hpp
+++ b/include/oriolegrade/protocol/admin_json.hpp
@@ -32,6 +32,20 @@
 /// The same with bodies.
 std::string encode_entries(std::vector<state::entry_ptr> entries);
 
+/// A host as an agent sees it.
+struct host_status
+{
+    std::string name;
+    std::string data_centre;
+    /// `alive`, `suspect`, `dead`, `leaving`, or `listed` when only the
+    /// platform's list names it.
+    std::string_view state;
+    state::endpoint address;
+    std::uint64_t applied_offset = 0;
+};
+
+std::string encode_hosts(const std::vector<host_status>& hosts);
+
 std::string encode_change(const coordination::change_status& status);
 
 } // namespace oriolegrade::protocol
--- a/include/oriolegrade/protocol/audit_json.hpp
+++ b/include/oriolegrade/protocol/audit_json.hpp
@@ -10,6 +10,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace oriolegrade::protocol {
 
@@ -21,6 +22,11 @@
 
 std::string encode_audit_batch(const state::audit_batch& batch);
 
+/// Answer of the administration API: events and the number after the last.
+std::string encode_audit_events(const std::string& host,
+                                const std::vector<state::audit_event>& events,
+                                std::uint64_t next);
+
 state::result<state::audit_batch, state::findings>
 decode_audit_batch(std::string_view bytes);
 
--- a/include/oriolegrade/protocol/config_messages.hpp
+++ b/include/oriolegrade/protocol/config_messages.hpp
@@ -37,6 +37,10 @@
 state::result<state::configuration_snapshot, state::findings>
 decode_snapshot(std::string_view bytes);
 
+std::string encode_snapshot_offer(const state::snapshot_summary& offer);
+state::result<state::snapshot_summary, state::findings>
+decode_snapshot_offer(std::string_view bytes);
+
 std::string encode_feed_request(const state::feed_request& request);
 state::result<state::feed_request, state::findings>
 decode_feed_request(std::string_view bytes);
--- a/include/oriolegrade/state/config_message_type.hpp
+++ b/include/oriolegrade/state/config_message_type.hpp
@@ -43,6 +43,15 @@
     std::vector<skipped_record> skipped;
 };
 
+/// Identity of a snapshot that a host offers to another.
+struct snapshot_summary
+{
+    std::uint64_t next_offset = 0;
+    identifier digest;
+
+    bool operator==(const snapshot_summary&) const = default;
+};
+
 /// Entry asks its agent for configuration.
 struct feed_request
 {
--- a/src/protocol/admin_json.cpp
+++ b/src/protocol/admin_json.cpp
@@ -127,6 +127,19 @@
                        });
 }
 
+std::string encode_hosts(const std::vector<host_status>& hosts)
+{
+    json::array list;
+    for (const auto& it : hosts) {
+        list.push_back(json::object{{"name", it.name},
+                                    {"data_centre", it.data_centre},
+                                    {"state", it.state},
+                                    {"address", to_string(it.address)},
+                                    {"applied_offset", it.applied_offset}});
+    }
+    return json::serialize(json::object{{"hosts", std::move(list)}});
+}
+
 std::string encode_change(const coordination::change_status& status)
 {
     const auto& rec = status.record;
--- a/src/protocol/audit_json.cpp
+++ b/src/protocol/audit_json.cpp
@@ -92,6 +92,23 @@
     return boost::json::serialize(out);
 }
 
+std::string encode_audit_events(const std::string& host,
+                                const std::vector<state::audit_event>& events,
+                                std::uint64_t next)
+{
+    boost::json::array list;
+    list.reserve(events.size());
+    for (const auto& it : events) {
+        auto object = event_object(it);
+        object["host"] = host;
+        list.push_back(std::move(object));
+    }
+    boost::json::object out;
+    out["events"] = std::move(list);
+    out["next"] = next;
+    return boost::json::serialize(out);
+}
+
 state::result<state::audit_batch, state::findings>
 decode_audit_batch(std::string_view bytes)
 {
--- a/src/protocol/config_messages.cpp
+++ b/src/protocol/config_messages.cpp
@@ -219,6 +219,28 @@
     return snapshot;
 }
 
+std::string encode_snapshot_offer(const state::snapshot_summary& offer)
+{
+    wire::snapshot_offer message;
+    message.set_next_offset(offer.next_offset);
+    message.set_digest_high(offer.digest.high);
+    message.set_digest_low(offer.digest.low);
+    return message.SerializeAsString();
+}
+
+state::result<state::snapshot_summary, state::findings>
+decode_snapshot_offer(std::string_view bytes)
+{
+    constexpr std::size_t max_bytes = 64;
+    state::findings out;
+    wire::snapshot_offer message;
+    if (!parse_message(message, bytes, max_bytes, out)) {
+        return out;
+    }
+    return state::snapshot_summary{
+        message.next_offset(), {message.digest_high(), message.digest_low()}};
+}
+
 std::string encode_feed_request(const state::feed_request& request)
 {
     wire::feed_request message;
--- a/src/transport/admin_api.cpp
+++ b/src/transport/admin_api.cpp
@@ -51,8 +51,13 @@
 } // namespace
 
 admin_api::admin_api(agent_configuration& configuration,
+                     const agent_membership& membership, const agent_push& push,
+                     agent_audit& audit,
                      const protocol::agent_settings& settings)
     : configuration_(configuration)
+    , membership_(membership)
+    , push_(push)
+    , audit_(audit)
     , settings_(settings)
 {}
 
@@ -71,6 +76,7 @@
     }
     const auto operator_name = authenticate(request);
     if (!operator_name) {
+        audit_.add_denied(std::string(path), "listener=admin");
         auto answer = json_answer(
             401, protocol::encode_error("operator name or secret is wrong"));
         answer.set(http::field::www_authenticate, "Basic");
@@ -105,6 +111,12 @@
     if (!post && path.starts_with(changes)) {
         return show_change(path.substr(changes.size()));
     }
+    if (!post && path == "/v1/hosts") {
+        return list_hosts();
+    }
+    if (!post && path == "/v1/audit") {
+        return list_audit(to_view(request.target()));
+    }
     return json_answer(404, protocol::encode_error("no such resource"));
 }
 
@@ -113,6 +125,7 @@
 {
     auto records = protocol::decode_record_file(body);
     if (!records) {
+        audit_invalid(records.error(), operator_name);
         return json_answer(400, protocol::encode_findings(records.error()));
     }
     std::vector<protocol::record_result> results;
@@ -122,6 +135,7 @@
         }
         it.operator_name = operator_name;
         results.push_back({it.key, it.change_id, configuration_.publish(it)});
+        audit_result(results.back(), operator_name);
     }
     return json_answer(status_of(results), protocol::encode_results(results));
 }
@@ -170,33 +184,14 @@
         return json_answer(
             400, protocol::encode_error("a change id has 32 hex digits"));
     }
-    const auto status = configuration_.changes().status(
-        *id, {{settings_.name, configuration_.current()->next_offset()}});
+    const auto status =
+        configuration_.changes().status(*id, membership_.members().progress());
     if (!status) {
         return json_answer(404, protocol::encode_error("no such change"));
     }
     return json_answer(200, protocol::encode_change(*status));
 }
 
-http_answer admin_api::metrics() const
-{
-    const auto& conf = *configuration_.current();
-    std::string text;
-    const auto gauge = [&](std::string_view name, std::uint64_t value) {
-        text.append("# TYPE ").append(name).append(" gauge\n");
-        text.append(name)
-            .append(" ")
-            .append(std::to_string(value))
-            .append("\n");
-    };
-    gauge("oriole_configuration_next_offset", conf.next_offset());
-    gauge("oriole_configuration_entries", conf.size());
-    gauge("oriole_configuration_skipped_records",
-          configuration_.skipped().size());
-    gauge("oriole_log_available", configuration_.log_available() ? 1 : 0);
-    return text_answer(200, std::move(text));
-}
-
 std::optional<std::string>
 admin_api::authenticate(const http_request& request) const
 {
