Add evidence, sequential test, lifecycle, floor and collector

Health decisions had no code. They are pure state machines in virtual time: evidence counts per upstream and class, a CUSUM of log-likelihood ratios with thresholds from the costs of a service, a cap on one host's weight, the way back by probes, trial and ramp, and the floor as one function. Costs of the shipped profiles moved to state/health_profile.hpp.

--- a/include/oriolegrade/state/record_type.hpp
+++ b/include/oriolegrade/state/record_type.hpp
@@ -6,6 +6,7 @@
 
 #include <oriolegrade/state/endpoint.hpp>
 #include <oriolegrade/state/enum_names.hpp>
+#include <oriolegrade/state/health_profile.hpp>
 #include <oriolegrade/state/identifier.hpp>
 #include <oriolegrade/state/request_class.hpp>
 #include <oriolegrade/state/time_type.hpp>
@@ -57,31 +58,6 @@
     bool operator==(const upstream_spec&) const = default;
 };
 
-enum class health_profile : std::uint8_t
-{
-    prairie_rest,
-    hanbit,
-};
-
-template <>
-struct enum_names<health_profile>
-{
-    static constexpr std::array<std::string_view, 2> value{"prairie_rest",
-                                                           "hanbit"};
-};
-
-/// Costs that the thresholds of ejection are derived from. Only their ratio
-/// matters. Both are above zero.
-struct health_costs
-{
-    /// Cost of taking one healthy upstream out of service.
-    double false_ejection = 1.0;
-    /// Cost of one second in which a failing upstream receives work.
-    double detection_second = 1.0;
-
-    bool operator==(const health_costs&) const = default;
-};
-
 /// A service with its upstreams, as one schema version describes it.
 struct service_spec
 {
--- /dev/null
+++ b/src/coordination/health_collector.cpp
@@ -0,0 +1,377 @@
+// Collector of one service.
+
+#include <oriolegrade/coordination/health_collector.hpp>
+
+#include <oriolegrade/state/service_check.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace oriolegrade::coordination {
+
+namespace {
+
+using state::evidence_kind;
+using state::upstream_state;
+
+constexpr std::size_t max_hosts = 4096;
+/// A host that sent nothing for this long no longer counts as a reporter.
+constexpr state::duration host_silence = std::chrono::seconds(30);
+constexpr state::duration baseline_interval = std::chrono::milliseconds(100);
+/// Assumed before a rate is known.
+constexpr double initial_rate = 50.0;
+constexpr double rate_smoothing = 0.01;
+/// Largest share of the threshold that one host contributes, so that at
+/// least four must agree; in a fleet of two or three hosts, two.
+constexpr double host_share = 0.3;
+constexpr double host_share_of_few = 0.6;
+constexpr std::size_t few_hosts = 4;
+constexpr std::uint32_t least_hosts = 2;
+/// Share of the threshold that failed probes may contribute.
+constexpr double probe_share = 0.25;
+
+/// Host under which the contributions of probes are kept.
+constexpr state::endpoint probe_host{};
+
+std::uint64_t hash_of(std::string_view text, std::uint64_t seed)
+{
+    // FNV-1a, finished with a 64-bit mix so that all bits depend on all input.
+    std::uint64_t n = 0xcbf29ce484222325 ^ seed;
+    for (const char c : text) {
+        n = (n ^ static_cast<unsigned char>(c)) * 0x100000001b3;
+    }
+    n = (n ^ (n >> 33U)) * 0xff51afd7ed558ccd;
+    n = (n ^ (n >> 33U)) * 0xc4ceb9fe1a85ec53;
+    return n ^ (n >> 33U);
+}
+
+double severity_of(const state::evidence_counts& counts)
+{
+    const auto judged = static_cast<double>(counts.judged());
+    const double bad = static_cast<double>(counts[evidence_kind::failure]) +
+                       counts[evidence_kind::connect_failure] +
+                       counts[evidence_kind::slow];
+    return judged > 0 ? bad / judged : 0;
+}
+
+} // namespace
+
+std::optional<state::endpoint>
+collector_of(std::string_view service, std::uint32_t schema_version,
+             const std::vector<state::endpoint>& hosts)
+{
+    std::optional<state::endpoint> best;
+    std::uint64_t most = 0;
+    for (const auto& it : hosts) {
+        const auto seed = (std::uint64_t{it.address} << 16U) + it.port +
+                          schema_version * 0x9e3779b97f4a7c15;
+        const auto n = hash_of(service, seed);
+        if (!best || n > most || (n == most && it < *best)) {
+            best = it;
+            most = n;
+        }
+    }
+    return best;
+}
+
+health_collector::health_collector(const state::service_spec& service)
+    : thresholds_(derive_thresholds(service.costs, initial_rate))
+    , upstream_rate_(initial_rate)
+{
+    update(service);
+}
+
+void health_collector::update(const state::service_spec& service)
+{
+    std::vector<upstream_record> next;
+    next.reserve(service.upstreams.size());
+    for (const auto& it : service.upstreams) {
+        const auto* known = find(it.address);
+        next.push_back(known != nullptr ? *known : upstream_record());
+        next.back().address = it.address;
+    }
+    std::sort(next.begin(), next.end(),
+              [](const upstream_record& a, const upstream_record& b) {
+                  return a.address < b.address;
+              });
+    upstreams_ = std::move(next);
+    costs_ = service.costs;
+    thresholds_ = derive_thresholds(costs_, upstream_rate_);
+    budget_.set_slots(state::total_slots(service));
+    ++sequence_;
+}
+
+health_collector::upstream_record*
+health_collector::find(const state::endpoint& address)
+{
+    const auto it = std::lower_bound(
+        upstreams_.begin(), upstreams_.end(), address,
+        [](const upstream_record& a, const state::endpoint& b) {
+            return a.address < b;
+        });
+    return it != upstreams_.end() && it->address == address ? &*it : nullptr;
+}
+
+bool health_collector::accept_batch(const state::evidence_batch& batch,
+                                    state::time_point now)
+{
+    const auto it = hosts_.find(batch.host);
+    if (it == hosts_.end()) {
+        if (hosts_.size() >= max_hosts) {
+            return false;
+        }
+        hosts_[batch.host] = {batch.incarnation, batch.sequence, now};
+        return !batch.host_suspects_itself;
+    }
+    if (batch.incarnation == it->second.incarnation &&
+        batch.sequence <= it->second.sequence) {
+        return false;
+    }
+    it->second = {batch.incarnation, batch.sequence, now};
+    return !batch.host_suspects_itself;
+}
+
+void health_collector::forget_silent_hosts(state::time_point now)
+{
+    hosts_checked_ = now;
+    std::erase_if(hosts_, [&](const auto& it) {
+        return now - it.second.seen > host_silence;
+    });
+}
+
+double health_collector::host_cap() const
+{
+    const double share =
+        hosts_.size() < few_hosts ? host_share_of_few : host_share;
+    return thresholds_.eject * share;
+}
+
+health_events health_collector::add(const state::evidence_batch& batch,
+                                    state::time_point now)
+{
+    health_events events;
+    if (!accept_batch(batch, now)) {
+        return events;
+    }
+    if (now - baseline_at_ >= baseline_interval) {
+        refresh_baseline(now);
+    }
+    for (const auto& it : batch.items) {
+        if (auto* up = find(it.upstream)) {
+            add_item(batch.host, it, *up, now, events);
+        }
+    }
+    return events;
+}
+
+void health_collector::add_item(const state::endpoint& host,
+                                const state::evidence_item& item,
+                                upstream_record& up, state::time_point now,
+                                health_events& events)
+{
+    up.recent[index_of(item.request)].add(item.counts, now);
+    switch (up.lifecycle.state()) {
+    case upstream_state::in_service:
+    case upstream_state::ramping:
+        add_ratios(host, item, up, now);
+        report(judge(up, now), up, events);
+        break;
+    case upstream_state::trial:
+        report(up.lifecycle.trial_result(item.counts, now), up, events);
+        break;
+    case upstream_state::probing:
+    case upstream_state::ejected:
+    case upstream_state::leaving:
+        // Answers to requests from before; they decide nothing any more.
+        break;
+    }
+}
+
+void health_collector::add_ratios(const state::endpoint& host,
+                                  const state::evidence_item& item,
+                                  upstream_record& up, state::time_point now)
+{
+    const auto index = index_of(item.request);
+    double highest = 0;
+    for (std::size_t n = 0; n < signal_count; ++n) {
+        const double ratio = log_likelihood_ratio(
+            static_cast<health_signal>(n), item.counts, baselines_[index]);
+        const double counted =
+            up.contributions.add(host, ratio, host_cap(), now);
+        up.tests[n][index].add(counted);
+        up.tests[n][class_count].add(counted);
+        highest = std::max(highest, up.tests[n][class_count].score());
+    }
+    up.evidence.add(item.counts);
+    if (highest == 0) {
+        up.evidence = {};
+    }
+}
+
+std::optional<health_event> health_collector::judge(upstream_record& up,
+                                                    state::time_point now)
+{
+    double score = 0;
+    for (const auto& signal : up.tests) {
+        for (const auto& it : signal) {
+            score = std::max(score, it.score());
+        }
+    }
+    if (score < thresholds_.eject) {
+        return std::nullopt;
+    }
+    const auto hosts = up.contributions.hosts(now);
+    if (hosts < least_hosts) {
+        return std::nullopt;
+    }
+    auto event = up.lifecycle.eject(now);
+    if (event) {
+        event->score = score;
+        event->threshold = thresholds_.eject;
+        event->hosts = hosts;
+        event->evidence = up.evidence;
+    }
+    return event;
+}
+
+void health_collector::report(std::optional<health_event> event,
+                              upstream_record& up, health_events& events)
+{
+    if (!event) {
+        return;
+    }
+    event->upstream = up.address;
+    if (event->kind == health_event_kind::ejected) {
+        up.ejected_score = event->score;
+        up.ejected_hosts = event->hosts;
+        up.ejected_severity = severity_of(event->evidence);
+        up.tests = {};
+        up.evidence = {};
+        up.contributions.clear();
+    }
+    ++sequence_;
+    events.push_back(*event);
+}
+
+health_events health_collector::advance(state::time_point now)
+{
+    health_events events;
+    if (now - hosts_checked_ >= host_silence / 4) {
+        forget_silent_hosts(now);
+    }
+    for (auto& it : upstreams_) {
+        report(it.lifecycle.advance(now), it, events);
+        const double weight = it.lifecycle.weight(now);
+        if (weight != it.published_weight) {
+            it.published_weight = weight;
+            ++sequence_;
+        }
+    }
+    return events;
+}
+
+bool health_collector::suspected(const upstream_record& up) const
+{
+    const auto& tests = up.tests[state::index_of(health_signal::errors)];
+    return up.lifecycle.state() == upstream_state::in_service &&
+           tests[class_count].score() >= thresholds_.suspect;
+}
+
+std::vector<state::endpoint>
+health_collector::take_probes(state::time_point now)
+{
+    std::vector<state::endpoint> due;
+    for (auto& it : upstreams_) {
+        const bool wanted =
+            it.lifecycle.state() == upstream_state::probing || suspected(it);
+        if (!wanted || !it.lifecycle.probe_due(now)) {
+            continue;
+        }
+        if (!budget_.take(now)) {
+            break;
+        }
+        it.lifecycle.probe_started(now);
+        due.push_back(it.address);
+    }
+    return due;
+}
+
+health_events health_collector::add_probe(const state::endpoint& upstream,
+                                          bool healthy, state::time_point now)
+{
+    health_events events;
+    auto* up = find(upstream);
+    if (up == nullptr) {
+        return events;
+    }
+    report(up->lifecycle.probe_result(healthy, now), *up, events);
+    if (!healthy && suspected(*up)) {
+        state::evidence_counts counts;
+        ++counts[evidence_kind::failure];
+        const double ratio =
+            log_likelihood_ratio(health_signal::errors, counts, {});
+        const double counted = up->contributions.add(
+            probe_host, ratio, thresholds_.eject * probe_share, now);
+        up->tests[state::index_of(health_signal::errors)][class_count].add(
+            counted);
+        report(judge(*up, now), *up, events);
+    }
+    return events;
+}
+
+health_events health_collector::set_leaving(const state::endpoint& upstream,
+                                            bool leaving, state::time_point now)
+{
+    health_events events;
+    if (auto* up = find(upstream)) {
+        report(leaving ? up->lifecycle.leave(now) : up->lifecycle.rejoin(now),
+               *up, events);
+    }
+    return events;
+}
+
+void health_collector::refresh_baseline(state::time_point now)
+{
+    std::vector<recent_counts::view> views(upstreams_.size());
+    double judged = 0;
+    for (std::size_t c = 0; c < class_count; ++c) {
+        for (std::size_t n = 0; n < upstreams_.size(); ++n) {
+            views[n] = upstreams_[n].recent[c].at(now);
+            judged += views[n].judged;
+        }
+        baselines_[c] = baseline_of(views);
+    }
+    baseline_at_ = now;
+    const auto count = std::max<std::size_t>(upstreams_.size(), 1);
+    const double rate = judged / baseline_seconds / static_cast<double>(count);
+    upstream_rate_ += rate_smoothing * (rate - upstream_rate_);
+    thresholds_ = derive_thresholds(costs_, upstream_rate_);
+}
+
+state::verdict_set health_collector::verdicts(state::time_point now) const
+{
+    state::verdict_set set;
+    set.sequence = sequence_;
+    for (const auto& it : upstreams_) {
+        if (it.lifecycle.state() == upstream_state::in_service) {
+            continue;
+        }
+        if (set.verdicts.size() == state::max_verdicts) {
+            break;
+        }
+        set.verdicts.push_back({it.address, it.lifecycle.state(),
+                                it.lifecycle.weight(now), it.ejected_score,
+                                it.ejected_severity, it.ejected_hosts});
+    }
+    return set;
+}
+
+std::size_t health_collector::memory_bytes() const
+{
+    constexpr std::size_t host_bytes =
+        sizeof(state::endpoint) + sizeof(host_record) + 4 * sizeof(void*);
+    return sizeof(*this) + upstreams_.capacity() * sizeof(upstream_record) +
+           hosts_.size() * host_bytes;
+}
+
+} // namespace oriolegrade::coordination
