--- a/include/oriolegrade/coordination/health_collector.hpp
+++ b/include/oriolegrade/coordination/health_collector.hpp
@@ -47,10 +47,10 @@
     /// Moves on what only time decides; call about every 100 ms.
     health_events advance(state::time_point now);
 
-    /// Upstreams to probe now, within the budget.
+    /// Upstreams to probe now, within the budget; call about every 50 ms.
     std::vector<state::endpoint> take_probes(state::time_point now);
-    /// Result of a probe. A failed probe of a suspected upstream adds
-    /// evidence, but never enough to eject by itself: health endpoints lie.
+    /// Result of a probe. Of a suspected upstream it is evidence like a
+    /// request, but never enough to eject by itself: health endpoints lie.
     health_events add_probe(const state::endpoint& upstream, bool healthy,
                             state::time_point now);
 
@@ -95,6 +95,9 @@
         double ejected_score = 0;
         double ejected_severity = 0;
         std::uint32_t ejected_hosts = 0;
+        /// The health endpoint agreed with the requests when last asked
+        /// without a suspicion. Only then do probes count as evidence.
+        bool endpoint_credible = false;
         /// Weight as last published.
         double published_weight = 1.0;
     };
@@ -104,11 +107,16 @@
         state::identifier incarnation;
         std::uint64_t sequence = 0;
         state::time_point seen;
+        /// Requests of this host to all upstreams of the service.
+        recent_counts recent;
     };
 
     upstream_record* find(const state::endpoint& address);
     bool accept_batch(const state::evidence_batch& batch,
                       state::time_point now);
+    /// False when the host's evidence points at the host itself: most of what
+    /// it sends anywhere goes bad, and others do not see that.
+    bool is_credible(const state::evidence_batch& batch, state::time_point now);
     void add_item(const state::endpoint& host, const state::evidence_item& item,
                   upstream_record& up, state::time_point now,
                   health_events& events);
@@ -122,6 +130,7 @@
     void refresh_baseline(state::time_point now);
     void forget_silent_hosts(state::time_point now);
     bool suspected(const upstream_record& up) const;
+    state::duration probe_interval_of(const upstream_record& up) const;
     double host_cap() const;
 
     state::health_costs costs_;
@@ -130,13 +139,20 @@
     /// Hosts heard in the last seconds; at most max_hosts.
     std::unordered_map<state::endpoint, host_record, state::endpoint_hash>
         hosts_;
-    std::array<peer_baseline, class_count> baselines_{};
+
+    /// From the baseline of each class; refreshed every 100 ms.
+    std::array<std::array<request_weights, signal_count>, class_count>
+        weights_{};
+
     test_thresholds thresholds_;
     /// Requests per second that one upstream receives, smoothed.
     double upstream_rate_;
     state::time_point baseline_at_{};
     state::time_point hosts_checked_{};
+    recent_counts fleet_;
     probe_budget budget_;
+    /// Where take_probes begins, so that a short budget serves all in turn.
+    std::size_t next_probe_ = 0;
     std::uint64_t sequence_ = 0;
 };
 
--- a/include/oriolegrade/coordination/probe_budget.hpp
+++ b/include/oriolegrade/coordination/probe_budget.hpp
@@ -14,10 +14,11 @@
 /// Work that one probe causes at an upstream, in seconds of one slot.
 inline constexpr double probe_cost_seconds = 0.025;
 /// Share of a service's slots that probes may use.
-inline constexpr double probe_slot_share = 0.005;
+inline constexpr double probe_slot_share = 0.015;
 /// Small services still get this many probes a second.
 inline constexpr double least_probe_rate = 4.0;
-inline constexpr double probe_burst = 4.0;
+/// Enough to settle a suspicion within about a second.
+inline constexpr double probe_burst = 20.0;
 
 /// Token bucket of probes.
 class probe_budget
--- a/include/oriolegrade/coordination/sequential_test.hpp
+++ b/include/oriolegrade/coordination/sequential_test.hpp
@@ -39,11 +39,23 @@
 inline constexpr double gray_error_rate = 0.1;
 inline constexpr double gray_slow_rate = 0.25;
 
+/// Log-likelihood ratio of one request for one signal.
+struct request_weights
+{
+    double bad = 0;
+    double good = 0;
+    /// Of a connect failure, stronger than another failure.
+    double refused = 0;
+};
+
+request_weights derive_weights(health_signal signal,
+                               const peer_baseline& baseline);
+
 /// Log-likelihood ratio of the counts for one signal. Positive speaks for
 /// "failing". Shed requests count for neither side.
 double log_likelihood_ratio(health_signal signal,
                             const state::evidence_counts& counts,
-                            const peer_baseline& baseline);
+                            const request_weights& weights);
 
 struct test_thresholds
 {
--- a/include/oriolegrade/coordination/upstream_lifecycle.hpp
+++ b/include/oriolegrade/coordination/upstream_lifecycle.hpp
@@ -52,8 +52,8 @@
     /// Takes the upstream out of service. Without effect when it is out.
     std::optional<health_event> eject(state::time_point now);
 
-    /// True when no probe was started within the probe interval.
-    bool probe_due(state::time_point now) const;
+    /// True when no probe was started within `interval`.
+    bool probe_due(state::time_point now, state::duration interval) const;
     void probe_started(state::time_point now);
     /// Result of a probe. Ignored in other states than probing.
     std::optional<health_event> probe_result(bool healthy,
--- a/src/coordination/health_collector.cpp
+++ b/src/coordination/health_collector.cpp
@@ -22,13 +22,24 @@
 constexpr double initial_rate = 50.0;
 constexpr double rate_smoothing = 0.01;
 /// Largest share of the threshold that one host contributes, so that at
-/// least four must agree; in a fleet of two or three hosts, two.
-constexpr double host_share = 0.3;
+/// least three must agree; in a fleet of two or three hosts, two.
+constexpr double host_share = 0.45;
 constexpr double host_share_of_few = 0.6;
 constexpr std::size_t few_hosts = 4;
 constexpr std::uint32_t least_hosts = 2;
+/// A host is not believed while its recent requests to the whole service went
+/// bad this much more often than those of all hosts, and mostly so.
+constexpr double suspicious_bad_share = 0.5;
+constexpr double suspicious_ratio = 2.0;
+constexpr double least_host_requests = 4.0;
 /// Share of the threshold that failed probes may contribute.
-constexpr double probe_share = 0.25;
+constexpr double probe_share = 0.45;
+
+/// A suspicion is to be settled quickly; probes then are extra requests.
+constexpr state::duration suspect_probe_interval =
+    std::chrono::milliseconds(50);
+/// Probes without a suspicion, to know whether the endpoint tells the truth.
+constexpr state::duration quiet_probe_interval = std::chrono::seconds(10);
 
 /// Host under which the contributions of probes are kept.
 constexpr state::endpoint probe_host{};
@@ -45,6 +56,13 @@
     return n ^ (n >> 33U);
 }
 
+std::array<request_weights, state::enum_size<health_signal>>
+weights_of(const peer_baseline& baseline)
+{
+    return {derive_weights(health_signal::errors, baseline),
+            derive_weights(health_signal::latency, baseline)};
+}
+
 double severity_of(const state::evidence_counts& counts)
 {
     const auto judged = static_cast<double>(counts.judged());
@@ -78,6 +96,7 @@
     : thresholds_(derive_thresholds(service.costs, initial_rate))
     , upstream_rate_(initial_rate)
 {
+    weights_.fill(weights_of({}));
     update(service);
 }
 
@@ -120,17 +139,40 @@
         if (hosts_.size() >= max_hosts) {
             return false;
         }
-        hosts_[batch.host] = {batch.incarnation, batch.sequence, now};
+        hosts_[batch.host] = {batch.incarnation, batch.sequence, now, {}};
         return !batch.host_suspects_itself;
     }
     if (batch.incarnation == it->second.incarnation &&
         batch.sequence <= it->second.sequence) {
         return false;
     }
-    it->second = {batch.incarnation, batch.sequence, now};
+    it->second.incarnation = batch.incarnation;
+    it->second.sequence = batch.sequence;
+    it->second.seen = now;
     return !batch.host_suspects_itself;
 }
 
+bool health_collector::is_credible(const state::evidence_batch& batch,
+                                   state::time_point now)
+{
+    state::evidence_counts sum;
+    for (const auto& it : batch.items) {
+        sum.add(it.counts);
+    }
+    auto& own = hosts_[batch.host].recent;
+    own.add(sum, now);
+    fleet_.add(sum, now);
+    const auto host = own.at(now);
+    const auto fleet = fleet_.at(now);
+    if (host.judged < least_host_requests) {
+        return true;
+    }
+    const double host_bad = (host.errors + host.slow) / host.judged;
+    const double fleet_bad = (fleet.errors + fleet.slow) / fleet.judged;
+    return host_bad < suspicious_bad_share ||
+           host_bad < suspicious_ratio * fleet_bad;
+}
+
 void health_collector::forget_silent_hosts(state::time_point now)
 {
     hosts_checked_ = now;
@@ -150,7 +192,7 @@
                                     state::time_point now)
 {
     health_events events;
-    if (!accept_batch(batch, now)) {
+    if (!accept_batch(batch, now) || !is_credible(batch, now)) {
         return events;
     }
     if (now - baseline_at_ >= baseline_interval) {
@@ -195,7 +237,7 @@
     double highest = 0;
     for (std::size_t n = 0; n < signal_count; ++n) {
         const double ratio = log_likelihood_ratio(
-            static_cast<health_signal>(n), item.counts, baselines_[index]);
+            static_cast<health_signal>(n), item.counts, weights_[index][n]);
         const double counted =
             up.contributions.add(host, ratio, host_cap(), now);
         up.tests[n][index].add(counted);
@@ -277,21 +319,35 @@
            tests[class_count].score() >= thresholds_.suspect;
 }
 
+state::duration
+health_collector::probe_interval_of(const upstream_record& up) const
+{
+    switch (up.lifecycle.state()) {
+    case upstream_state::probing:
+        return probe_interval;
+    case upstream_state::in_service:
+        return suspected(up) ? suspect_probe_interval : quiet_probe_interval;
+    default:
+        return state::duration::max();
+    }
+}
+
 std::vector<state::endpoint>
 health_collector::take_probes(state::time_point now)
 {
     std::vector<state::endpoint> due;
-    for (auto& it : upstreams_) {
-        const bool wanted =
-            it.lifecycle.state() == upstream_state::probing || suspected(it);
-        if (!wanted || !it.lifecycle.probe_due(now)) {
+    const auto count = upstreams_.size();
+    for (std::size_t n = 0; n < count; ++n) {
+        auto& up = upstreams_[(next_probe_ + n) % count];
+        if (!up.lifecycle.probe_due(now, probe_interval_of(up))) {
             continue;
         }
         if (!budget_.take(now)) {
+            next_probe_ = (next_probe_ + n) % count;
             break;
         }
-        it.lifecycle.probe_started(now);
-        due.push_back(it.address);
+        up.lifecycle.probe_started(now);
+        due.push_back(up.address);
     }
     return due;
 }
@@ -305,17 +361,22 @@
         return events;
     }
     report(up->lifecycle.probe_result(healthy, now), *up, events);
-    if (!healthy && suspected(*up)) {
-        state::evidence_counts counts;
-        ++counts[evidence_kind::failure];
-        const double ratio =
-            log_likelihood_ratio(health_signal::errors, counts, {});
-        const double counted = up->contributions.add(
-            probe_host, ratio, thresholds_.eject * probe_share, now);
-        up->tests[state::index_of(health_signal::errors)][class_count].add(
-            counted);
-        report(judge(*up, now), *up, events);
+    if (!suspected(*up)) {
+        up->endpoint_credible = healthy;
+        return events;
+    }
+    if (!up->endpoint_credible) {
+        return events;
     }
+    state::evidence_counts counts;
+    ++counts[healthy ? evidence_kind::success : evidence_kind::failure];
+    const auto errors = state::index_of(health_signal::errors);
+    const double ratio = log_likelihood_ratio(health_signal::errors, counts,
+                                              weights_of({})[errors]);
+    const double cap = thresholds_.eject * probe_share;
+    const double counted = up->contributions.add(probe_host, ratio, cap, now);
+    up->tests[errors][class_count].add(counted);
+    report(judge(*up, now), *up, events);
     return events;
 }
 
@@ -339,7 +400,7 @@
             views[n] = upstreams_[n].recent[c].at(now);
             judged += views[n].judged;
         }
-        baselines_[c] = baseline_of(views);
+        weights_[c] = weights_of(baseline_of(views));
     }
     baseline_at_ = now;
     const auto count = std::max<std::size_t>(upstreams_.size(), 1);
--- a/src/coordination/local_avoidance.cpp
+++ b/src/coordination/local_avoidance.cpp
@@ -3,6 +3,7 @@
 #include <oriolegrade/coordination/local_avoidance.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace oriolegrade::coordination {
 
@@ -10,14 +11,19 @@
 
 using namespace std::chrono_literals;
 
-/// Four failures in a row at the background rate of 0.5%. Three would occur
-/// by chance every few hours on a busy host.
-constexpr double avoid_threshold = 10.0;
+/// Five failures among about 20 requests. Four occur by chance at a background
+/// rate of 0.5%: once in about 7 upstream-hours at 60 requests/s.
+constexpr double avoid_threshold = 13.0;
+/// One host knows no peers' rate of late answers, so it assumes more of them
+/// than the collector does.
+constexpr double assumed_slow_rate = 0.03;
 constexpr state::duration first_avoidance = 1s;
 constexpr unsigned max_doublings = 4;
 /// A quiet period after which earlier avoidances are forgotten.
 constexpr state::duration quiet_period = 60s;
 
+constexpr peer_baseline usual{least_error_rate, assumed_slow_rate};
+
 } // namespace
 
 std::optional<health_event>
@@ -26,11 +32,14 @@
 {
     state::evidence_counts counts;
     ++counts[kind];
-    const peer_baseline usual{least_error_rate, least_slow_rate};
     const auto signal = kind == state::evidence_kind::slow
                             ? health_signal::latency
                             : health_signal::errors;
-    test_.add(log_likelihood_ratio(signal, counts, usual));
+    static const std::array<request_weights, state::enum_size<health_signal>>
+        weights{derive_weights(health_signal::errors, usual),
+                derive_weights(health_signal::latency, usual)};
+    test_.add(
+        log_likelihood_ratio(signal, counts, weights[state::index_of(signal)]));
     if (test_.score() < avoid_threshold || avoided(now)) {
         return std::nullopt;
     }
--- a/src/coordination/sequential_test.cpp
+++ b/src/coordination/sequential_test.cpp
@@ -19,9 +19,14 @@
 /// Bounds that keep a threshold usable with extreme costs or rates.
 constexpr double least_threshold = 7.0;
 constexpr double largest_threshold = 40.0;
-constexpr double least_rate = 1.0;
+/// Below this rate the threshold no longer falls: a few requests a second
+/// leave little to average over.
+constexpr double least_rate = 30.0;
 constexpr double largest_rate = 1000.0;
-constexpr double suspect_share = 0.4;
+/// One unexpected failure is enough to send a few probes.
+constexpr double suspect_share = 0.15;
+/// Keeps the logarithms finite when nearly everything fails everywhere.
+constexpr double largest_usual_rate = 0.95;
 
 /// Rate of a failing upstream when its peers have `usual`. The factor 3 keeps
 /// an upstream slightly above a high common rate from drifting upwards.
@@ -30,43 +35,44 @@
     return std::clamp(3 * usual, gray, (1 + usual) / 2);
 }
 
-double ratio_of(double bad, double good, double usual, double gray)
+request_weights weights_of(double usual, double gray)
 {
     const double failing = failing_rate(usual, gray);
-    return bad * std::log(failing / usual) +
-           good * std::log((1 - failing) / (1 - usual));
+    const double bad = std::log(failing / usual);
+    return {bad, std::log((1 - failing) / (1 - usual)), bad};
 }
 
-double errors_ratio(const state::evidence_counts& counts, double usual)
-{
-    const double refused = counts[evidence_kind::connect_failure];
-    const double bad = counts[evidence_kind::failure];
-    const double good = static_cast<double>(counts.judged()) - bad - refused;
-    const double stronger =
-        std::log(std::max(usual / usual_connect_failure_rate, 1.0));
-    return ratio_of(bad + refused, good, usual, gray_error_rate) +
-           refused * stronger;
-}
+} // namespace
 
-double latency_ratio(const state::evidence_counts& counts, double usual)
+request_weights derive_weights(health_signal signal,
+                               const peer_baseline& baseline)
 {
-    // Failed requests carry no latency of a whole answer.
-    return ratio_of(counts[evidence_kind::slow], counts[evidence_kind::success],
-                    usual, gray_slow_rate);
+    if (signal == health_signal::latency) {
+        const double usual =
+            std::clamp(baseline.slow_rate, least_slow_rate, largest_usual_rate);
+        return weights_of(usual, gray_slow_rate);
+    }
+    const double usual =
+        std::clamp(baseline.error_rate, least_error_rate, largest_usual_rate);
+    auto weights = weights_of(usual, gray_error_rate);
+    weights.refused +=
+        std::log(std::max(usual / usual_connect_failure_rate, 1.0));
+    return weights;
 }
 
-} // namespace
-
 double log_likelihood_ratio(health_signal signal,
                             const state::evidence_counts& counts,
-                            const peer_baseline& baseline)
+                            const request_weights& weights)
 {
-    if (signal == health_signal::errors) {
-        return errors_ratio(
-            counts, std::clamp(baseline.error_rate, least_error_rate, 0.95));
+    const double success = counts[evidence_kind::success];
+    const double slow = counts[evidence_kind::slow];
+    if (signal == health_signal::latency) {
+        // Failed requests carry no latency of a whole answer.
+        return slow * weights.bad + success * weights.good;
     }
-    return latency_ratio(counts,
-                         std::clamp(baseline.slow_rate, least_slow_rate, 0.95));
+    return counts[evidence_kind::failure] * weights.bad +
+           counts[evidence_kind::connect_failure] * weights.refused +
+           (success + slow) * weights.good;
 }
 
 // The cost per second of a threshold h is false_ejection * k * r * exp(-h)
--- a/src/coordination/upstream_lifecycle.cpp
+++ b/src/coordination/upstream_lifecycle.cpp
@@ -68,9 +68,10 @@
     return first_hold_down * (1U << flap_level_);
 }
 
-bool upstream_lifecycle::probe_due(state::time_point now) const
+bool upstream_lifecycle::probe_due(state::time_point now,
+                                   state::duration interval) const
 {
-    return now - last_probe_ >= probe_interval;
+    return now - last_probe_ >= interval;
 }
 
 void upstream_lifecycle::probe_started(state::time_point now)
