Judge upstreams relative to the common ratio of their peers

A test with a common rise of late answers to 25% ejected all five upstreams before the 3 s baseline moved. The ratio that 40% of the upstreams exceed is now subtracted before a verdict, and a 0.5 s window follows the onset of bursts; the test passes.

--- a/include/oriolegrade/coordination/health_collector.hpp
+++ b/include/oriolegrade/coordination/health_collector.hpp
@@ -47,10 +47,10 @@
     /// Moves on what only time decides; call about every 100 ms.
     health_events advance(state::time_point now);
 
-    /// Upstreams to probe now, within the budget; call about every 50 ms.
+    /// Upstreams to probe now, within the budget; call about every 25 ms.
     std::vector<state::endpoint> take_probes(state::time_point now);
-    /// Result of a probe. Of a suspected upstream it is evidence like a
-    /// request, but never enough to eject by itself: health endpoints lie.
+    /// Result of a probe. Failed probes of a suspected upstream add to its
+    /// ratio, but never enough to eject by itself: health endpoints lie.
     health_events add_probe(const state::endpoint& upstream, bool healthy,
                             state::time_point now);
 
@@ -88,6 +88,13 @@
         upstream_lifecycle lifecycle;
         std::array<std::array<sequential_test, test_count>, signal_count> tests;
         std::array<recent_counts, class_count> recent;
+        std::array<recent_counts, class_count> recent_burst = {
+            recent_counts(burst_baseline_seconds),
+            recent_counts(burst_baseline_seconds),
+            recent_counts(burst_baseline_seconds)};
+        /// Ratio of the probes alone. An endpoint that always says healthy
+        /// keeps it at zero and so hides nothing.
+        sequential_test probes;
         host_contributions contributions;
         /// Evidence since the ratio over all classes was last zero.
         state::evidence_counts evidence;
@@ -127,6 +134,8 @@
                                       state::time_point now);
     void report(std::optional<health_event> event, upstream_record& up,
                 health_events& events);
+    double common_score(std::size_t signal, std::size_t test) const;
+    double relative_score(const upstream_record& up) const;
     void refresh_baseline(state::time_point now);
     void forget_silent_hosts(state::time_point now);
     bool suspected(const upstream_record& up) const;
--- a/include/oriolegrade/coordination/host_contributions.hpp
+++ b/include/oriolegrade/coordination/host_contributions.hpp
@@ -23,8 +23,7 @@
     /// @param cap most that one host may contribute; above 0
     double add(const state::endpoint& host, double ratio, double cap,
                state::time_point now);
-    /// Hosts that have contributed noticeably. An endpoint without a port is
-    /// no host; evidence of other origin is kept under it.
+    /// Hosts that have contributed noticeably.
     std::uint32_t hosts(state::time_point now) const;
     void clear()
     {
--- a/include/oriolegrade/coordination/peer_statistics.hpp
+++ b/include/oriolegrade/coordination/peer_statistics.hpp
@@ -12,13 +12,22 @@
 
 namespace oriolegrade::coordination {
 
-/// Time constant of the baseline's window.
+/// Time constants of the baseline's windows: the long one sees rare errors, the
+/// short one follows the onset of a load burst.
 inline constexpr double baseline_seconds = 3.0;
+inline constexpr double burst_baseline_seconds = 0.5;
 
 /// Decaying counts of one upstream and class.
 class recent_counts
 {
 public:
+    recent_counts() = default;
+
+    /// @param seconds time constant of the decay
+    explicit recent_counts(double seconds)
+        : seconds_(seconds)
+    {}
+
     void add(const state::evidence_counts& counts, state::time_point now);
 
     /// Counts decayed to `now`.
@@ -33,6 +42,7 @@
 private:
     view counts_;
     state::time_point last_{};
+    double seconds_ = baseline_seconds;
 };
 
 /// Baseline from the better half of the upstreams: the worse half may be
--- a/include/oriolegrade/coordination/probe_budget.hpp
+++ b/include/oriolegrade/coordination/probe_budget.hpp
@@ -18,7 +18,7 @@
 /// Small services still get this many probes a second.
 inline constexpr double least_probe_rate = 4.0;
 /// Enough to settle a suspicion within about a second.
-inline constexpr double probe_burst = 20.0;
+inline constexpr double probe_burst = 40.0;
 
 /// Token bucket of probes.
 class probe_budget
--- a/src/coordination/health_collector.cpp
+++ b/src/coordination/health_collector.cpp
@@ -32,18 +32,19 @@
 constexpr double suspicious_bad_share = 0.5;
 constexpr double suspicious_ratio = 2.0;
 constexpr double least_host_requests = 4.0;
+/// What the ratios of this share of the upstreams exceed has a cause that they
+/// share, for example the onset of a load burst, before the baseline knows it.
+/// Below one half, so that half of a service may fail.
+constexpr double common_quantile = 0.4;
 /// Share of the threshold that failed probes may contribute.
-constexpr double probe_share = 0.45;
+constexpr double probe_share = 0.3;
 
-/// A suspicion is to be settled quickly; probes then are extra requests.
+/// A suspicion is to be settled quickly: one probe after the other.
 constexpr state::duration suspect_probe_interval =
-    std::chrono::milliseconds(50);
+    std::chrono::milliseconds(25);
 /// Probes without a suspicion, to know whether the endpoint tells the truth.
 constexpr state::duration quiet_probe_interval = std::chrono::seconds(10);
 
-/// Host under which the contributions of probes are kept.
-constexpr state::endpoint probe_host{};
-
 std::uint64_t hash_of(std::string_view text, std::uint64_t seed)
 {
     // FNV-1a, finished with a 64-bit mix so that all bits depend on all input.
@@ -212,6 +213,7 @@
                                 health_events& events)
 {
     up.recent[index_of(item.request)].add(item.counts, now);
+    up.recent_burst[index_of(item.request)].add(item.counts, now);
     switch (up.lifecycle.state()) {
     case upstream_state::in_service:
     case upstream_state::ramping:
@@ -246,19 +248,54 @@
     }
     up.evidence.add(item.counts);
     if (highest == 0) {
+        up.probes.reset();
         up.evidence = {};
     }
 }
 
-std::optional<health_event> health_collector::judge(upstream_record& up,
-                                                    state::time_point now)
+double health_collector::common_score(std::size_t signal,
+                                      std::size_t test) const
+{
+    std::vector<double> scores;
+    scores.reserve(upstreams_.size());
+    for (const auto& it : upstreams_) {
+        const auto state = it.lifecycle.state();
+        if (state == upstream_state::in_service ||
+            state == upstream_state::ramping) {
+            scores.push_back(it.tests[signal][test].score());
+        }
+    }
+    const auto rank = static_cast<std::size_t>(
+        static_cast<double>(scores.size() - 1) * common_quantile);
+    const auto it = scores.begin() + static_cast<std::ptrdiff_t>(rank);
+    std::nth_element(scores.begin(), it, scores.end());
+    return *it;
+}
+
+double health_collector::relative_score(const upstream_record& up) const
 {
-    double score = 0;
-    for (const auto& signal : up.tests) {
-        for (const auto& it : signal) {
-            score = std::max(score, it.score());
+    const auto errors = state::index_of(health_signal::errors);
+    double highest = 0;
+    for (std::size_t signal = 0; signal < signal_count; ++signal) {
+        for (std::size_t test = 0; test < test_count; ++test) {
+            double score = up.tests[signal][test].score();
+            if (signal == errors && test == class_count) {
+                score += std::min(up.probes.score(),
+                                  thresholds_.eject * probe_share);
+            }
+            if (score >= thresholds_.eject) {
+                score -= common_score(signal, test);
+            }
+            highest = std::max(highest, score);
         }
     }
+    return highest;
+}
+
+std::optional<health_event> health_collector::judge(upstream_record& up,
+                                                    state::time_point now)
+{
+    const double score = relative_score(up);
     if (score < thresholds_.eject) {
         return std::nullopt;
     }
@@ -288,6 +325,7 @@
         up.ejected_hosts = event->hosts;
         up.ejected_severity = severity_of(event->evidence);
         up.tests = {};
+        up.probes.reset();
         up.evidence = {};
         up.contributions.clear();
     }
@@ -371,11 +409,8 @@
     state::evidence_counts counts;
     ++counts[healthy ? evidence_kind::success : evidence_kind::failure];
     const auto errors = state::index_of(health_signal::errors);
-    const double ratio = log_likelihood_ratio(health_signal::errors, counts,
-                                              weights_of({})[errors]);
-    const double cap = thresholds_.eject * probe_share;
-    const double counted = up->contributions.add(probe_host, ratio, cap, now);
-    up->tests[errors][class_count].add(counted);
+    up->probes.add(log_likelihood_ratio(health_signal::errors, counts,
+                                        weights_of({})[errors]));
     report(judge(*up, now), *up, events);
     return events;
 }
@@ -394,13 +429,18 @@
 void health_collector::refresh_baseline(state::time_point now)
 {
     std::vector<recent_counts::view> views(upstreams_.size());
+    std::vector<recent_counts::view> burst_views(upstreams_.size());
     double judged = 0;
     for (std::size_t c = 0; c < class_count; ++c) {
         for (std::size_t n = 0; n < upstreams_.size(); ++n) {
             views[n] = upstreams_[n].recent[c].at(now);
+            burst_views[n] = upstreams_[n].recent_burst[c].at(now);
             judged += views[n].judged;
         }
-        weights_[c] = weights_of(baseline_of(views));
+        const auto slow = baseline_of(views);
+        const auto fast = baseline_of(burst_views);
+        weights_[c] = weights_of({std::max(slow.error_rate, fast.error_rate),
+                                  std::max(slow.slow_rate, fast.slow_rate)});
     }
     baseline_at_ = now;
     const auto count = std::max<std::size_t>(upstreams_.size(), 1);
--- a/src/coordination/host_contributions.cpp
+++ b/src/coordination/host_contributions.cpp
@@ -69,7 +69,7 @@
     const auto factor = static_cast<float>(std::exp(-age / decay_seconds));
     return static_cast<std::uint32_t>(
         std::count_if(entries_.begin(), entries_.end(), [&](const entry& it) {
-            return it.host.port != 0 && it.amount * factor >= noticeable;
+            return it.amount * factor >= noticeable;
         }));
 }
 
--- a/src/coordination/peer_statistics.cpp
+++ b/src/coordination/peer_statistics.cpp
@@ -57,7 +57,7 @@
     if (age <= 0) {
         return counts_;
     }
-    const double factor = std::exp(-age / baseline_seconds);
+    const double factor = std::exp(-age / seconds_);
     return {counts_.errors * factor, counts_.slow * factor,
             counts_.judged * factor};
 }
