Let probes settle suspicions and bound the test of detection

The ratio of probes is kept apart, so an endpoint that always says healthy cannot hide a failure, and may add at most 0.6 of the threshold.

--- a/src/coordination/health_collector.cpp
+++ b/src/coordination/health_collector.cpp
@@ -37,7 +37,7 @@
 /// Below one half, so that half of a service may fail.
 constexpr double common_quantile = 0.4;
 /// Share of the threshold that failed probes may contribute.
-constexpr double probe_share = 0.3;
+constexpr double probe_share = 0.6;
 
 /// A suspicion is to be settled quickly: one probe after the other.
 constexpr state::duration suspect_probe_interval =
--- a/src/coordination/peer_statistics.cpp
+++ b/src/coordination/peer_statistics.cpp
@@ -32,9 +32,9 @@
         sum.bad += samples[n].bad;
         sum.judged += samples[n].judged;
     }
-    // One standard error less, so that chance among few requests does not
+    // Two standard errors less, so that chance among few requests does not
     // hide a failing upstream.
-    return std::max(0.0, sum.bad - std::sqrt(sum.bad)) / sum.judged;
+    return std::max(0.0, sum.bad - 2 * std::sqrt(sum.bad)) / sum.judged;
 }
 
 } // namespace
