--- a/include/oriolegrade/coordination/health_collector.hpp
+++ b/include/oriolegrade/coordination/health_collector.hpp
@@ -87,11 +87,9 @@
         state::endpoint address;
         upstream_lifecycle lifecycle;
         std::array<std::array<sequential_test, test_count>, signal_count> tests;
-        std::array<recent_counts, class_count> recent;
-        std::array<recent_counts, class_count> recent_burst = {
-            recent_counts(burst_baseline_seconds),
-            recent_counts(burst_baseline_seconds),
-            recent_counts(burst_baseline_seconds)};
+        /// Over the two windows of the baseline, decayed at each refresh.
+        std::array<signal_counts, class_count> recent;
+        std::array<signal_counts, class_count> recent_burst;
         /// Ratio of the probes alone. An endpoint that always says healthy
         /// keeps it at zero and so hides nothing.
         sequential_test probes;
@@ -137,6 +135,7 @@
     double common_score(std::size_t signal, std::size_t test) const;
     double relative_score(const upstream_record& up) const;
     void refresh_baseline(state::time_point now);
+    void smooth_rate(double judged);
     void forget_silent_hosts(state::time_point now);
     bool suspected(const upstream_record& up) const;
     state::duration probe_interval_of(const upstream_record& up) const;
--- a/include/oriolegrade/coordination/peer_statistics.hpp
+++ b/include/oriolegrade/coordination/peer_statistics.hpp
@@ -17,37 +17,37 @@
 inline constexpr double baseline_seconds = 3.0;
 inline constexpr double burst_baseline_seconds = 0.5;
 
-/// Decaying counts of one upstream and class.
-class recent_counts
+/// Weighted counts of requests.
+struct signal_counts
 {
-public:
-    recent_counts() = default;
+    double errors = 0;
+    double slow = 0;
+    double judged = 0;
 
-    /// @param seconds time constant of the decay
-    explicit recent_counts(double seconds)
-        : seconds_(seconds)
-    {}
+    void add(const state::evidence_counts& counts);
+    void scale(double factor);
+};
 
-    void add(const state::evidence_counts& counts, state::time_point now);
+/// Factor by which counts decay in `passed`; 1 for a negative time.
+/// @param seconds time constant
+double decay_factor(state::duration passed, double seconds);
 
+/// Counts that decay by themselves with the time constant of the baseline.
+class recent_counts
+{
+public:
+    void add(const state::evidence_counts& counts, state::time_point now);
     /// Counts decayed to `now`.
-    struct view
-    {
-        double errors = 0;
-        double slow = 0;
-        double judged = 0;
-    };
-    view at(state::time_point now) const;
+    signal_counts at(state::time_point now) const;
 
 private:
-    view counts_;
+    signal_counts counts_;
     state::time_point last_{};
-    double seconds_ = baseline_seconds;
 };
 
 /// Baseline from the better half of the upstreams: the worse half may be
 /// failing without moving it, while a cause that all upstreams share does.
-peer_baseline baseline_of(const std::vector<recent_counts::view>& upstreams);
+peer_baseline baseline_of(const std::vector<signal_counts>& upstreams);
 
 } // namespace oriolegrade::coordination
 
--- a/src/coordination/health_collector.cpp
+++ b/src/coordination/health_collector.cpp
@@ -212,8 +212,8 @@
                                 upstream_record& up, state::time_point now,
                                 health_events& events)
 {
-    up.recent[index_of(item.request)].add(item.counts, now);
-    up.recent_burst[index_of(item.request)].add(item.counts, now);
+    up.recent[index_of(item.request)].add(item.counts);
+    up.recent_burst[index_of(item.request)].add(item.counts);
     switch (up.lifecycle.state()) {
     case upstream_state::in_service:
     case upstream_state::ramping:
@@ -428,21 +428,32 @@
 
 void health_collector::refresh_baseline(state::time_point now)
 {
-    std::vector<recent_counts::view> views(upstreams_.size());
-    std::vector<recent_counts::view> burst_views(upstreams_.size());
+    const auto passed = now - baseline_at_;
+    const double factor = decay_factor(passed, baseline_seconds);
+    const double burst_factor = decay_factor(passed, burst_baseline_seconds);
+    std::vector<signal_counts> counts(upstreams_.size());
+    std::vector<signal_counts> burst_counts(upstreams_.size());
     double judged = 0;
     for (std::size_t c = 0; c < class_count; ++c) {
         for (std::size_t n = 0; n < upstreams_.size(); ++n) {
-            views[n] = upstreams_[n].recent[c].at(now);
-            burst_views[n] = upstreams_[n].recent_burst[c].at(now);
-            judged += views[n].judged;
+            auto& up = upstreams_[n];
+            up.recent[c].scale(factor);
+            up.recent_burst[c].scale(burst_factor);
+            counts[n] = up.recent[c];
+            burst_counts[n] = up.recent_burst[c];
+            judged += counts[n].judged;
         }
-        const auto slow = baseline_of(views);
-        const auto fast = baseline_of(burst_views);
-        weights_[c] = weights_of({std::max(slow.error_rate, fast.error_rate),
-                                  std::max(slow.slow_rate, fast.slow_rate)});
+        const auto usual = baseline_of(counts);
+        const auto burst = baseline_of(burst_counts);
+        weights_[c] = weights_of({std::max(usual.error_rate, burst.error_rate),
+                                  std::max(usual.slow_rate, burst.slow_rate)});
     }
     baseline_at_ = now;
+    smooth_rate(judged);
+}
+
+void health_collector::smooth_rate(double judged)
+{
     const auto count = std::max<std::size_t>(upstreams_.size(), 1);
     const double rate = judged / baseline_seconds / static_cast<double>(count);
     upstream_rate_ += rate_smoothing * (rate - upstream_rate_);
--- a/src/coordination/peer_statistics.cpp
+++ b/src/coordination/peer_statistics.cpp
@@ -23,14 +23,15 @@
     if (samples.size() < 2) {
         return 0;
     }
-    std::sort(samples.begin(), samples.end(),
-              [](const sample& a, const sample& b) {
-                  return a.bad * b.judged < b.bad * a.judged;
-              });
+    const auto half = static_cast<std::ptrdiff_t>((samples.size() + 1) / 2);
+    std::nth_element(samples.begin(), samples.begin() + half - 1, samples.end(),
+                     [](const sample& a, const sample& b) {
+                         return a.bad * b.judged < b.bad * a.judged;
+                     });
     sample sum{0, 0};
-    for (std::size_t n = 0; n < (samples.size() + 1) / 2; ++n) {
-        sum.bad += samples[n].bad;
-        sum.judged += samples[n].judged;
+    for (auto it = samples.begin(); it != samples.begin() + half; ++it) {
+        sum.bad += it->bad;
+        sum.judged += it->judged;
     }
     // Two standard errors less, so that chance among few requests does not
     // hide a failing upstream.
@@ -39,30 +40,44 @@
 
 } // namespace
 
+void signal_counts::add(const state::evidence_counts& counts)
+{
+    using state::evidence_kind;
+    errors += counts[evidence_kind::failure];
+    errors += counts[evidence_kind::connect_failure];
+    slow += counts[evidence_kind::slow];
+    judged += static_cast<double>(counts.judged());
+}
+
+void signal_counts::scale(double factor)
+{
+    errors *= factor;
+    slow *= factor;
+    judged *= factor;
+}
+
+double decay_factor(state::duration passed, double seconds)
+{
+    const double age = std::chrono::duration<double>(passed).count();
+    return age > 0 ? std::exp(-age / seconds) : 1.0;
+}
+
 void recent_counts::add(const state::evidence_counts& counts,
                         state::time_point now)
 {
     counts_ = at(now);
-    last_ = now;
-    using state::evidence_kind;
-    counts_.errors += counts[evidence_kind::failure];
-    counts_.errors += counts[evidence_kind::connect_failure];
-    counts_.slow += counts[evidence_kind::slow];
-    counts_.judged += static_cast<double>(counts.judged());
+    last_ = std::max(last_, now);
+    counts_.add(counts);
 }
 
-recent_counts::view recent_counts::at(state::time_point now) const
+signal_counts recent_counts::at(state::time_point now) const
 {
-    const double age = std::chrono::duration<double>(now - last_).count();
-    if (age <= 0) {
-        return counts_;
-    }
-    const double factor = std::exp(-age / seconds_);
-    return {counts_.errors * factor, counts_.slow * factor,
-            counts_.judged * factor};
+    auto counts = counts_;
+    counts.scale(decay_factor(now - last_, baseline_seconds));
+    return counts;
 }
 
-peer_baseline baseline_of(const std::vector<recent_counts::view>& upstreams)
+peer_baseline baseline_of(const std::vector<signal_counts>& upstreams)
 {
     std::vector<sample> errors;
     std::vector<sample> slow;
