--- a/include/oriolegrade/state/health_profile.hpp
+++ b/include/oriolegrade/state/health_profile.hpp
@@ -27,7 +27,7 @@
 };
 
 /// Costs that the thresholds of ejection are derived from. Only their ratio
-/// matters. Both are above zero.
+/// matters. Both are above zero, in any common unit.
 struct health_costs
 {
     /// Cost of taking one healthy upstream out of service.
@@ -38,8 +38,11 @@
     bool operator==(const health_costs&) const = default;
 };
 
-/// Costs of each profile. Prairie Rest loses more by lost capacity than by
-/// waiting members; at Hanbit planners notice a slow answer at once.
+/// Costs of each profile, indexed by health_profile. A healthy upstream out of
+/// service costs prairie_rest as much as 20 s of late detection, since its
+/// members tolerate waiting but not lost capacity; hanbit half a second, since
+/// planners notice a slow answer at once. docs/measurements-detection.md shows
+/// what follows from them.
 inline constexpr std::array<health_costs, enum_size<health_profile>>
     profile_costs{health_costs{20.0, 1.0}, health_costs{1.0, 2.0}};
 
--- a/include/oriolegrade/state/record_type.hpp
+++ b/include/oriolegrade/state/record_type.hpp
@@ -14,6 +14,7 @@
 #include <array>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -67,6 +68,10 @@
     /// all upstreams' slots.
     std::uint32_t floor_slots = 0;
     health_costs costs;
+    /// Schema version 1 only, as published; floor_slots and costs follow
+    /// from them.
+    std::optional<std::uint32_t> floor_percent = std::nullopt;
+    std::optional<health_profile> profile = std::nullopt;
 
     bool operator==(const service_spec&) const = default;
 };
--- /dev/null
+++ b/src/transport/entry_worker.cpp
@@ -0,0 +1,186 @@
+// From a caller's connection to the request runner.
+
+#include <oriolegrade/transport/entry_worker.hpp>
+
+#include <oriolegrade/transport/disconnect_watch.hpp>
+#include <oriolegrade/transport/reply.hpp>
+
+#include <boost/beast/http/error.hpp>
+
+#include <algorithm>
+
+namespace oriolegrade::transport {
+
+namespace {
+
+using state::reply_reason;
+
+/// Targets for the load balancer's checks; no route can take them.
+constexpr std::string_view status_prefix = "/.oriolegrade/";
+constexpr std::string_view alive_target = "/.oriolegrade/healthz";
+constexpr std::string_view ready_target = "/.oriolegrade/readyz";
+
+std::optional<std::uint32_t> schema_of(const protocol::request_head& head)
+{
+    const auto text = head.fields.find(protocol::header_field::schema);
+    const auto n = text ? protocol::parse_number(*text) : std::nullopt;
+    return n ? std::optional(static_cast<std::uint32_t>(*n)) : std::nullopt;
+}
+
+std::string caller_of(const protocol::request_head& head, tcp_stream& stream)
+{
+    if (const auto name = head.fields.find(protocol::header_field::caller)) {
+        return std::string(*name);
+    }
+    error_code ec;
+    const auto peer = stream.socket().remote_endpoint(ec);
+    return ec ? std::string() : peer.address().to_string();
+}
+
+state::time_point deadline_of(const protocol::request_head& head,
+                              const state::route_spec& route)
+{
+    auto limit = route.deadline;
+    const auto text = head.fields.find(protocol::header_field::deadline_ms);
+    if (const auto n = text ? protocol::parse_number(*text) : std::nullopt) {
+        const auto cap = std::chrono::duration_cast<std::chrono::milliseconds>(
+            route.deadline);
+        const auto ms = std::min<std::uint64_t>(
+            *n, static_cast<std::uint64_t>(cap.count()));
+        limit = std::min<state::duration>(limit, std::chrono::milliseconds(ms));
+    }
+    return std::chrono::steady_clock::now() + limit;
+}
+
+} // namespace
+
+entry_worker::entry_worker(boost::asio::io_context& ioc, entry_shared& shared,
+                           once_shared& once)
+    : shared_(shared)
+    , limits_(shared.options.caller)
+    , runner_(ioc)
+    , once_path_(ioc, once, runner_)
+    , forward_(ioc, shared, once, runner_, shared.options.forward_listen)
+    , listener_(ioc, shared.options.caller_listen,
+                shared.options.max_connections,
+                [this](tcp_stream stream) { serve(std::move(stream)); })
+{}
+
+void entry_worker::serve(tcp_stream stream)
+{
+    const count_guard guard(shared_.caller_connections);
+    boost::beast::flat_buffer buffer;
+    while (serve_request(stream, buffer)) {
+    }
+    error_code ec;
+    stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+}
+
+bool entry_worker::serve_request(tcp_stream& stream,
+                                 boost::beast::flat_buffer& buffer)
+{
+    caller_request request(stream, buffer, limits_);
+    error_code ec;
+    request.wait_for_request(ec);
+    if (ec) {
+        return false;
+    }
+    const count_guard guard(shared_.requests_in_flight);
+    auto head = request.read_head(ec);
+    if (ec) {
+        if (const auto reason = reply_for(ec)) {
+            caller_answer answer(stream, limits_, 11, false, false);
+            send_reply(answer, *reason);
+        }
+        return false;
+    }
+    const bool keep = request.keep_alive() && !shared_.stopping;
+    caller_answer answer(stream, limits_, request.version(), request.is_head(),
+                         keep);
+    proxy(stream, std::move(head), request, answer);
+    if (!answer.finished()) {
+        // A reset shows the caller that the answer is incomplete even when
+        // it has no length.
+        stream.socket().set_option(boost::asio::socket_base::linger(true, 0),
+                                   ec);
+        stream.close();
+        return false;
+    }
+    return keep && request.done();
+}
+
+void entry_worker::reply_status(std::string_view target, caller_answer& answer)
+{
+    const bool ready = shared_.configured && !shared_.stopping;
+    protocol::answer_head head;
+    if (target == alive_target || (target == ready_target && ready)) {
+        head.status = 200;
+    } else {
+        head.status = target == ready_target ? 503 : 404;
+    }
+    head.framing.length = 0;
+    error_code ec;
+    answer.start(head, ec);
+    answer.finish(ec);
+}
+
+void entry_worker::proxy(tcp_stream& stream, protocol::request_head head,
+                         caller_request& request, caller_answer& answer)
+{
+    if (head.target.starts_with(status_prefix)) {
+        return reply_status(head.target, answer);
+    }
+    if (!shared_.configured) {
+        return send_reply(answer, reply_reason::not_ready);
+    }
+    const auto conf = shared_.configuration.read();
+    request_context context;
+    context.route =
+        conf->find_route(head.method, protocol::path_of(head.target));
+    if (!context.route) {
+        return send_reply(answer, reply_reason::no_route);
+    }
+    const auto& route = context.route_spec();
+    context.service = conf->find_service(route.service, schema_of(head));
+    if (!context.service) {
+        return send_reply(answer, reply_reason::no_service);
+    }
+    if (head.framing.length.value_or(0) > route.max_request_bytes) {
+        return send_reply(answer, reply_reason::too_large);
+    }
+    request.set_body_limit(route.max_request_bytes);
+    context.deadline = deadline_of(head, route);
+    context.caller = caller_of(head, stream);
+    context.head = std::move(head);
+    if (route.request == state::request_class::non_idempotent) {
+        once_path_.serve(context, request, answer);
+    } else {
+        proxy_idempotent(stream, context, request, answer);
+    }
+}
+
+void entry_worker::proxy_idempotent(tcp_stream& stream,
+                                    const request_context& context,
+                                    caller_request& request,
+                                    caller_answer& answer)
+{
+    std::optional<disconnect_watch> watch;
+    const auto arm = [&](std::function<void()> cancel) {
+        if (!context.head.has_body()) {
+            watch.emplace(stream, std::move(cancel));
+        }
+    };
+    const auto report = runner_.run(context, request, answer, arm);
+    watch.reset();
+    if (report.caller_error == boost::beast::http::error::body_limit &&
+        !answer.started()) {
+        const auto outcome = report.may_have_run ? state::run_outcome::unknown
+                                                 : state::run_outcome::not_run;
+        return send_reply(answer, reply_reason::too_large, outcome);
+    }
+    if (report.step == coordination::next_step::reply) {
+        send_reply(answer, report.reason);
+    }
+}
+
+} // namespace oriolegrade::transport
