--- a/bench/coordination/once_bench.cpp
+++ b/bench/coordination/once_bench.cpp
@@ -1,6 +1,6 @@
 // Costs of the at-most-once decisions: tokens, used table, claims per append.
 
-#include "../../test/fakes/fake_log.hpp"
+#include "../../test/fakes/fake_claim_log.hpp"
 
 #include <oriolegrade/coordination/claim_writer.hpp>
 #include <oriolegrade/coordination/token_authority.hpp>
@@ -87,9 +87,9 @@
 {
     const auto gap = std::chrono::nanoseconds(1s) / run.range(0);
     for (auto _ : run) {
-        fakes::fake_log log;
+        fakes::fake_claim_log log;
         std::vector<state::claim_batch> batches;
-        claim_writer<fakes::fake_log, fakes::numbering_codec> writer(
+        claim_writer<fakes::fake_claim_log, fakes::numbering_codec> writer(
             log, fakes::numbering_codec(batches), 0);
         std::uint64_t n = 0;
         for (auto now = start; now < start + 10s; now += gap) {
--- a/test/coordination/at_most_once_model_test.cpp
+++ b/test/coordination/at_most_once_model_test.cpp
@@ -2,7 +2,7 @@
 // to callers. Guards against double runs, false not-run answers and changed
 // replays in any order of messages, pauses, crashes and hand-overs.
 
-#include "fakes/fake_log.hpp"
+#include "fakes/fake_claim_log.hpp"
 
 #include <oriolegrade/coordination/incarnation_set.hpp>
 #include <oriolegrade/coordination/request_gate.hpp>
@@ -24,7 +24,7 @@
 using state::run_outcome;
 
 using writer_type =
-    coordination::claim_writer<fakes::fake_log, fakes::numbering_codec>;
+    coordination::claim_writer<fakes::fake_claim_log, fakes::numbering_codec>;
 
 constexpr auto token_lifetime = 20s;
 // Longer than any schedule: within it a key runs at most once.
@@ -124,18 +124,18 @@
         });
     }
 
-    fakes::append_fault pick_fault()
+    fakes::claim_append_fault pick_fault()
     {
         if (log_down_) {
-            return chance(50) ? fakes::append_fault::refuse
-                              : fakes::append_fault::lose_request;
+            return chance(50) ? fakes::claim_append_fault::refuse
+                              : fakes::claim_append_fault::lose_request;
         }
         const auto n = below(10);
-        return n < 5    ? fakes::append_fault::none
-               : n < 7  ? fakes::append_fault::lose_answer
-               : n == 7 ? fakes::append_fault::delay
-               : n == 8 ? fakes::append_fault::lose_request
-                        : fakes::append_fault::refuse;
+        return n < 5    ? fakes::claim_append_fault::none
+               : n < 7  ? fakes::claim_append_fault::lose_answer
+               : n == 7 ? fakes::claim_append_fault::delay
+               : n == 8 ? fakes::claim_append_fault::lose_request
+                        : fakes::claim_append_fault::refuse;
     }
 
     void boot(host& it)
@@ -436,7 +436,7 @@
     std::mt19937_64 random_;
     totals& sums_;
     state::time_point now_{std::chrono::hours(1)};
-    fakes::fake_log log_;
+    fakes::fake_claim_log log_;
     std::vector<state::claim_batch> batches_;
     std::array<host, 3> hosts_;
     std::array<request, 6> requests_;
