--- /dev/null
+++ b/include/oriolegrade/coordination/probe_budget.hpp
@@ -0,0 +1,56 @@
+// Budget of probes to a service, for the fleet as a whole: only the service's
+// collector orders probes.
+
+#ifndef ORIOLEGRADE_COORDINATION_PROBE_BUDGET_HPP
+#define ORIOLEGRADE_COORDINATION_PROBE_BUDGET_HPP
+
+#include <oriolegrade/state/time_type.hpp>
+
+#include <algorithm>
+#include <cstdint>
+
+namespace oriolegrade::coordination {
+
+/// Work that one probe causes at an upstream, in seconds of one slot.
+inline constexpr double probe_cost_seconds = 0.025;
+/// Share of a service's slots that probes may use.
+inline constexpr double probe_slot_share = 0.015;
+/// Small services still get this many probes a second.
+inline constexpr double least_probe_rate = 4.0;
+/// Enough to settle a suspicion within about a second.
+inline constexpr double probe_burst = 40.0;
+
+/// Token bucket of probes.
+class probe_budget
+{
+public:
+    /// @param slots slots of the whole service
+    void set_slots(std::uint64_t slots)
+    {
+        rate_ = std::max(least_probe_rate, static_cast<double>(slots) *
+                                               probe_slot_share /
+                                               probe_cost_seconds);
+    }
+    /// Takes one probe out of the budget; false when it is used up.
+    bool take(state::time_point now)
+    {
+        const auto passed = std::chrono::duration<double>(now - last_).count();
+        tokens_ =
+            std::min(probe_burst, tokens_ + std::max(passed, 0.0) * rate_);
+        last_ = now;
+        if (tokens_ < 1) {
+            return false;
+        }
+        tokens_ -= 1;
+        return true;
+    }
+
+private:
+    double rate_ = least_probe_rate;
+    double tokens_ = probe_burst;
+    state::time_point last_{};
+};
+
+} // namespace oriolegrade::coordination
+
+#endif
--- /dev/null
+++ b/include/oriolegrade/coordination/upstream_lifecycle.hpp
@@ -0,0 +1,98 @@
+// Way of one upstream out of service and back: ejected, probing, trial,
+// ramping, in service. Each failed return makes the next one harder.
+
+#ifndef ORIOLEGRADE_COORDINATION_UPSTREAM_LIFECYCLE_HPP
+#define ORIOLEGRADE_COORDINATION_UPSTREAM_LIFECYCLE_HPP
+
+#include <oriolegrade/coordination/health_event.hpp>
+#include <oriolegrade/state/evidence.hpp>
+#include <oriolegrade/state/time_type.hpp>
+#include <oriolegrade/state/upstream_state.hpp>
+
+#include <cstdint>
+#include <optional>
+
+namespace oriolegrade::coordination {
+
+/// Hold-down after the first ejection; doubles with each flap level.
+inline constexpr state::duration first_hold_down = std::chrono::seconds(2);
+inline constexpr std::uint32_t max_flap_level = 6;
+/// Time in service after which the flap level falls by one.
+inline constexpr state::duration flap_decay_time = std::chrono::minutes(2);
+/// Probes and trial requests needed at flap level 0.
+inline constexpr std::uint32_t first_probes_needed = 2;
+inline constexpr std::uint32_t first_trial_successes = 10;
+/// Rounds of failed probes after which the trial is entered all the same. A
+/// health endpoint that wrongly reports illness must not keep capacity out.
+inline constexpr std::uint32_t probe_rounds_before_trial = 5;
+/// A trial without any failure ends after this time even with few requests.
+inline constexpr state::duration longest_trial = std::chrono::seconds(60);
+inline constexpr state::duration probe_interval =
+    std::chrono::milliseconds(200);
+/// Cold caches fill during the ramp.
+inline constexpr state::duration ramp_time = std::chrono::seconds(10);
+inline constexpr int ramp_steps = 10;
+inline constexpr double trial_weight = 0.05;
+
+/// State machine of one upstream at its collector.
+class upstream_lifecycle
+{
+public:
+    state::upstream_state state() const
+    {
+        return state_;
+    }
+    /// Share of a healthy upstream's work, 0 to 1.
+    double weight(state::time_point now) const;
+    std::uint32_t flap_level() const
+    {
+        return flap_level_;
+    }
+
+    /// Takes the upstream out of service. Without effect when it is out.
+    std::optional<health_event> eject(state::time_point now);
+
+    /// True when no probe was started within `interval`.
+    bool probe_due(state::time_point now, state::duration interval) const;
+    void probe_started(state::time_point now);
+    /// Result of a probe. Ignored in other states than probing.
+    std::optional<health_event> probe_result(bool healthy,
+                                             state::time_point now);
+    /// Evidence gathered while on trial. Ignored in other states.
+    std::optional<health_event>
+    trial_result(const state::evidence_counts& counts, state::time_point now);
+
+    /// Moves on what only time decides: hold-down, ramp, decay.
+    std::optional<health_event> advance(state::time_point now);
+
+    std::optional<health_event> leave(state::time_point now);
+    /// A leaving upstream is back; it starts cold.
+    std::optional<health_event> rejoin(state::time_point now);
+
+private:
+    health_event enter(state::upstream_state next, health_event_kind kind,
+                       state::time_point now);
+    health_event eject_again(state::time_point now);
+    state::duration hold_down() const;
+    std::uint32_t trial_successes_needed() const
+    {
+        return first_trial_successes << flap_level_;
+    }
+
+    state::upstream_state state_ = state::upstream_state::in_service;
+    /// Begin of the present state.
+    state::time_point since_{};
+    state::time_point last_probe_{};
+    /// Last change of the flap level.
+    state::time_point level_since_{};
+    /// Ejections recently, less one; at most max_flap_level.
+    std::uint32_t flap_level_ = 0;
+    bool ejected_before_ = false;
+    std::uint32_t probes_passed_ = 0;
+    std::uint32_t probe_rounds_failed_ = 0;
+    state::evidence_counts trial_;
+};
+
+} // namespace oriolegrade::coordination
+
+#endif
--- /dev/null
+++ b/include/oriolegrade/state/evidence.hpp
@@ -0,0 +1,122 @@
+// Evidence about the health of upstreams: what hosts saw happen to the
+// requests they sent, counted per upstream and request class.
+
+#ifndef ORIOLEGRADE_STATE_EVIDENCE_HPP
+#define ORIOLEGRADE_STATE_EVIDENCE_HPP
+
+#include <oriolegrade/state/endpoint.hpp>
+#include <oriolegrade/state/enum_names.hpp>
+#include <oriolegrade/state/identifier.hpp>
+#include <oriolegrade/state/request_class.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace oriolegrade::state {
+
+enum class evidence_kind : std::uint8_t
+{
+    success,
+    /// Answered with a server error, cut short, or past the deadline.
+    failure,
+    /// Later than the class's high percentile, answered or still in flight.
+    slow,
+    /// Refused unrun because the upstream is full: a sign of load.
+    shed,
+    connect_failure,
+};
+
+template <>
+struct enum_names<evidence_kind>
+{
+    static constexpr std::array<std::string_view, 5> value{
+        "success", "failure", "slow", "shed", "connect_failure"};
+};
+
+/// Number of requests per kind of evidence.
+struct evidence_counts
+{
+    std::array<std::uint32_t, enum_size<evidence_kind>> values{};
+
+    std::uint32_t& operator[](evidence_kind kind)
+    {
+        return values[index_of(kind)];
+    }
+    std::uint32_t operator[](evidence_kind kind) const
+    {
+        return values[index_of(kind)];
+    }
+    /// Requests that say something about health: all but the shed ones.
+    std::uint64_t judged() const;
+    /// Adds `other`; each counter stays at its largest value.
+    void add(const evidence_counts& other);
+    bool empty() const;
+
+    bool operator==(const evidence_counts&) const = default;
+};
+
+/// Each request is counted once, at the first thing that is known about it: a
+/// request that became slow in flight is not counted again when it ends.
+struct evidence_item
+{
+    endpoint upstream;
+    request_class request = request_class::idempotent;
+    evidence_counts counts;
+
+    bool operator==(const evidence_item&) const = default;
+};
+
+/// Items that one batch may hold: 200 upstreams with 3 classes, with room.
+inline constexpr std::size_t max_evidence_items = 1024;
+
+/// Evidence of one host about one service since its previous batch.
+struct evidence_batch
+{
+    endpoint host;
+    std::string service;
+    std::uint32_t schema_version = 1;
+    /// Of the sending process; sequences of two incarnations are unrelated.
+    identifier incarnation;
+    /// Grows with each batch, so that a repeated batch is known.
+    std::uint64_t sequence = 0;
+    /// Most of the service looks unhealthy to this host alone; its evidence
+    /// then says more about the host than about the upstreams.
+    bool host_suspects_itself = false;
+    /// At most max_evidence_items.
+    std::vector<evidence_item> items;
+
+    bool operator==(const evidence_batch&) const = default;
+};
+
+/// Collects evidence between two batches in bounded memory.
+class evidence_buffer
+{
+public:
+    void add(const endpoint& upstream, request_class request,
+             evidence_kind kind);
+
+    bool empty() const
+    {
+        return items_.empty();
+    }
+    /// Requests not counted because the buffer was full.
+    std::uint64_t dropped() const
+    {
+        return dropped_;
+    }
+    /// Moves the items out and starts anew.
+    std::vector<evidence_item> take();
+
+private:
+    /// One item per upstream and class; at most max_evidence_items. Hosts see
+    /// a few upstreams in 100 ms, so a linear search is cheapest.
+    std::vector<evidence_item> items_;
+    std::uint64_t dropped_ = 0;
+};
+
+} // namespace oriolegrade::state
+
+#endif
--- a/include/oriolegrade/state/record_type.hpp
+++ b/include/oriolegrade/state/record_type.hpp
@@ -6,6 +6,7 @@
 
 #include <oriolegrade/state/endpoint.hpp>
 #include <oriolegrade/state/enum_names.hpp>
+#include <oriolegrade/state/health_profile.hpp>
 #include <oriolegrade/state/identifier.hpp>
 #include <oriolegrade/state/request_class.hpp>
 #include <oriolegrade/state/time_type.hpp>
@@ -58,39 +59,6 @@
     bool operator==(const upstream_spec&) const = default;
 };
 
-enum class health_profile : std::uint8_t
-{
-    prairie_rest,
-    hanbit,
-};
-
-template <>
-struct enum_names<health_profile>
-{
-    static constexpr std::array<std::string_view, 2> value{"prairie_rest",
-                                                           "hanbit"};
-};
-
-/// Costs that the thresholds of ejection are derived from. Only their ratio
-/// matters. Both are above zero, in any common unit.
-struct health_costs
-{
-    /// Cost of taking one healthy upstream out of service.
-    double false_ejection = 1.0;
-    /// Cost of one second in which a failing upstream receives work.
-    double detection_second = 1.0;
-
-    bool operator==(const health_costs&) const = default;
-};
-
-/// Costs of each profile, indexed by health_profile. A healthy upstream out
-/// of service costs prairie_rest as much as 100 s of late detection, since
-/// its members tolerate waiting but not lost capacity; hanbit 10 s.
-inline constexpr std::array<health_costs, 2> profile_costs{
-    health_costs{100.0, 1.0},
-    health_costs{10.0, 1.0},
-};
-
 /// A service with its upstreams, as one schema version describes it.
 struct service_spec
 {
--- /dev/null
+++ b/src/coordination/health_collector.cpp
@@ -0,0 +1,478 @@
+// Collector of one service.
+
+#include <oriolegrade/coordination/health_collector.hpp>
+
+#include <oriolegrade/state/service_check.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace oriolegrade::coordination {
+
+namespace {
+
+using state::evidence_kind;
+using state::upstream_state;
+
+constexpr std::size_t max_hosts = 4096;
+/// A host that sent nothing for this long no longer counts as a reporter.
+constexpr state::duration host_silence = std::chrono::seconds(30);
+constexpr state::duration baseline_interval = std::chrono::milliseconds(100);
+/// Assumed before a rate is known.
+constexpr double initial_rate = 50.0;
+constexpr double rate_smoothing = 0.01;
+/// Largest share of the threshold that one host contributes, so that at
+/// least three must agree; in a fleet of two or three hosts, two.
+constexpr double host_share = 0.45;
+constexpr double host_share_of_few = 0.6;
+constexpr std::size_t few_hosts = 4;
+constexpr std::uint32_t least_hosts = 2;
+/// A host is not believed while its recent requests to the whole service went
+/// bad this much more often than those of all hosts, and mostly so.
+constexpr double suspicious_bad_share = 0.5;
+constexpr double suspicious_ratio = 2.0;
+constexpr double least_host_requests = 4.0;
+/// What the ratios of this share of the upstreams exceed has a cause that they
+/// share, for example the onset of a load burst, before the baseline knows it.
+/// Below one half, so that half of a service may fail.
+constexpr double common_quantile = 0.4;
+/// Share of the threshold that failed probes may contribute.
+constexpr double probe_share = 0.3;
+
+/// A suspicion is to be settled quickly: one probe after the other.
+constexpr state::duration suspect_probe_interval =
+    std::chrono::milliseconds(25);
+/// Probes without a suspicion, to know whether the endpoint tells the truth.
+constexpr state::duration quiet_probe_interval = std::chrono::seconds(10);
+
+std::uint64_t hash_of(std::string_view text, std::uint64_t seed)
+{
+    // FNV-1a, finished with a 64-bit mix so that all bits depend on all input.
+    std::uint64_t n = 0xcbf29ce484222325 ^ seed;
+    for (const char c : text) {
+        n = (n ^ static_cast<unsigned char>(c)) * 0x100000001b3;
+    }
+    n = (n ^ (n >> 33U)) * 0xff51afd7ed558ccd;
+    n = (n ^ (n >> 33U)) * 0xc4ceb9fe1a85ec53;
+    return n ^ (n >> 33U);
+}
+
+std::array<request_weights, state::enum_size<health_signal>>
+weights_of(const peer_baseline& baseline)
+{
+    return {derive_weights(health_signal::errors, baseline),
+            derive_weights(health_signal::latency, baseline)};
+}
+
+double severity_of(const state::evidence_counts& counts)
+{
+    const auto judged = static_cast<double>(counts.judged());
+    const double bad = static_cast<double>(counts[evidence_kind::failure]) +
+                       counts[evidence_kind::connect_failure] +
+                       counts[evidence_kind::slow];
+    return judged > 0 ? bad / judged : 0;
+}
+
+} // namespace
+
+std::optional<state::endpoint>
+collector_of(std::string_view service, std::uint32_t schema_version,
+             const std::vector<state::endpoint>& hosts)
+{
+    std::optional<state::endpoint> best;
+    std::uint64_t most = 0;
+    for (const auto& it : hosts) {
+        const auto seed = (std::uint64_t{it.address} << 16U) + it.port +
+                          schema_version * 0x9e3779b97f4a7c15;
+        const auto n = hash_of(service, seed);
+        if (!best || n > most || (n == most && it < *best)) {
+            best = it;
+            most = n;
+        }
+    }
+    return best;
+}
+
+health_collector::health_collector(const state::service_spec& service)
+    : thresholds_(derive_thresholds(service.costs, initial_rate))
+    , upstream_rate_(initial_rate)
+{
+    weights_.fill(weights_of({}));
+    update(service);
+}
+
+void health_collector::update(const state::service_spec& service)
+{
+    std::vector<upstream_record> next;
+    next.reserve(service.upstreams.size());
+    for (const auto& it : service.upstreams) {
+        const auto* known = find(it.address);
+        next.push_back(known != nullptr ? *known : upstream_record());
+        next.back().address = it.address;
+    }
+    std::sort(next.begin(), next.end(),
+              [](const upstream_record& a, const upstream_record& b) {
+                  return a.address < b.address;
+              });
+    upstreams_ = std::move(next);
+    costs_ = service.costs;
+    thresholds_ = derive_thresholds(costs_, upstream_rate_);
+    budget_.set_slots(state::total_slots(service));
+    ++sequence_;
+}
+
+health_collector::upstream_record*
+health_collector::find(const state::endpoint& address)
+{
+    const auto it = std::lower_bound(
+        upstreams_.begin(), upstreams_.end(), address,
+        [](const upstream_record& a, const state::endpoint& b) {
+            return a.address < b;
+        });
+    return it != upstreams_.end() && it->address == address ? &*it : nullptr;
+}
+
+bool health_collector::accept_batch(const state::evidence_batch& batch,
+                                    state::time_point now)
+{
+    const auto it = hosts_.find(batch.host);
+    if (it == hosts_.end()) {
+        if (hosts_.size() >= max_hosts) {
+            return false;
+        }
+        hosts_[batch.host] = {batch.incarnation, batch.sequence, now, {}};
+        return !batch.host_suspects_itself;
+    }
+    if (batch.incarnation == it->second.incarnation &&
+        batch.sequence <= it->second.sequence) {
+        return false;
+    }
+    it->second.incarnation = batch.incarnation;
+    it->second.sequence = batch.sequence;
+    it->second.seen = now;
+    return !batch.host_suspects_itself;
+}
+
+bool health_collector::is_credible(const state::evidence_batch& batch,
+                                   state::time_point now)
+{
+    state::evidence_counts sum;
+    for (const auto& it : batch.items) {
+        sum.add(it.counts);
+    }
+    auto& own = hosts_[batch.host].recent;
+    own.add(sum, now);
+    fleet_.add(sum, now);
+    const auto host = own.at(now);
+    const auto fleet = fleet_.at(now);
+    if (host.judged < least_host_requests) {
+        return true;
+    }
+    const double host_bad = (host.errors + host.slow) / host.judged;
+    const double fleet_bad = (fleet.errors + fleet.slow) / fleet.judged;
+    return host_bad < suspicious_bad_share ||
+           host_bad < suspicious_ratio * fleet_bad;
+}
+
+void health_collector::forget_silent_hosts(state::time_point now)
+{
+    hosts_checked_ = now;
+    std::erase_if(hosts_, [&](const auto& it) {
+        return now - it.second.seen > host_silence;
+    });
+}
+
+double health_collector::host_cap() const
+{
+    const double share =
+        hosts_.size() < few_hosts ? host_share_of_few : host_share;
+    return thresholds_.eject * share;
+}
+
+health_events health_collector::add(const state::evidence_batch& batch,
+                                    state::time_point now)
+{
+    health_events events;
+    if (!accept_batch(batch, now) || !is_credible(batch, now)) {
+        return events;
+    }
+    if (now - baseline_at_ >= baseline_interval) {
+        refresh_baseline(now);
+    }
+    for (const auto& it : batch.items) {
+        if (auto* up = find(it.upstream)) {
+            add_item(batch.host, it, *up, now, events);
+        }
+    }
+    return events;
+}
+
+void health_collector::add_item(const state::endpoint& host,
+                                const state::evidence_item& item,
+                                upstream_record& up, state::time_point now,
+                                health_events& events)
+{
+    up.recent[index_of(item.request)].add(item.counts, now);
+    up.recent_burst[index_of(item.request)].add(item.counts, now);
+    switch (up.lifecycle.state()) {
+    case upstream_state::in_service:
+    case upstream_state::ramping:
+        add_ratios(host, item, up, now);
+        report(judge(up, now), up, events);
+        break;
+    case upstream_state::trial:
+        report(up.lifecycle.trial_result(item.counts, now), up, events);
+        break;
+    case upstream_state::probing:
+    case upstream_state::ejected:
+    case upstream_state::leaving:
+        // Answers to requests from before; they decide nothing any more.
+        break;
+    }
+}
+
+void health_collector::add_ratios(const state::endpoint& host,
+                                  const state::evidence_item& item,
+                                  upstream_record& up, state::time_point now)
+{
+    const auto index = index_of(item.request);
+    double highest = 0;
+    for (std::size_t n = 0; n < signal_count; ++n) {
+        const double ratio = log_likelihood_ratio(
+            static_cast<health_signal>(n), item.counts, weights_[index][n]);
+        const double counted =
+            up.contributions.add(host, ratio, host_cap(), now);
+        up.tests[n][index].add(counted);
+        up.tests[n][class_count].add(counted);
+        highest = std::max(highest, up.tests[n][class_count].score());
+    }
+    up.evidence.add(item.counts);
+    if (highest == 0) {
+        up.probes.reset();
+        up.evidence = {};
+    }
+}
+
+double health_collector::common_score(std::size_t signal,
+                                      std::size_t test) const
+{
+    std::vector<double> scores;
+    scores.reserve(upstreams_.size());
+    for (const auto& it : upstreams_) {
+        const auto state = it.lifecycle.state();
+        if (state == upstream_state::in_service ||
+            state == upstream_state::ramping) {
+            scores.push_back(it.tests[signal][test].score());
+        }
+    }
+    const auto rank = static_cast<std::size_t>(
+        static_cast<double>(scores.size() - 1) * common_quantile);
+    const auto it = scores.begin() + static_cast<std::ptrdiff_t>(rank);
+    std::nth_element(scores.begin(), it, scores.end());
+    return *it;
+}
+
+double health_collector::relative_score(const upstream_record& up) const
+{
+    const auto errors = state::index_of(health_signal::errors);
+    double highest = 0;
+    for (std::size_t signal = 0; signal < signal_count; ++signal) {
+        for (std::size_t test = 0; test < test_count; ++test) {
+            double score = up.tests[signal][test].score();
+            if (signal == errors && test == class_count) {
+                score += std::min(up.probes.score(),
+                                  thresholds_.eject * probe_share);
+            }
+            if (score >= thresholds_.eject) {
+                score -= common_score(signal, test);
+            }
+            highest = std::max(highest, score);
+        }
+    }
+    return highest;
+}
+
+std::optional<health_event> health_collector::judge(upstream_record& up,
+                                                    state::time_point now)
+{
+    const double score = relative_score(up);
+    if (score < thresholds_.eject) {
+        return std::nullopt;
+    }
+    const auto hosts = up.contributions.hosts(now);
+    if (hosts < least_hosts) {
+        return std::nullopt;
+    }
+    auto event = up.lifecycle.eject(now);
+    if (event) {
+        event->score = score;
+        event->threshold = thresholds_.eject;
+        event->hosts = hosts;
+        event->evidence = up.evidence;
+    }
+    return event;
+}
+
+void health_collector::report(std::optional<health_event> event,
+                              upstream_record& up, health_events& events)
+{
+    if (!event) {
+        return;
+    }
+    event->upstream = up.address;
+    if (event->kind == health_event_kind::ejected) {
+        up.ejected_score = event->score;
+        up.ejected_hosts = event->hosts;
+        up.ejected_severity = severity_of(event->evidence);
+        up.tests = {};
+        up.probes.reset();
+        up.evidence = {};
+        up.contributions.clear();
+    }
+    ++sequence_;
+    events.push_back(*event);
+}
+
+health_events health_collector::advance(state::time_point now)
+{
+    health_events events;
+    if (now - hosts_checked_ >= host_silence / 4) {
+        forget_silent_hosts(now);
+    }
+    for (auto& it : upstreams_) {
+        report(it.lifecycle.advance(now), it, events);
+        const double weight = it.lifecycle.weight(now);
+        if (weight != it.published_weight) {
+            it.published_weight = weight;
+            ++sequence_;
+        }
+    }
+    return events;
+}
+
+bool health_collector::suspected(const upstream_record& up) const
+{
+    const auto& tests = up.tests[state::index_of(health_signal::errors)];
+    return up.lifecycle.state() == upstream_state::in_service &&
+           tests[class_count].score() >= thresholds_.suspect;
+}
+
+state::duration
+health_collector::probe_interval_of(const upstream_record& up) const
+{
+    switch (up.lifecycle.state()) {
+    case upstream_state::probing:
+        return probe_interval;
+    case upstream_state::in_service:
+        return suspected(up) ? suspect_probe_interval : quiet_probe_interval;
+    default:
+        return state::duration::max();
+    }
+}
+
+std::vector<state::endpoint>
+health_collector::take_probes(state::time_point now)
+{
+    std::vector<state::endpoint> due;
+    const auto count = upstreams_.size();
+    for (std::size_t n = 0; n < count; ++n) {
+        auto& up = upstreams_[(next_probe_ + n) % count];
+        if (!up.lifecycle.probe_due(now, probe_interval_of(up))) {
+            continue;
+        }
+        if (!budget_.take(now)) {
+            next_probe_ = (next_probe_ + n) % count;
+            break;
+        }
+        up.lifecycle.probe_started(now);
+        due.push_back(up.address);
+    }
+    return due;
+}
+
+health_events health_collector::add_probe(const state::endpoint& upstream,
+                                          bool healthy, state::time_point now)
+{
+    health_events events;
+    auto* up = find(upstream);
+    if (up == nullptr) {
+        return events;
+    }
+    report(up->lifecycle.probe_result(healthy, now), *up, events);
+    if (!suspected(*up)) {
+        up->endpoint_credible = healthy;
+        return events;
+    }
+    if (!up->endpoint_credible) {
+        return events;
+    }
+    state::evidence_counts counts;
+    ++counts[healthy ? evidence_kind::success : evidence_kind::failure];
+    const auto errors = state::index_of(health_signal::errors);
+    up->probes.add(log_likelihood_ratio(health_signal::errors, counts,
+                                        weights_of({})[errors]));
+    report(judge(*up, now), *up, events);
+    return events;
+}
+
+health_events health_collector::set_leaving(const state::endpoint& upstream,
+                                            bool leaving, state::time_point now)
+{
+    health_events events;
+    if (auto* up = find(upstream)) {
+        report(leaving ? up->lifecycle.leave(now) : up->lifecycle.rejoin(now),
+               *up, events);
+    }
+    return events;
+}
+
+void health_collector::refresh_baseline(state::time_point now)
+{
+    std::vector<recent_counts::view> views(upstreams_.size());
+    std::vector<recent_counts::view> burst_views(upstreams_.size());
+    double judged = 0;
+    for (std::size_t c = 0; c < class_count; ++c) {
+        for (std::size_t n = 0; n < upstreams_.size(); ++n) {
+            views[n] = upstreams_[n].recent[c].at(now);
+            burst_views[n] = upstreams_[n].recent_burst[c].at(now);
+            judged += views[n].judged;
+        }
+        const auto slow = baseline_of(views);
+        const auto fast = baseline_of(burst_views);
+        weights_[c] = weights_of({std::max(slow.error_rate, fast.error_rate),
+                                  std::max(slow.slow_rate, fast.slow_rate)});
+    }
+    baseline_at_ = now;
+    const auto count = std::max<std::size_t>(upstreams_.size(), 1);
+    const double rate = judged / baseline_seconds / static_cast<double>(count);
+    upstream_rate_ += rate_smoothing * (rate - upstream_rate_);
+    thresholds_ = derive_thresholds(costs_, upstream_rate_);
+}
+
+state::verdict_set health_collector::verdicts(state::time_point now) const
+{
+    state::verdict_set set;
+    set.sequence = sequence_;
+    for (const auto& it : upstreams_) {
+        if (it.lifecycle.state() == upstream_state::in_service) {
+            continue;
+        }
+        if (set.verdicts.size() == state::max_verdicts) {
+            break;
+        }
+        set.verdicts.push_back({it.address, it.lifecycle.state(),
+                                it.lifecycle.weight(now), it.ejected_score,
+                                it.ejected_severity, it.ejected_hosts});
+    }
+    return set;
+}
+
+std::size_t health_collector::memory_bytes() const
+{
+    constexpr std::size_t host_bytes =
+        sizeof(state::endpoint) + sizeof(host_record) + 4 * sizeof(void*);
+    return sizeof(*this) + upstreams_.capacity() * sizeof(upstream_record) +
+           hosts_.size() * host_bytes;
+}
+
+} // namespace oriolegrade::coordination
--- /dev/null
+++ b/src/coordination/sequential_test.cpp
@@ -0,0 +1,93 @@
+// Ratios and thresholds of the sequential test.
+
+#include <oriolegrade/coordination/sequential_test.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace oriolegrade::coordination {
+
+namespace {
+
+using state::evidence_kind;
+
+/// Prior rate of faults of one upstream, per second: one a week.
+constexpr double fault_rate = 1.0 / (7 * 86400);
+/// Information per request of a gray upstream times the share of requests
+/// that start an excursion of the ratio; both from the Bernoulli model above.
+constexpr double excursion_factor = 0.01;
+/// Bounds that keep a threshold usable with extreme costs or rates.
+constexpr double least_threshold = 7.0;
+constexpr double largest_threshold = 40.0;
+/// Below this rate the threshold no longer falls: a few requests a second
+/// leave little to average over.
+constexpr double least_rate = 30.0;
+constexpr double largest_rate = 1000.0;
+/// One unexpected failure is enough to send a few probes.
+constexpr double suspect_share = 0.15;
+/// Keeps the logarithms finite when nearly everything fails everywhere.
+constexpr double largest_usual_rate = 0.95;
+
+/// Rate of a failing upstream when its peers have `usual`. The factor 3 keeps
+/// an upstream slightly above a high common rate from drifting upwards.
+double failing_rate(double usual, double gray)
+{
+    return std::clamp(3 * usual, gray, (1 + usual) / 2);
+}
+
+request_weights weights_of(double usual, double gray)
+{
+    const double failing = failing_rate(usual, gray);
+    const double bad = std::log(failing / usual);
+    return {bad, std::log((1 - failing) / (1 - usual)), bad};
+}
+
+} // namespace
+
+request_weights derive_weights(health_signal signal,
+                               const peer_baseline& baseline)
+{
+    if (signal == health_signal::latency) {
+        const double usual =
+            std::clamp(baseline.slow_rate, least_slow_rate, largest_usual_rate);
+        return weights_of(usual, gray_slow_rate);
+    }
+    const double usual =
+        std::clamp(baseline.error_rate, least_error_rate, largest_usual_rate);
+    auto weights = weights_of(usual, gray_error_rate);
+    weights.refused +=
+        std::log(std::max(usual / usual_connect_failure_rate, 1.0));
+    return weights;
+}
+
+double log_likelihood_ratio(health_signal signal,
+                            const state::evidence_counts& counts,
+                            const request_weights& weights)
+{
+    const double success = counts[evidence_kind::success];
+    const double slow = counts[evidence_kind::slow];
+    if (signal == health_signal::latency) {
+        // Failed requests carry no latency of a whole answer.
+        return slow * weights.bad + success * weights.good;
+    }
+    return counts[evidence_kind::failure] * weights.bad +
+           counts[evidence_kind::connect_failure] * weights.refused +
+           (success + slow) * weights.good;
+}
+
+// The cost per second of a threshold h is false_ejection * k * r * exp(-h)
+// for false ejections plus fault_rate * detection_second * h / (I * r) for
+// late detection, with r requests per second and information I per request.
+// Its minimum is at h = log(ratio of costs * k * I * r^2 / fault_rate).
+test_thresholds derive_thresholds(const state::health_costs& costs,
+                                  double requests_per_second)
+{
+    const double rate =
+        std::clamp(requests_per_second, least_rate, largest_rate);
+    const double h = std::log(costs.false_ejection / costs.detection_second *
+                              excursion_factor * rate * rate / fault_rate);
+    const double eject = std::clamp(h, least_threshold, largest_threshold);
+    return {eject, eject * suspect_share};
+}
+
+} // namespace oriolegrade::coordination
--- /dev/null
+++ b/test/coordination/leaving_set_test.cpp
@@ -0,0 +1,114 @@
+// Guards the three ways by which hosts learn that an upstream leaves.
+
+#include <oriolegrade/coordination/leaving_set.hpp>
+#include <oriolegrade/coordination/service_floor.hpp>
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace oriolegrade;
+using namespace std::chrono_literals;
+using coordination::leaving_set;
+using coordination::listed_state;
+
+constexpr state::endpoint server{0x0a010001, 8080};
+constexpr state::time_point start{1000s};
+constexpr unsigned host_count = 41;
+
+/// Time until no host picks the upstream any more. Hosts gossip every 500 ms
+/// to two others and read the list every second.
+template <class Notice>
+state::duration time_until_gone(const Notice& notice)
+{
+    std::vector<leaving_set> hosts(host_count);
+    unsigned draw = 1;
+    for (auto now = start;; now += 100ms) {
+        notice(hosts, now);
+        unsigned gone = 0;
+        for (unsigned n = 0; n < host_count; ++n) {
+            gone += hosts[n].contains(server) ? 1U : 0U;
+            if ((now - start) / 100ms % 5 != n % 5) {
+                continue;
+            }
+            for (const auto& it : hosts[n].to_gossip(now)) {
+                for (int peer = 0; peer < 2; ++peer) {
+                    draw = draw * 1103515245 + 12345;
+                    hosts[(draw >> 16U) % host_count].gossip(it, now);
+                }
+            }
+        }
+        if (gone == host_count || now - start > 60s) {
+            return now - start;
+        }
+    }
+}
+
+// Guards against a leaving upstream that hosts learn of only from the list.
+TEST(leaving_set, list_reaches_all_hosts_within_3_s)
+{
+    EXPECT_LE(time_until_gone([](auto& hosts, state::time_point now) {
+                  for (unsigned n = 0; n < host_count; ++n) {
+                      if ((now - start) / 100ms % 10 == n % 10) {
+                          hosts[n].list_says(server, listed_state::leaving,
+                                             now);
+                      }
+                  }
+              }),
+              3s);
+}
+
+// Guards against a drain signal that helps only the host that received it.
+TEST(leaving_set, drain_signal_at_one_host_reaches_all_within_3_s)
+{
+    EXPECT_LE(time_until_gone([](auto& hosts, state::time_point now) {
+                  if (now == start) {
+                      hosts[17].drain_signal(server, now);
+                  }
+                  for (auto& it : hosts) {
+                      it.list_says(server, listed_state::live, now);
+                  }
+              }),
+              3s);
+}
+
+// Guards against gossip from a peer outside of the fleet's view being lost.
+TEST(leaving_set, gossip_to_one_host_reaches_all_within_3_s)
+{
+    EXPECT_LE(time_until_gone([](auto& hosts, state::time_point now) {
+                  if (now == start) {
+                      hosts[3].gossip({server, 200ms}, now);
+                  }
+              }),
+              3s);
+}
+
+// Guards against a lagging list that brings a leaving upstream back, and
+// against late gossip that removes one that is back.
+TEST(leaving_set, lagging_list_brings_nothing_back)
+{
+    leaving_set set;
+    EXPECT_TRUE(set.drain_signal(server, start));
+    EXPECT_FALSE(set.list_says(server, listed_state::live, start + 20s));
+    EXPECT_TRUE(set.contains(server));
+    set.list_says(server, listed_state::absent, start + 30s);
+    const auto back = set.list_says(server, listed_state::live, start + 40s);
+    ASSERT_TRUE(back);
+    EXPECT_EQ(back->kind, coordination::health_event_kind::rejoined);
+    EXPECT_FALSE(set.gossip({server, 25s}, start + 45s));
+    EXPECT_FALSE(set.contains(server));
+    EXPECT_TRUE(set.gossip({server, 1s}, start + 45s));
+}
+
+// Guards against an upstream that stays out for ever after a drain that was
+// called off and that the list never showed.
+TEST(leaving_set, cancelled_drain_ends_after_the_lists_longest_lag)
+{
+    leaving_set set;
+    set.drain_signal(server, start);
+    EXPECT_TRUE(set.list_says(server, listed_state::live,
+                              start + coordination::list_lag_bound));
+    EXPECT_FALSE(set.contains(server));
+}
+
+} // namespace
