Pick upstreams from published tables in the request path

The entry chose an upstream at random and kept up to 8 idle connections per thread, so no load decision reached a request. The control thread now builds one pick table per service entry from the subset rule and the live hosts, shares unchanged tables and publishes all of them before the configuration that refers to them. Workers pick by two choices, count in flight, take load reports and adapt the concurrency limit; connections of all threads together keep to the upstream's budget. An attempt that finds no upstream after a failed one now replies with the reason of the failure instead of leaving the caller without a reply.

--- a/include/oriolegrade/transport/entry_feed.hpp
+++ b/include/oriolegrade/transport/entry_feed.hpp
@@ -5,6 +5,7 @@
 #define ORIOLEGRADE_TRANSPORT_ENTRY_FEED_HPP
 
 #include <oriolegrade/transport/entry_shared.hpp>
+#include <oriolegrade/transport/service_control.hpp>
 #include <oriolegrade/transport/stream_client.hpp>
 
 namespace oriolegrade::transport {
@@ -15,7 +16,8 @@
 {
 public:
     entry_feed(boost::asio::io_context& ioc, entry_shared& shared,
-               const state::endpoint& agent, const std::string& fleet_key);
+               service_control& services, const state::endpoint& agent,
+               const std::string& fleet_key);
 
     void follow();
 
@@ -26,6 +28,7 @@
     bool take(std::string_view bytes);
 
     entry_shared& shared_;
+    service_control& services_;
     stream_client client_;
     state::configuration_ptr content_;
 };
--- a/include/oriolegrade/transport/entry_peers.hpp
+++ b/include/oriolegrade/transport/entry_peers.hpp
@@ -5,6 +5,7 @@
 #define ORIOLEGRADE_TRANSPORT_ENTRY_PEERS_HPP
 
 #include <oriolegrade/transport/once_shared.hpp>
+#include <oriolegrade/transport/service_control.hpp>
 #include <oriolegrade/transport/stream_client.hpp>
 
 #include <optional>
@@ -18,7 +19,7 @@
 {
 public:
     entry_peers(boost::asio::io_context& ioc, once_shared& once,
-                const state::endpoint& agent);
+                service_control& services, const state::endpoint& agent);
 
     /// Follows the agent for ever; reconnects when it goes away.
     void follow();
@@ -30,6 +31,7 @@
     void read_updates();
 
     once_shared& once_;
+    service_control& services_;
     stream_client client_;
     std::optional<client_stream> stream_;
 };
--- a/include/oriolegrade/transport/entry_shared.hpp
+++ b/include/oriolegrade/transport/entry_shared.hpp
@@ -6,6 +6,7 @@
 #include <oriolegrade/state/configuration.hpp>
 #include <oriolegrade/state/rcu_cell.hpp>
 #include <oriolegrade/transport/caller_stream.hpp>
+#include <oriolegrade/transport/service_table.hpp>
 
 #include <atomic>
 #include <cstdint>
@@ -31,10 +32,12 @@
     explicit entry_shared(const entry_options& options_in)
         : options(options_in)
         , configuration(std::make_shared<const state::configuration>())
+        , services(std::make_shared<const service_table_set>())
     {}
 
     const entry_options options;
     state::rcu_cell<state::configuration> configuration;
+    state::rcu_cell<service_table_set> services;
     /// A configuration has arrived since the start.
     std::atomic<bool> configured{false};
     /// The process is stopping: readiness is false and connections close
--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -36,7 +36,11 @@
     /// left.
     {
         c.next()
-        } -> std::same_as<std::optional<state::endpoint>>;
+        } -> std::same_as<std::optional<chosen_upstream>>;
+    /// Reply when next() found none for the first attempt.
+    {
+        c.refusal()
+        } -> std::same_as<state::reply_reason>;
     /// True when another upstream and the retry budget are left.
     {
         c.may_retry()
@@ -81,15 +85,22 @@
             report.step = coordination::next_step::abort;
             return report;
         }
+        auto last = state::attempt_result::not_sent;
         while (report.step != coordination::next_step::done &&
                report.step != coordination::next_step::abort) {
             const auto upstream = choice_.next();
             if (!upstream) {
+                // After an attempt, its reason tells the caller more.
+                report.reason = report.attempts == 0
+                                    ? choice_.refusal()
+                                    : decide(last, route_.max_attempts).reason;
+                report.step = coordination::next_step::reply;
                 return report;
             }
             const auto began = std::chrono::steady_clock::now();
             answer_head_.reset();
             const auto result = attempt(head, *upstream, report);
+            last = result;
             ++report.attempts;
             choice_.ended(result, answer_head_ ? &*answer_head_ : nullptr,
                           std::chrono::steady_clock::now() - began);
@@ -135,8 +146,8 @@
         facts.max_attempts = route_.max_attempts;
         facts.answer_started = answer_started_;
         facts.body_replayable = body_.replayable();
-        const bool more =
-            result != state::attempt_result::answered && choice_.may_retry();
+        const bool more = result != state::attempt_result::answered &&
+                          attempts < route_.max_attempts && choice_.may_retry();
         facts.budget_left = more;
         facts.upstream_left = more;
         return coordination::decide_next(facts);
@@ -160,7 +171,7 @@
     }
 
     state::attempt_result attempt(const protocol::request_head& head,
-                                  const state::endpoint& upstream,
+                                  const chosen_upstream& upstream,
                                   run_report& report)
     {
         if (past_deadline()) {
--- a/include/oriolegrade/transport/upstream_connection.hpp
+++ b/include/oriolegrade/transport/upstream_connection.hpp
@@ -6,6 +6,7 @@
 
 #include <oriolegrade/protocol/http_head.hpp>
 #include <oriolegrade/state/time_type.hpp>
+#include <oriolegrade/transport/connection_lease.hpp>
 #include <oriolegrade/transport/tcp.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -64,6 +65,12 @@
     /// Time since when the connection is idle; kept by the pool.
     state::time_point idle_since{};
 
+    /// Counts the connection against the upstream's budget; kept by the
+    /// pool.
+    connection_lease lease;
+    /// Connections that the process may keep open to the upstream.
+    std::uint32_t max_connections = 1;
+
 private:
     struct exchange;
 
--- a/include/oriolegrade/transport/upstream_pool.hpp
+++ b/include/oriolegrade/transport/upstream_pool.hpp
@@ -28,15 +28,15 @@
 public:
     using connection_ptr = std::unique_ptr<upstream_connection>;
 
-    /// @param max_idle idle connections kept per upstream
-    upstream_pool(boost::asio::io_context& ioc, std::size_t max_idle);
+    explicit upstream_pool(boost::asio::io_context& ioc);
 
     /// Idle connection, or a new one that is connected before the deadline.
     /// Null with `ec` set when the connect fails.
-    connection_ptr acquire(const state::endpoint& upstream, reuse_policy policy,
+    connection_ptr acquire(const chosen_upstream& upstream, reuse_policy policy,
                            state::time_point deadline, error_code& ec);
 
-    /// Gives a connection back. It is kept when it may be used again.
+    /// Gives a connection back. It is kept when it may be used again and
+    /// the pools of all threads together keep to the upstream's budget.
     void release(connection_ptr connection);
 
     /// Closes connections that were idle for too long.
@@ -49,7 +49,6 @@
                              reuse_policy policy, state::time_point now);
 
     boost::asio::io_context& ioc_;
-    std::size_t max_idle_;
     /// Per upstream; the most recently used connection is last.
     std::unordered_map<state::endpoint, std::vector<connection_ptr>,
                        state::endpoint_hash>
--- a/src/programs/oriole-entry/main.cpp
+++ b/src/programs/oriole-entry/main.cpp
@@ -75,8 +75,11 @@
                                 std::chrono::steady_clock::now());
     transport::claim_service claims(ioc, once, settings.platform);
     connect_claims(once, claims);
-    transport::entry_feed feed(ioc, shared, settings.agent, settings.fleet_key);
-    transport::entry_peers peers(ioc, once, settings.agent);
+    transport::service_control services(shared,
+                                        {settings.name, settings.data_centre});
+    transport::entry_feed feed(ioc, shared, services, settings.agent,
+                               settings.fleet_key);
+    transport::entry_peers peers(ioc, once, services, settings.agent);
     once.on_incarnations_changed = [&] {
         boost::asio::post(ioc, [&peers] { peers.announce(); });
     };
--- a/src/transport/entry_feed.cpp
+++ b/src/transport/entry_feed.cpp
@@ -20,9 +20,10 @@
 } // namespace
 
 entry_feed::entry_feed(boost::asio::io_context& ioc, entry_shared& shared,
-                       const state::endpoint& agent,
+                       service_control& services, const state::endpoint& agent,
                        const std::string& fleet_key)
     : shared_(shared)
+    , services_(services)
     , client_(ioc, agent, fleet_key, stream_limits())
     , content_(shared.configuration.read())
 {}
@@ -74,6 +75,7 @@
         return false;
     }
     if (result == coordination::feed_result::applied) {
+        services_.take_configuration(*content_);
         shared_.configuration.publish(content_);
         event(log_level::info, "configuration_in_force")
             .with("next_offset", content_->next_offset())
--- a/src/transport/entry_peers.cpp
+++ b/src/transport/entry_peers.cpp
@@ -18,8 +18,10 @@
 } // namespace
 
 entry_peers::entry_peers(boost::asio::io_context& ioc, once_shared& once,
+                         service_control& services,
                          const state::endpoint& agent)
     : once_(once)
+    , services_(services)
     , client_(ioc, agent, once.fleet_key, stream_limits())
 {}
 
@@ -69,8 +71,10 @@
                 .with("findings", peers.error().to_text("peers"));
             return;
         }
-        once_.peers.publish(std::make_shared<const state::peer_directory>(
-            std::move(peers.value())));
+        const auto directory = std::make_shared<const state::peer_directory>(
+            std::move(peers.value()));
+        once_.peers.publish(directory);
+        services_.take_peers(*directory);
     }
 }
 
--- a/src/transport/entry_worker.cpp
+++ b/src/transport/entry_worker.cpp
@@ -58,7 +58,7 @@
                            once_shared& once)
     : shared_(shared)
     , limits_(shared.options.caller)
-    , runner_(ioc)
+    , runner_(ioc, shared)
     , once_path_(ioc, once, runner_)
     , forward_(ioc, shared, once, runner_, shared.options.forward_listen)
     , listener_(ioc, shared.options.caller_listen,
--- /dev/null
+++ b/src/transport/service_control.cpp
@@ -0,0 +1,135 @@
+// Construction and publication of service tables.
+
+#include <oriolegrade/transport/service_control.hpp>
+
+#include <oriolegrade/transport/event_log.hpp>
+
+#include <algorithm>
+
+namespace oriolegrade::transport {
+
+namespace {
+
+constexpr coordination::subset_options subset_rule;
+
+bool same_hosts(const std::vector<coordination::subset_host>& a,
+                const std::vector<coordination::subset_host>& b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](const auto& x, const auto& y) {
+                          return x.name == y.name &&
+                                 x.data_centre == y.data_centre;
+                      });
+}
+
+} // namespace
+
+service_control::service_control(entry_shared& shared,
+                                 coordination::subset_host host)
+    : shared_(shared)
+    , host_(std::move(host))
+    , hosts_{host_}
+{}
+
+void service_control::take_configuration(const state::configuration& conf)
+{
+    bool changed = false;
+    conf.for_each([&](const state::entry_ptr& entry) {
+        if (entry->key.kind != state::record_kind::service) {
+            return;
+        }
+        auto& it = services_[entry->key];
+        if (it.entry == entry) {
+            return;
+        }
+        it.entry = entry;
+        if (!it.controls) {
+            it.controls = std::make_shared<service_controls>(entry->key);
+        }
+        assign(it);
+        build(it);
+        changed = true;
+    });
+    if (changed) {
+        publish();
+        prune();
+    }
+}
+
+void service_control::take_peers(const state::peer_directory& peers)
+{
+    std::vector<coordination::subset_host> hosts{host_};
+    for (const auto& it : peers.peers()) {
+        if (!it.leaving && it.name != host_.name) {
+            hosts.push_back({it.name, it.data_centre});
+        }
+    }
+    std::sort(hosts.begin(), hosts.end(),
+              [](const auto& a, const auto& b) { return a.name < b.name; });
+    if (same_hosts(hosts, hosts_)) {
+        return;
+    }
+    hosts_ = std::move(hosts);
+    own_index_ = static_cast<std::size_t>(
+        std::find_if(hosts_.begin(), hosts_.end(),
+                     [&](const auto& h) { return h.name == host_.name; }) -
+        hosts_.begin());
+    for (auto& [key, it] : services_) {
+        assign(it);
+        build(it);
+    }
+    publish();
+    prune();
+}
+
+void service_control::assign(service& it)
+{
+    it.assignment = coordination::assign_subsets(
+        std::get<state::service_spec>(it.entry->body), hosts_, subset_rule);
+}
+
+void service_control::build(service& it)
+{
+    const auto& spec = std::get<state::service_spec>(it.entry->body);
+    const auto members = coordination::subset_of_host(
+        spec, hosts_, it.assignment, own_index_, it.standings, subset_rule);
+    auto table = std::make_shared<service_table>();
+    table->picks =
+        state::build_pick_table(spec, it.standings, members, loads_,
+                                it.table ? it.table->picks.get() : nullptr);
+    for (const auto& candidate : table->picks->candidates) {
+        table->upstreams.push_back(controls_of(candidate.address));
+    }
+    table->controls = it.controls;
+    it.table = std::move(table);
+}
+
+void service_control::publish()
+{
+    auto set = std::make_shared<service_table_set>();
+    for (const auto& [key, it] : services_) {
+        set->put(key, it.table);
+    }
+    shared_.services.publish(std::move(set));
+}
+
+upstream_controls_ptr
+service_control::controls_of(const state::endpoint& upstream)
+{
+    auto& known = controls_[upstream];
+    auto it = known.lock();
+    if (!it) {
+        it = std::make_shared<upstream_controls>();
+        known = it;
+    }
+    return it;
+}
+
+void service_control::prune()
+{
+    loads_.prune();
+    std::erase_if(controls_,
+                  [](const auto& it) { return it.second.expired(); });
+}
+
+} // namespace oriolegrade::transport
--- /dev/null
+++ b/src/transport/table_choice.cpp
@@ -0,0 +1,137 @@
+// Picks, and what attempts teach.
+
+#include <oriolegrade/transport/table_choice.hpp>
+
+#include <chrono>
+
+namespace oriolegrade::transport {
+
+namespace {
+
+using coordination::pick_refusal;
+using state::attempt_result;
+
+/// Reports larger than this are a fault of the upstream.
+constexpr std::uint64_t max_reported_slots = 1U << 16U;
+
+/// Attempts of other threads may take the last place between pick and
+/// try_begin().
+constexpr int pick_tries = 3;
+
+} // namespace
+
+std::optional<std::uint32_t> slots_in_use(std::string_view report)
+{
+    const auto slash = report.find('/');
+    if (slash == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto in_use = protocol::parse_number(report.substr(0, slash));
+    const auto slots = protocol::parse_number(report.substr(slash + 1));
+    if (!in_use || !slots || *in_use > max_reported_slots) {
+        return std::nullopt;
+    }
+    return static_cast<std::uint32_t>(*in_use);
+}
+
+table_choice::table_choice(service_table_ptr table,
+                           const state::route_spec& route,
+                           thread_random& random)
+    : table_(std::move(table))
+    , route_(route)
+    , random_(random)
+{
+    if (table_) {
+        table_->controls->budget.deposit();
+    }
+}
+
+table_choice::~table_choice()
+{
+    if (current_) {
+        table_->picks->candidates[current_->index].load->end();
+    }
+}
+
+coordination::pick_result table_choice::pick()
+{
+    constexpr coordination::two_choices_picker picker{};
+    const coordination::pick_request request{
+        route_.request != state::request_class::non_idempotent, tried_};
+    return picker.pick(*table_->picks, request, random_,
+                       std::chrono::steady_clock::now());
+}
+
+std::optional<chosen_upstream> table_choice::next()
+{
+    if (!table_) {
+        return std::nullopt;
+    }
+    for (int i = 0; i < pick_tries; ++i) {
+        const auto picked = pick();
+        if (!picked) {
+            refusal_ = picked.error() == pick_refusal::over_limit
+                           ? state::reply_reason::shed
+                           : state::reply_reason::no_upstream;
+            return std::nullopt;
+        }
+        const auto index = picked.value().index;
+        const auto& it = table_->picks->candidates[index];
+        if (it.load->try_begin()) {
+            current_ = picked.value();
+            tried_.push_back(it.address);
+            return chosen_upstream{it.address, it.max_connections,
+                                   table_->upstreams[index]};
+        }
+    }
+    refusal_ = state::reply_reason::shed;
+    return std::nullopt;
+}
+
+bool table_choice::may_retry()
+{
+    if (!table_ || tried_.size() >= table_->picks->candidates.size()) {
+        return false;
+    }
+    const auto kind = last_result_ == attempt_result::shed
+                          ? coordination::attempt_kind::redirect
+                          : coordination::attempt_kind::retry;
+    return table_->controls->budget.try_take(kind).has_value();
+}
+
+void table_choice::ended(attempt_result result,
+                         const protocol::answer_head* head,
+                         state::duration took)
+{
+    last_result_ = result;
+    if (!current_) {
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    const auto& it = table_->picks->candidates[current_->index];
+    auto& controls = *table_->upstreams[current_->index];
+    if (head != nullptr) {
+        take_report(*head, now);
+    }
+    if (result == attempt_result::answered) {
+        controls.limit.on_answer(*it.load, took, now);
+        it.load->latency().add(took);
+        table_->picks->service->latency.add(took);
+        table_->picks->service->trust.add(current_->guided, took);
+    } else if (result == attempt_result::shed) {
+        controls.limit.on_shed(*it.load, now);
+    }
+    it.load->end();
+    current_.reset();
+}
+
+void table_choice::take_report(const protocol::answer_head& head,
+                               state::time_point now)
+{
+    const auto text = head.fields.find(protocol::header_field::load);
+    if (const auto n = text ? slots_in_use(*text) : std::nullopt) {
+        table_->picks->candidates[current_->index].load->set_report(*n, now);
+    }
+}
+
+} // namespace oriolegrade::transport
--- a/src/transport/upstream_pool.cpp
+++ b/src/transport/upstream_pool.cpp
@@ -15,9 +15,8 @@
 
 } // namespace
 
-upstream_pool::upstream_pool(boost::asio::io_context& ioc, std::size_t max_idle)
+upstream_pool::upstream_pool(boost::asio::io_context& ioc)
     : ioc_(ioc)
-    , max_idle_(max_idle)
 {}
 
 upstream_pool::connection_ptr
@@ -43,24 +42,28 @@
 }
 
 upstream_pool::connection_ptr
-upstream_pool::acquire(const state::endpoint& upstream, reuse_policy policy,
+upstream_pool::acquire(const chosen_upstream& upstream, reuse_policy policy,
                        state::time_point deadline, error_code& ec)
 {
-    if (auto it =
-            take_idle(upstream, policy, std::chrono::steady_clock::now())) {
+    if (auto it = take_idle(upstream.address, policy,
+                            std::chrono::steady_clock::now())) {
+        it->max_connections = upstream.max_connections;
         return it;
     }
-    auto fresh = std::make_unique<upstream_connection>(ioc_, upstream);
+    auto fresh = std::make_unique<upstream_connection>(ioc_, upstream.address);
+    fresh->lease = connection_lease(upstream.controls);
+    fresh->max_connections = upstream.max_connections;
     fresh->connect(deadline, ec);
     return ec ? nullptr : std::move(fresh);
 }
 
 void upstream_pool::release(connection_ptr connection)
 {
-    auto& list = idle_[connection->address()];
-    if (!connection->reusable() || list.size() >= max_idle_) {
+    if (!connection->reusable() ||
+        !connection->lease.within(connection->max_connections)) {
         return;
     }
+    auto& list = idle_[connection->address()];
     connection->idle_since = std::chrono::steady_clock::now();
     list.push_back(std::move(connection));
 }
--- a/test/fakes/request_path.hpp
+++ b/test/fakes/request_path.hpp
@@ -6,6 +6,7 @@
 #include <oriolegrade/state/configuration.hpp>
 #include <oriolegrade/transport/entry_shared.hpp>
 #include <oriolegrade/transport/fiber_yield.hpp>
+#include <oriolegrade/transport/service_control.hpp>
 #include <oriolegrade/transport/tcp.hpp>
 
 #include <boost/asio/write.hpp>
@@ -65,7 +66,12 @@
 
     answer_type get(const std::string& target)
     {
-        send("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
+        // Appended in steps: GCC 12 warns falsely about the moved temporary of
+        // one expression.
+        std::string text = "GET ";
+        text += target;
+        text += " HTTP/1.1\r\nHost: x\r\n\r\n";
+        send(text);
         return receive();
     }
 
@@ -119,6 +125,24 @@
     return route;
 }
 
+/// Puts a configuration in force as the control thread of a process does.
+inline void put_in_force(transport::entry_shared& shared,
+                         transport::service_control& control,
+                         const state::configuration& conf)
+{
+    control.take_configuration(conf);
+    shared.configuration.publish(
+        std::make_shared<const state::configuration>(conf));
+    shared.configured = true;
+}
+
+inline void put_in_force(transport::entry_shared& shared,
+                         const state::configuration& conf)
+{
+    transport::service_control control(shared, {"host", "dc1"});
+    put_in_force(shared, control, conf);
+}
+
 inline transport::entry_options test_options()
 {
     transport::entry_options options;
--- a/test/transport/entry_worker_test.cpp
+++ b/test/transport/entry_worker_test.cpp
@@ -52,9 +52,7 @@
         conf.put(make_entry(
             state::record_kind::route, "book",
             make_route("/book", "POST", state::request_class::non_idempotent)));
-        shared.configuration.publish(
-            std::make_shared<const state::configuration>(conf));
-        shared.configured = true;
+        test::put_in_force(shared, conf);
     }
 
     /// Puts the same step on both upstreams, whichever is chosen.
--- a/test/transport/once_path_test.cpp
+++ b/test/transport/once_path_test.cpp
@@ -96,9 +96,7 @@
         conf.put(test::make_entry(state::record_kind::service, "s", service));
         conf.put(test::make_entry(state::record_kind::route, "book", route));
         for (auto* it : {&a, &b}) {
-            it->shared.configuration.publish(
-                std::make_shared<const state::configuration>(conf));
-            it->shared.configured = true;
+            test::put_in_force(it->shared, conf);
         }
         publish_peers({a.peer(), b.peer()});
     }
