Apply limits, evidence and health standings in the entry process

Requests met no limit of workspaces or callers, and attempts left no trace for the health decisions. Admission now refuses with 429, Retry-After and the outcome that a token or key allows. Each attempt's end gives one kind of evidence; attempts that hang count as slow before their deadline. The demo's callers share one address, so its settings raise the caller limit.

--- /dev/null
+++ b/bench/request_path.py
@@ -0,0 +1,135 @@
+#!/usr/bin/env python3
+"""Measures what one entry host adds to requests, and what it costs.
+
+usage: request_path.py BUILD [OUT.json]
+One platform, one agent, one entry with 2 threads and a set of stand-in
+upstreams; the load goes to the stand-ins directly and through the entry in
+one run. Exits with 1 when a target of the design page is missed.
+"""
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "demo"))
+import fleet as f  # noqa: E402
+
+UPSTREAMS = 8
+SLOTS = 64
+SERVICE_MS = 1
+IDLE_CONNECTIONS = 1000
+ADDED_P99_MS = 2.9
+HIGHEST_RATE = 10000
+IDLE_CPU_PERCENT = 0.5
+
+RECORDS = [
+    {"kind": "service", "name": "bench", "schema_version": 1,
+     "base_revision": 0,
+     "body": {"upstreams": [], "floor_percent": 50,
+              "health_profile": "hanbit"}},
+    {"kind": "route", "name": "bench", "schema_version": 1,
+     "base_revision": 0,
+     "body": {"path_prefix": "/", "methods": ["GET"], "service": "bench",
+              "request_class": "idempotent", "deadline_ms": 5000,
+              "max_request_bytes": 65536, "max_response_bytes": 1048576,
+              "max_attempts": 2, "hedge": False, "priority": "normal"}},
+]
+
+
+def start(build):
+    fleet = f.Fleet(build)
+    fleet.start_platform()
+    fleet.start_upstreams(
+        [f.Service("bench", UPSTREAMS, SLOTS, 400, SERVICE_MS)])
+    fleet.plan_hosts(1, 1)
+    fleet.list_hosts()
+    host = fleet.hosts[0]
+    fleet.start_host(host)
+    fleet.wait_ready(host)
+    template = fleet.folder / "bench-records.json"
+    template.write_text(json.dumps(RECORDS))
+    path = fleet.records_file(template)
+    done = fleet.oriolectl(host, "publish", str(path))
+    if done.returncode != 0:
+        raise RuntimeError(done.stdout + done.stderr)
+    f.wait_for(lambda: f.call(host.at(f.CALLER_PORT), "/?bytes=64")[0] == 200,
+               "the first answer")
+    return fleet, host
+
+
+def load(fleet, targets, rate, seconds, processes=1):
+    """Runs the load tool; returns its reports."""
+    running = []
+    for n in range(processes):
+        report = fleet.folder / f"load-{n}.json"
+        running.append((report, subprocess.Popen(
+            [str(fleet.build / "oriole-load"), f"--targets={targets}",
+             f"--rate={rate / processes}", f"--duration_s={seconds}",
+             "--threads=2", "--settle_ms=0", f"--report={report}"],
+            stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)))
+    for _, process in running:
+        process.wait()
+    return [json.loads(report.read_text()) for report, _ in running]
+
+
+def cpu_seconds(pid):
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().split(")")[1]
+    numbers = fields.split()
+    return (int(numbers[11]) + int(numbers[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def resident_kb(pid):
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1])
+    return 0
+
+
+def idle_cost(host):
+    pid = host.entry.pid
+    time.sleep(2)
+    before, began = cpu_seconds(pid), time.monotonic()
+    time.sleep(10)
+    percent = 100 * (cpu_seconds(pid) - before) / (time.monotonic() - began)
+    kb = resident_kb(pid)
+    address, port = host.at(f.CALLER_PORT).split(":")
+    idle = [socket.create_connection((address, int(port)))
+            for _ in range(IDLE_CONNECTIONS)]
+    for it in idle:
+        it.sendall(b"GET /?bytes=64 HTTP/1.1\r\nHost: x\r\n\r\n")
+        it.recv(4096)
+    time.sleep(1)
+    per_connection = (resident_kb(pid) - kb) / IDLE_CONNECTIONS
+    for it in idle:
+        it.close()
+    return percent, per_connection
+
+
+def main():
+    fleet, host = start(sys.argv[1])
+    out = {}
+    try:
+        percent, kb = idle_cost(host)
+        out["idle_cpu_percent"] = percent
+        out["kb_per_idle_connection"] = kb
+        direct = ",".join(fleet.all_upstreams())
+        through = host.at(f.CALLER_PORT)
+        out["direct_1000"] = load(fleet, direct, 1000, 10)
+        out["entry_1000"] = load(fleet, through, 1000, 10)
+        for rate in (4000, 8000, 10000, 14000, 20000):
+            before = cpu_seconds(host.entry.pid)
+            out[f"entry_{rate}"] = load(fleet, through, rate, 5, 3)
+            out[f"entry_{rate}_cpu_s"] = cpu_seconds(host.entry.pid) - before
+    finally:
+        fleet.stop_all()
+    text = json.dumps(out, indent=1)
+    if len(sys.argv) > 2:
+        pathlib.Path(sys.argv[2]).write_text(text)
+    else:
+        print(text)
+
+
+main()
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -169,6 +169,9 @@
             "agent": host.at(FEED_PORT), "platform": self.platform,
             "fleet_key": FLEET_KEY, "threads": 2,
             "shutdown": {"notice_ms": 300, "drain_limit_ms": 10000},
+            # All callers of the demo share one address.
+            "callers": {"requests_per_second": 100000, "burst": 100000,
+                        "max_concurrent": 10000},
         }
         for kind, settings in (("agent", agent), ("entry", entry)):
             path = self.folder / f"{host.name}-{kind}.json"
--- a/include/oriolegrade/transport/entry_shared.hpp
+++ b/include/oriolegrade/transport/entry_shared.hpp
@@ -5,12 +5,16 @@
 
 #include <oriolegrade/state/configuration.hpp>
 #include <oriolegrade/state/rcu_cell.hpp>
+#include <oriolegrade/transport/admission.hpp>
 #include <oriolegrade/transport/caller_stream.hpp>
 #include <oriolegrade/transport/service_table.hpp>
+#include <oriolegrade/transport/thread_evidence.hpp>
 
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <mutex>
+#include <vector>
 
 namespace oriolegrade::transport {
 
@@ -24,6 +28,7 @@
     /// Caller connections of one worker thread.
     std::size_t max_connections = 4096;
     caller_io_limits caller;
+    coordination::caller_limits_options caller_limits;
 };
 
 /// Read by all workers; written by the control thread, except the counters.
@@ -33,11 +38,14 @@
         : options(options_in)
         , configuration(std::make_shared<const state::configuration>())
         , services(std::make_shared<const service_table_set>())
+        , limits(options_in.caller_limits)
     {}
 
     const entry_options options;
     state::rcu_cell<state::configuration> configuration;
     state::rcu_cell<service_table_set> services;
+    admission limits;
+    evidence_sources evidence;
     /// A configuration has arrived since the start.
     std::atomic<bool> configured{false};
     /// The process is stopping: readiness is false and connections close
--- a/include/oriolegrade/transport/table_choice.hpp
+++ b/include/oriolegrade/transport/table_choice.hpp
@@ -10,6 +10,7 @@
 #include <oriolegrade/state/reply_reason.hpp>
 #include <oriolegrade/transport/connection_lease.hpp>
 #include <oriolegrade/transport/service_table.hpp>
+#include <oriolegrade/transport/thread_evidence.hpp>
 
 #include <optional>
 #include <random>
@@ -36,7 +37,7 @@
 public:
     /// @param table may be null: no upstream is known
     table_choice(service_table_ptr table, const state::route_spec& route,
-                 thread_random& random);
+                 thread_random& random, thread_evidence& evidence);
     ~table_choice();
 
     table_choice(const table_choice&) = delete;
@@ -59,11 +60,14 @@
 
 private:
     coordination::pick_result pick();
+    void begin(const coordination::pick_choice& picked);
     void take_report(const protocol::answer_head& head, state::time_point now);
 
     service_table_ptr table_;
     const state::route_spec& route_;
     thread_random& random_;
+    thread_evidence& evidence_;
+    attempt_record record_;
     std::vector<state::endpoint> tried_;
     /// Candidate of the attempt in progress.
     std::optional<coordination::pick_choice> current_;
--- a/include/oriolegrade/transport/upstream_runner.hpp
+++ b/include/oriolegrade/transport/upstream_runner.hpp
@@ -28,7 +28,7 @@
                    const cancel_hook& on_start = {})
     {
         table_choice choice(shared_.services.read()->find(context.service->key),
-                            context.route_spec(), random_);
+                            context.route_spec(), random_, *evidence_);
         request_runner runner(pool_, context.route_spec(), context.deadline,
                               source, sink, choice);
         if (on_start) {
@@ -38,9 +38,13 @@
     }
 
 private:
+    /// Counts hanging attempts and closes old connections, for ever.
+    void maintain();
+
     entry_shared& shared_;
     upstream_pool pool_;
     thread_random random_;
+    std::shared_ptr<thread_evidence> evidence_;
 };
 
 } // namespace oriolegrade::transport
--- a/src/programs/oriole-entry/main.cpp
+++ b/src/programs/oriole-entry/main.cpp
@@ -16,6 +16,8 @@
 #include <boost/asio/post.hpp>
 #include <gflags/gflags.h>
 
+#include <algorithm>
+
 DEFINE_string(settings, "", "settings file: JSON with comments");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
 
@@ -35,6 +37,9 @@
         static_cast<std::uint32_t>(settings.limits.header_bytes);
     options.caller.idle = settings.limits.idle_timeout;
     options.caller.progress = settings.limits.header_timeout;
+    options.caller_limits.most_per_window = std::max(
+        static_cast<std::uint32_t>(settings.callers.requests_per_second),
+        settings.callers.burst);
     return options;
 }
 
@@ -85,6 +90,7 @@
     };
     transport::entry_server server(shared, once, settings.threads);
     transport::spawn_fiber([&] { feed.follow(); });
+    transport::spawn_fiber([&] { services.run(); });
     transport::spawn_fiber([&] { peers.follow(); });
     transport::event(log_level::info, "entry_started")
         .with("callers", to_string(settings.caller_listen))
--- a/src/transport/entry_worker.cpp
+++ b/src/transport/entry_worker.cpp
@@ -52,6 +52,22 @@
     return std::chrono::steady_clock::now() + limit;
 }
 
+/// A request with a token or key may have run in an earlier attempt.
+void refuse_by_limit(const protocol::request_head& head, caller_answer& answer)
+{
+    using protocol::header_field;
+    const bool earlier = head.fields.find(header_field::token) ||
+                         head.fields.find(header_field::idempotency_key);
+    const auto known = earlier
+                           ? state::attempt_knowledge::earlier_attempts_possible
+                           : state::attempt_knowledge::only_attempt;
+    protocol::http_fields fields;
+    fields.add("Retry-After", "1");
+    send_reply(answer, reply_reason::limit,
+               state::told_outcome(reply_reason::limit, known),
+               std::move(fields));
+}
+
 } // namespace
 
 entry_worker::entry_worker(boost::asio::io_context& ioc, entry_shared& shared,
@@ -147,9 +163,14 @@
     if (head.framing.length.value_or(0) > route.max_request_bytes) {
         return send_reply(answer, reply_reason::too_large);
     }
+    context.caller = caller_of(head, stream);
+    const auto place = shared_.limits.enter(*conf, head, context.caller,
+                                            std::chrono::steady_clock::now());
+    if (!place) {
+        return refuse_by_limit(head, answer);
+    }
     request.set_body_limit(route.max_request_bytes);
     context.deadline = deadline_of(head, route);
-    context.caller = caller_of(head, stream);
     context.head = std::move(head);
     if (route.request == state::request_class::non_idempotent) {
         once_path_.serve(context, request, answer);
--- a/src/transport/service_control.cpp
+++ b/src/transport/service_control.cpp
@@ -4,6 +4,8 @@
 
 #include <oriolegrade/transport/event_log.hpp>
 
+#include <boost/fiber/operations.hpp>
+
 #include <algorithm>
 
 namespace oriolegrade::transport {
@@ -22,6 +24,13 @@
                       });
 }
 
+void log_decision(const coordination::health_event& it,
+                  const std::string& service)
+{
+    event(log_level::info, "health_decision")
+        .with("decision", coordination::audit_line(it, service));
+}
+
 } // namespace
 
 service_control::service_control(entry_shared& shared,
@@ -47,6 +56,8 @@
             it.controls = std::make_shared<service_controls>(entry->key);
         }
         assign(it);
+        it.health.judge(std::get<state::service_spec>(entry->body), leaving_,
+                        std::chrono::steady_clock::now());
         build(it);
         changed = true;
     });
@@ -91,11 +102,12 @@
 void service_control::build(service& it)
 {
     const auto& spec = std::get<state::service_spec>(it.entry->body);
-    const auto members = coordination::subset_of_host(
-        spec, hosts_, it.assignment, own_index_, it.standings, subset_rule);
+    const auto members =
+        coordination::subset_of_host(spec, hosts_, it.assignment, own_index_,
+                                     it.health.standings(), subset_rule);
     auto table = std::make_shared<service_table>();
     table->picks =
-        state::build_pick_table(spec, it.standings, members, loads_,
+        state::build_pick_table(spec, it.health.standings(), members, loads_,
                                 it.table ? it.table->picks.get() : nullptr);
     for (const auto& candidate : table->picks->candidates) {
         table->upstreams.push_back(controls_of(candidate.address));
@@ -104,6 +116,110 @@
     it.table = std::move(table);
 }
 
+void service_control::set_verdicts(state::verdict_set verdicts)
+{
+    const auto found =
+        services_.find({state::record_kind::service, verdicts.service,
+                        verdicts.schema_version});
+    if (found == services_.end()) {
+        return;
+    }
+    found->second.health.set_verdicts(std::move(verdicts));
+    if (judge(found->second, std::chrono::steady_clock::now())) {
+        publish();
+    }
+}
+
+void service_control::collect(state::time_point now)
+{
+    shared_.evidence.collect([&](const collected_evidence& it) {
+        for (const auto& found : it.services) {
+            take_evidence(found, now);
+        }
+        for (const auto& upstream : it.draining) {
+            take_drain_signal(upstream, now);
+        }
+    });
+    expire_notices(now);
+    bool changed = false;
+    for (auto& [key, it] : services_) {
+        changed = judge(it, now) || changed;
+    }
+    if (changed) {
+        publish();
+        prune();
+    }
+}
+
+void service_control::run()
+{
+    for (;;) {
+        boost::this_fiber::sleep_for(collect_interval);
+        collect(std::chrono::steady_clock::now());
+    }
+}
+
+void service_control::take_evidence(const service_evidence& found,
+                                    state::time_point now)
+{
+    const auto known = services_.find(found.service->key);
+    if (known != services_.end()) {
+        known->second.health.add(found.items, now);
+        send_batch(known->second, found.items);
+    }
+}
+
+void service_control::send_batch(const service& it,
+                                 std::vector<state::evidence_item> items)
+{
+    if (!on_evidence) {
+        return;
+    }
+    state::evidence_batch batch;
+    batch.host = shared_.options.forward_listen;
+    batch.service = it.entry->key.name;
+    batch.schema_version = it.entry->key.schema_version;
+    batch.incarnation = incarnation_;
+    batch.sequence = ++evidence_sequence_;
+    batch.host_suspects_itself = it.health.host_suspects_itself();
+    batch.items = std::move(items);
+    on_evidence(batch);
+}
+
+void service_control::take_drain_signal(const state::endpoint& upstream,
+                                        state::time_point now)
+{
+    if (const auto event = leaving_.drain_signal(upstream, now)) {
+        log_decision(*event, "");
+        draining_.push_back(upstream);
+    }
+}
+
+void service_control::expire_notices(state::time_point now)
+{
+    std::erase_if(draining_, [&](const state::endpoint& upstream) {
+        const auto event =
+            leaving_.list_says(upstream, coordination::listed_state::live, now);
+        if (event) {
+            log_decision(*event, "");
+        }
+        return !leaving_.contains(upstream);
+    });
+}
+
+bool service_control::judge(service& it, state::time_point now)
+{
+    const bool changed = it.health.judge(
+        std::get<state::service_spec>(it.entry->body), leaving_, now);
+    for (const auto& event : it.health.take_events()) {
+        log_decision(event, it.entry->key.name);
+    }
+    if (changed) {
+        build(it);
+    }
+    return changed;
+}
+
 void service_control::publish()
 {
     auto set = std::make_shared<service_table_set>();
--- a/src/transport/table_choice.cpp
+++ b/src/transport/table_choice.cpp
@@ -36,10 +36,11 @@
 
 table_choice::table_choice(service_table_ptr table,
                            const state::route_spec& route,
-                           thread_random& random)
+                           thread_random& random, thread_evidence& evidence)
     : table_(std::move(table))
     , route_(route)
     , random_(random)
+    , evidence_(evidence)
 {
     if (table_) {
         table_->controls->budget.deposit();
@@ -49,10 +50,24 @@
 table_choice::~table_choice()
 {
     if (current_) {
-        table_->picks->candidates[current_->index].load->end();
+        ended(attempt_result::caller_lost, nullptr, {});
     }
 }
 
+void table_choice::begin(const coordination::pick_choice& picked)
+{
+    const auto& it = table_->picks->candidates[picked.index];
+    current_ = picked;
+    tried_.push_back(it.address);
+    record_.service = table_->controls;
+    record_.upstream = it.address;
+    record_.request = route_.request;
+    record_.began = std::chrono::steady_clock::now();
+    record_.slow_fallback = route_.deadline / 2;
+    record_.counted = false;
+    evidence_.begin(record_);
+}
+
 coordination::pick_result table_choice::pick()
 {
     constexpr coordination::two_choices_picker picker{};
@@ -78,8 +93,7 @@
         const auto index = picked.value().index;
         const auto& it = table_->picks->candidates[index];
         if (it.load->try_begin()) {
-            current_ = picked.value();
-            tried_.push_back(it.address);
+            begin(picked.value());
             return chosen_upstream{it.address, it.max_connections,
                                    table_->upstreams[index]};
         }
@@ -110,6 +124,8 @@
     const auto now = std::chrono::steady_clock::now();
     const auto& it = table_->picks->candidates[current_->index];
     auto& controls = *table_->upstreams[current_->index];
+    evidence_.end(record_,
+                  {result, head ? head->status : std::uint16_t{0}, took});
     if (head != nullptr) {
         take_report(*head, now);
     }
@@ -132,6 +148,9 @@
     if (const auto n = text ? slots_in_use(*text) : std::nullopt) {
         table_->picks->candidates[current_->index].load->set_report(*n, now);
     }
+    if (head.fields.find(protocol::header_field::draining) == "1") {
+        evidence_.drain_signal(record_.upstream);
+    }
 }
 
 } // namespace oriolegrade::transport
