--- a/include/oriolegrade/transport/upstream_runner.hpp
+++ b/include/oriolegrade/transport/upstream_runner.hpp
@@ -3,45 +3,22 @@
 #ifndef ORIOLEGRADE_TRANSPORT_UPSTREAM_RUNNER_HPP
 #define ORIOLEGRADE_TRANSPORT_UPSTREAM_RUNNER_HPP
 
+#include <oriolegrade/transport/entry_shared.hpp>
+#include <oriolegrade/transport/hedged_run.hpp>
 #include <oriolegrade/transport/request_context.hpp>
 #include <oriolegrade/transport/request_runner.hpp>
+#include <oriolegrade/transport/table_choice.hpp>
 #include <oriolegrade/transport/upstream_pool.hpp>
 
-#include <algorithm>
+#include <array>
 #include <functional>
-#include <random>
-#include <vector>
 
 namespace oriolegrade::transport {
 
-/// Random choice among the upstreams of a service.
-class random_choice
-{
-public:
-    random_choice(const state::service_spec& service, std::minstd_rand& random)
-        : service_(service)
-        , random_(random)
-    {}
-
-    std::optional<state::endpoint> next();
-    bool may_retry() const
-    {
-        return tried_.size() < service_.upstreams.size();
-    }
-    void ended(state::attempt_result, const protocol::answer_head*,
-               state::duration)
-    {}
-
-private:
-    const state::service_spec& service_;
-    std::minstd_rand& random_;
-    std::vector<state::endpoint> tried_;
-};
-
 class upstream_runner
 {
 public:
-    explicit upstream_runner(boost::asio::io_context& ioc);
+    upstream_runner(boost::asio::io_context& ioc, entry_shared& shared);
 
     /// Receives a function that cancels the request in progress.
     using cancel_hook = std::function<void(std::function<void()>)>;
@@ -52,7 +29,13 @@
     run_report run(const request_context& context, Source& source, Sink& sink,
                    const cancel_hook& on_start = {})
     {
-        random_choice choice(context.service_spec(), random_);
+        auto table = shared_.services.read()->find(context.service->key);
+        if (may_hedge(context)) {
+            return run_hedged(context, std::move(table), source, sink,
+                              on_start);
+        }
+        table_choice choice(std::move(table), context.route_spec(),
+                            context.deadline, thread_);
         request_runner runner(pool_, context.route_spec(), context.deadline,
                               source, sink, choice);
         if (on_start) {
@@ -62,8 +45,36 @@
     }
 
 private:
+    template <body_source Source, answer_sink Sink>
+    run_report run_hedged(const request_context& context,
+                          service_table_ptr table, Source& source, Sink& sink,
+                          const cancel_hook& on_start)
+    {
+        run_report report;
+        // Reaches the end of the empty body, so that the caller's connection
+        // can carry the next request.
+        std::array<char, 1> none{};
+        source.read_some(none, report.caller_error);
+        if (report.caller_error) {
+            report.step = coordination::next_step::abort;
+            return report;
+        }
+        hedged_run<Sink> run(ioc_, pool_, context, sink, std::move(table),
+                             thread_);
+        if (on_start) {
+            on_start([&run] { run.cancel(); });
+        }
+        return run.run();
+    }
+
+    /// Serves the lines of waiting requests, counts hanging attempts and
+    /// closes old connections, for ever.
+    void maintain();
+
+    boost::asio::io_context& ioc_;
+    entry_shared& shared_;
     upstream_pool pool_;
-    std::minstd_rand random_;
+    thread_choices thread_;
 };
 
 } // namespace oriolegrade::transport
--- a/src/transport/upstream_runner.cpp
+++ b/src/transport/upstream_runner.cpp
@@ -1,34 +1,47 @@
-// Choice of upstreams for a worker thread.
+// Construction of a worker thread's runner.
 
 #include <oriolegrade/transport/upstream_runner.hpp>
 
+#include <oriolegrade/transport/fiber_scheduler.hpp>
+
+#include <boost/fiber/operations.hpp>
+
 namespace oriolegrade::transport {
 
 namespace {
 
-constexpr std::size_t max_idle_per_upstream = 8;
+/// Hanging attempts become evidence within this time.
+constexpr std::chrono::milliseconds maintenance_interval{100};
+/// While requests wait, room made by other threads is noticed in this time.
+constexpr std::chrono::milliseconds line_interval{5};
 
 } // namespace
 
-std::optional<state::endpoint> random_choice::next()
+upstream_runner::upstream_runner(boost::asio::io_context& ioc,
+                                 entry_shared& shared)
+    : ioc_(ioc)
+    , shared_(shared)
+    , pool_(ioc)
+{
+    thread_.evidence = shared.evidence.add();
+    spawn_fiber([this] { maintain(); });
+}
+
+void upstream_runner::maintain()
 {
-    std::vector<state::endpoint> left;
-    for (const auto& it : service_.upstreams) {
-        if (std::find(tried_.begin(), tried_.end(), it.address) ==
-            tried_.end()) {
-            left.push_back(it.address);
+    auto next = std::chrono::steady_clock::now() + maintenance_interval;
+    for (;;) {
+        if (thread_.lines.wait_filled(next)) {
+            boost::this_fiber::sleep_for(line_interval);
+        }
+        const auto now = std::chrono::steady_clock::now();
+        thread_.lines.tick(now);
+        if (now >= next) {
+            next = now + maintenance_interval;
+            thread_.evidence->count_hanging(now);
+            pool_.close_expired(now);
         }
     }
-    if (left.empty()) {
-        return std::nullopt;
-    }
-    tried_.push_back(left[random_() % left.size()]);
-    return tried_.back();
 }
 
-upstream_runner::upstream_runner(boost::asio::io_context& ioc)
-    : pool_(ioc, max_idle_per_upstream)
-    , random_(std::random_device()())
-{}
-
 } // namespace oriolegrade::transport
