Measure the request path in alternating rounds

The benchmark now alternates five rounds, shows each and judges the median. The runner gives a streamed answer's connection back only after it forgot it, so that a cancellation cannot close a connection of the pool.

--- a/bench/request_path.py
+++ b/bench/request_path.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import socket
+import statistics
 import subprocess
 import sys
 import time
@@ -24,6 +25,7 @@
 ADDED_P99_MS = 2.9
 HIGHEST_RATE = 10000
 IDLE_CPU_PERCENT = 0.5
+ROUNDS = 5
 RATES = (4000, 8000, 12000, 16000, 24000)
 
 RECORDS = [
@@ -115,11 +117,14 @@
     return sum(r["latency_ms"]["count"] for r in reports) / seconds
 
 
+def add_counts(a, b):
+    return {k: a.get(k, 0) + b.get(k, 0) for k in {**a, **b}}
+
+
 def status_counts(reports):
     out = {}
     for report in reports:
-        for status, n in report["statuses"].items():
-            out[status] = out.get(status, 0) + n
+        out = add_counts(out, report["statuses"])
     return out
 
 
@@ -138,15 +143,23 @@
     show("resident KB per idle caller connection", f"{kb:.1f}")
     direct = ",".join(fleet.all_upstreams())
     through = host.at(f.CALLER_PORT)
-    first = load(fleet, direct, 1000, 10)[0]["latency_ms"]
-    entry = load(fleet, through, 1000, 10)
-    second = entry[0]["latency_ms"]
-    for p in ("p50", "p99"):
-        added = second[p] - first[p]
-        show(f"ms added at 1,000/s, {p}",
-             f"{added:.2f} ({first[p]:.2f} direct, {second[p]:.2f} through)",
-             p == "p50" or added <= ADDED_P99_MS)
-    show("statuses at 1,000/s", status_counts(entry))
+    statuses = {}
+    added = {"p50": [], "p99": []}
+    # Rounds alternate, so that other work on the machine meets both.
+    for _ in range(ROUNDS):
+        first = load(fleet, direct, 1000, 5)[0]["latency_ms"]
+        entry = load(fleet, through, 1000, 5)
+        second = entry[0]["latency_ms"]
+        statuses = add_counts(statuses, status_counts(entry))
+        for p, values in added.items():
+            values.append(second[p] - first[p])
+            show(f"ms at 1,000/s, {p}",
+                 f"{first[p]:.2f} direct, {second[p]:.2f} through")
+    for p, values in added.items():
+        middle = statistics.median(values)
+        show(f"ms added at 1,000/s, {p}, median of rounds", f"{middle:.2f}",
+             p == "p50" or middle <= ADDED_P99_MS)
+    show("statuses at 1,000/s", statuses)
     best = 0
     for rate in RATES:
         before = cpu_seconds(host.entry.pid)
--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -290,26 +290,47 @@
         head.fields.set(protocol::header_field::outcome,
                         state::name_of(state::run_outcome::ran));
         if (whole) {
+            // The upstream's connection is free before the caller reads.
             active_ = nullptr;
             pool_.release(std::move(connection));
             if (!head.framing.length) {
                 head.framing = {false, held.size()};
             }
+            return pass_on_held(head, held, caller_error);
         }
         answer_started_ = true;
         sink_.start(head, caller_error);
         write(held, caller_error);
-        if (!whole && !caller_error) {
+        if (!caller_error) {
             const auto result =
                 stream_rest(*connection, held.size(), caller_error);
             if (result != state::attempt_result::answered) {
                 return result;
             }
+        }
+        if (!caller_error) {
+            active_ = nullptr;
             pool_.release(std::move(connection));
+            sink_.finish(caller_error);
         }
+        return passed_on(caller_error);
+    }
+
+    state::attempt_result pass_on_held(const protocol::answer_head& head,
+                                       std::string_view held,
+                                       error_code& caller_error)
+    {
+        answer_started_ = true;
+        sink_.start(head, caller_error);
+        write(held, caller_error);
         if (!caller_error) {
             sink_.finish(caller_error);
         }
+        return passed_on(caller_error);
+    }
+
+    static state::attempt_result passed_on(const error_code& caller_error)
+    {
         return caller_error ? state::attempt_result::caller_lost
                             : state::attempt_result::answered;
     }
