--- a/include/oriolegrade/transport/service_control.hpp
+++ b/include/oriolegrade/transport/service_control.hpp
@@ -40,8 +40,7 @@
                      state::time_point now);
 
     /// Notices to pass on to peers.
-    std::vector<coordination::leave_notice>
-    leave_notices(state::time_point now) const
+    std::vector<coordination::leave_notice> leave_notices(state::time_point now)
     {
         return leaving_.to_gossip(now);
     }
