--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -286,41 +286,53 @@
         if (ec) {
             return lost();
         }
+        auto head = *answer_head_;
+        head.fields.set(protocol::header_field::outcome,
+                        state::name_of(state::run_outcome::ran));
         if (whole) {
+            // The upstream's connection is free before the caller reads.
             active_ = nullptr;
             pool_.release(std::move(connection));
-            pass_whole(held, caller_error);
-        } else {
-            start_answer(held, caller_error);
+            if (!head.framing.length) {
+                head.framing = {false, held.size()};
+            }
+            return pass_on_held(head, held, caller_error);
+        }
+        answer_started_ = true;
+        sink_.start(head, caller_error);
+        write(held, caller_error);
+        if (!caller_error) {
             const auto result =
                 stream_rest(*connection, held.size(), caller_error);
             if (result != state::attempt_result::answered) {
                 return result;
             }
-            pool_.release(std::move(connection));
         }
         if (!caller_error) {
+            active_ = nullptr;
+            pool_.release(std::move(connection));
             sink_.finish(caller_error);
         }
-        return caller_error ? state::attempt_result::caller_lost
-                            : state::attempt_result::answered;
+        return passed_on(caller_error);
     }
 
-    void pass_whole(std::string_view held, error_code& caller_error)
+    state::attempt_result pass_on_held(const protocol::answer_head& head,
+                                       std::string_view held,
+                                       error_code& caller_error)
     {
-        if (!answer_head_->framing.length) {
-            answer_head_->framing = {false, held.size()};
+        answer_started_ = true;
+        sink_.start(head, caller_error);
+        write(held, caller_error);
+        if (!caller_error) {
+            sink_.finish(caller_error);
         }
-        start_answer(held, caller_error);
+        return passed_on(caller_error);
     }
 
-    void start_answer(std::string_view held, error_code& caller_error)
+    static state::attempt_result passed_on(const error_code& caller_error)
     {
-        answer_head_->fields.set(protocol::header_field::outcome,
-                                 state::name_of(state::run_outcome::ran));
-        answer_started_ = true;
-        sink_.start(*answer_head_, caller_error);
-        write(held, caller_error);
+        return caller_error ? state::attempt_result::caller_lost
+                            : state::attempt_result::answered;
     }
 
     /// True when the whole answer was read into `held`.
@@ -341,7 +353,7 @@
                                       std::uint64_t passed_on,
                                       error_code& caller_error)
     {
-        while (!caller_error) {
+        for (;;) {
             error_code ec;
             const auto n = connection.read_body(buffer_, ec);
             if (ec) {
@@ -355,8 +367,10 @@
                 return state::attempt_result::lost;
             }
             write({buffer_.data(), n}, caller_error);
+            if (caller_error) {
+                return state::attempt_result::caller_lost;
+            }
         }
-        return state::attempt_result::caller_lost;
     }
 
     void write(std::string_view bytes, error_code& ec)
