--- a/src/transport/stream_session.cpp
+++ b/src/transport/stream_session.cpp
@@ -129,6 +129,8 @@
             break;
         }
         last_received_ = clock::now();
+        // Whatever arrives answers the ping.
+        ping_pending_ = false;
         if (nghttp2_session_mem_recv(session_, buffer.data(), n) < 0) {
             break;
         }
@@ -198,10 +200,19 @@
 bool stream_session::check_liveness()
 {
     const auto now = clock::now();
-    if (now - last_received_ < limits_.ping_interval) {
+    // A check that comes late shows that this process was paused, and bytes
+    // that wait in the socket show that the peer is alive: neither silence
+    // proves a dead peer.
+    const bool was_paused = now - last_check_ > limits_.ping_interval * 5 / 4;
+    last_check_ = now;
+    boost::system::error_code ec;
+    const bool has_input = socket_.socket().available(ec) > 0;
+    if (now - last_received_ < limits_.ping_interval || has_input) {
         ping_pending_ = false;
     } else if (ping_pending_) {
-        return false;
+        if (!was_paused) {
+            return false;
+        }
     } else {
         ping_pending_ = true;
         nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
@@ -209,10 +220,13 @@
     }
     if (!streams_.empty()) {
         last_stream_ = now;
-    } else if (now - last_stream_ >= limits_.idle_timeout) {
+        return true;
+    }
+    if (now - last_stream_ >= limits_.idle_timeout) {
         shut_down();
     }
-    return true;
+    // A peer that ignores the GOAWAY is cut off.
+    return now - last_stream_ < 2 * limits_.idle_timeout;
 }
 
 void stream_session::schedule_write()
@@ -246,6 +260,24 @@
         return;
     }
     draining_ = true;
+    if (is_client()) {
+        nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE, 0, NGHTTP2_NO_ERROR,
+                              nullptr, 0);
+    } else {
+        // Not yet the final GOAWAY: requests may be on their way, and closing
+        // under them would make their outcome unknown (RFC 9113, section 6.8).
+        nghttp2_submit_shutdown_notice(session_);
+    }
+    schedule_write();
+}
+
+void stream_session::refuse_new_streams()
+{
+    if (closed_ || refusing_) {
+        return;
+    }
+    refusing_ = true;
+    draining_ = true;
     nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE,
                           nghttp2_session_get_last_proc_stream_id(session_),
                           NGHTTP2_NO_ERROR, nullptr, 0);
