--- a/include/oriolegrade/coordination/change_tracker.hpp
+++ b/include/oriolegrade/coordination/change_tracker.hpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -49,6 +50,10 @@
     status(const state::identifier& id,
            const std::vector<host_progress>& hosts) const;
 
+    /// Remembered changes of a name, in all schema versions, oldest first.
+    std::vector<judged_record> history(state::record_kind kind,
+                                       std::string_view name) const;
+
     std::size_t size() const
     {
         return order_.size();
--- a/include/oriolegrade/protocol/admin_json.hpp
+++ b/include/oriolegrade/protocol/admin_json.hpp
@@ -32,6 +32,10 @@
 /// The same with bodies.
 std::string encode_entries(std::vector<state::entry_ptr> entries);
 
+/// Judgements of changes, in the order given.
+std::string
+encode_history(const std::vector<coordination::judged_record>& changes);
+
 /// A host as an agent sees it.
 struct host_status
 {
--- a/include/oriolegrade/transport/admin_api.hpp
+++ b/include/oriolegrade/transport/admin_api.hpp
@@ -32,12 +32,16 @@
     http_answer serve_operator(const http_request& request,
                                std::string_view path,
                                const std::string& operator_name);
+    http_answer serve_query(std::string_view target,
+                            std::string_view path) const;
     http_answer publish(const std::string& body,
                         const std::string& operator_name);
     http_answer validate(const std::string& body);
     http_answer list_records() const;
     http_answer show_records(std::string_view kind,
                              std::string_view name) const;
+    http_answer show_history(std::string_view kind,
+                             std::string_view name) const;
     http_answer show_change(std::string_view id) const;
     http_answer list_hosts() const;
     http_answer list_audit(std::string_view target) const;
--- a/include/oriolegrade/transport/agent_membership.hpp
+++ b/include/oriolegrade/transport/agent_membership.hpp
@@ -40,6 +40,8 @@
 {
     std::uint64_t sent_bytes = 0;
     std::uint64_t received_bytes = 0;
+    std::uint64_t sent_datagrams = 0;
+    std::uint64_t received_datagrams = 0;
     std::uint64_t refused_datagrams = 0;
 };
 
@@ -84,6 +86,11 @@
     /// spread it within their next period.
     void leave();
 
+    /// True for the address of a known or listed host, and for loopback,
+    /// where only this machine can come from.
+    /// @param address in host byte order
+    bool admits(std::uint32_t address) const;
+
     /// Known hosts that are not dead, this one included, sorted by name.
     const std::vector<state::peer_entry>& peers() const
     {
--- a/src/coordination/change_tracker.cpp
+++ b/src/coordination/change_tracker.cpp
@@ -40,4 +40,17 @@
     return out;
 }
 
+std::vector<judged_record> change_tracker::history(state::record_kind kind,
+                                                   std::string_view name) const
+{
+    std::vector<judged_record> out;
+    for (const auto& id : order_) {
+        const auto& it = changes_.at(id);
+        if (it.key.kind == kind && it.key.name == name) {
+            out.push_back(it);
+        }
+    }
+    return out;
+}
+
 } // namespace oriolegrade::coordination
--- a/src/programs/oriolectl/commands.cpp
+++ b/src/programs/oriolectl/commands.cpp
@@ -189,6 +189,27 @@
                  "kept_by_floor", "reason"});
 }
 
+exit_code history(command_context& context)
+{
+    const auto& name = context.arguments;
+    return show(context, "history",
+                context.agent.get("/v1/history/" + name[0] + "/" + name[1]),
+                "changes",
+                {"offset", "schema_version", "verdict", "revision", "operator",
+                 "change_id", "winner"});
+}
+
+bool passes(const audit_filter& filter, const json::value& event)
+{
+    const auto text = [&](std::string_view key) {
+        const auto* value = member(event, key);
+        return value ? to_cell(*value) : std::string();
+    };
+    return (filter.kind.empty() || text("kind") == filter.kind) &&
+           (filter.actor.empty() || text("actor") == filter.actor) &&
+           text("subject").find(filter.subject) != std::string::npos;
+}
+
 exit_code audit(command_context& context)
 {
     std::uint64_t next = 0;
@@ -201,7 +222,9 @@
         const auto* events = member(answer->body, "events");
         if (events && events->is_array()) {
             for (const auto& it : events->get_array()) {
-                std::cout << json::serialize(it) << '\n';
+                if (passes(context.filter, it)) {
+                    std::cout << json::serialize(it) << '\n';
+                }
             }
         }
         if (const auto* value = member(answer->body, "next")) {
@@ -234,7 +257,16 @@
         {"hosts", "", "list the hosts as this agent sees them", 0, hosts},
         {"upstreams", "", "list upstreams with their state and its reason", 0,
          upstreams},
-        {"audit", "", "print audit events; --follow goes on", 0, audit},
+        {"history", "KIND NAME",
+         "list the changes of a name that this agent remembers", 2, history},
+        {"diff", "FILE",
+         "compare the records of a file with those in force; exit code 1 when "
+         "they differ",
+         1, diff},
+        {"audit", "",
+         "print audit events; --follow goes on; --kind, --actor and --subject "
+         "select",
+         0, audit},
     };
     return commands;
 }
--- a/src/programs/oriolectl/commands.hpp
+++ b/src/programs/oriolectl/commands.hpp
@@ -13,6 +13,14 @@
 
 namespace oriolegrade::programs {
 
+struct audit_filter
+{
+    std::string kind;
+    std::string actor;
+    /// Part of the subject.
+    std::string subject;
+};
+
 struct command_context
 {
     agent_client& agent;
@@ -24,6 +32,8 @@
     bool wait = false;
     bool offline = false;
     bool follow = false;
+    /// Audit events to print: of this kind, actor or subject; empty for all.
+    audit_filter filter{};
     unsigned timeout_s = 30;
 };
 
@@ -36,6 +46,9 @@
     exit_code (*run)(command_context& context);
 };
 
+/// Compares the records of a file with those in force.
+exit_code diff(command_context& context);
+
 /// All commands, in the order of the help text.
 const std::vector<command>& all_commands();
 
--- a/src/programs/oriolectl/main.cpp
+++ b/src/programs/oriolectl/main.cpp
@@ -21,6 +21,9 @@
 DEFINE_bool(wait, false, "wait until the change is in force everywhere");
 DEFINE_bool(offline, false, "validate without an agent");
 DEFINE_bool(follow, false, "go on printing audit events");
+DEFINE_string(kind, "", "audit: only events of this kind");
+DEFINE_string(actor, "", "audit: only events of this operator");
+DEFINE_string(subject, "", "audit: only events whose subject contains this");
 DEFINE_uint32(timeout_s, 30, "longest wait in seconds");
 
 namespace {
@@ -64,8 +67,14 @@
             flag_or_environment(FLAGS_operator_name, "ORIOLE_OPERATOR"),
             flag_or_environment(FLAGS_secret, "ORIOLE_SECRET"));
         programs::command_context context{
-            client,        arguments,    FLAGS_json,     FLAGS_wait,
-            FLAGS_offline, FLAGS_follow, FLAGS_timeout_s};
+            client,
+            arguments,
+            FLAGS_json,
+            FLAGS_wait,
+            FLAGS_offline,
+            FLAGS_follow,
+            {FLAGS_kind, FLAGS_actor, FLAGS_subject},
+            FLAGS_timeout_s};
         code = it.run(context);
     });
     return code;
--- a/src/protocol/admin_json.cpp
+++ b/src/protocol/admin_json.cpp
@@ -45,6 +45,21 @@
     return object;
 }
 
+json::object judged_object(const coordination::judged_record& rec)
+{
+    auto object = key_object(rec.key);
+    object["change_id"] = to_string(rec.change_id);
+    object["operator"] = rec.operator_name;
+    object["offset"] = rec.offset;
+    object["verdict"] = state::name_of(rec.judgement.verdict);
+    object["revision"] = rec.judgement.revision;
+    if (rec.judgement.winner_change) {
+        object["winner"] = rec.judgement.winner;
+        object["winner_change"] = to_string(rec.judgement.winner_change);
+    }
+    return object;
+}
+
 json::object entry_object(const state::entry& it)
 {
     auto object = key_object(it.key);
@@ -127,6 +142,16 @@
                        });
 }
 
+std::string
+encode_history(const std::vector<coordination::judged_record>& changes)
+{
+    json::array list;
+    for (const auto& it : changes) {
+        list.push_back(judged_object(it));
+    }
+    return json::serialize(json::object{{"changes", std::move(list)}});
+}
+
 std::string encode_hosts(const std::vector<host_status>& hosts)
 {
     json::array list;
@@ -142,19 +167,9 @@
 
 std::string encode_change(const coordination::change_status& status)
 {
-    const auto& rec = status.record;
-    auto object = key_object(rec.key);
-    const bool accepted =
-        rec.judgement.verdict == coordination::verdict_on_record::accepted;
-    object["change_id"] = to_string(rec.change_id);
-    object["operator"] = rec.operator_name;
-    object["offset"] = rec.offset;
-    object["verdict"] = state::name_of(rec.judgement.verdict);
-    object["revision"] = rec.judgement.revision;
-    if (rec.judgement.winner_change) {
-        object["winner"] = rec.judgement.winner;
-        object["winner_change"] = to_string(rec.judgement.winner_change);
-    }
+    auto object = judged_object(status.record);
+    const bool accepted = status.record.judgement.verdict ==
+                          coordination::verdict_on_record::accepted;
     object["applied"] = status.applied;
     object["live"] = status.live;
     object["lagging"] = json::value_from(status.lagging);
--- a/src/transport/admin_api.cpp
+++ b/src/transport/admin_api.cpp
@@ -48,6 +48,28 @@
     return any(publish_outcome::refused) ? 409 : 200;
 }
 
+/// Kind and name that the end of a path gives.
+struct path_name
+{
+    std::string_view kind;
+    std::string_view name;
+};
+
+/// Parts of a path `prefix` + `kind/name`; empty for any other.
+std::optional<path_name> named_below(std::string_view path,
+                                     std::string_view prefix)
+{
+    if (!path.starts_with(prefix)) {
+        return std::nullopt;
+    }
+    const auto rest = path.substr(prefix.size());
+    const auto slash = rest.find('/');
+    if (slash == std::string_view::npos) {
+        return std::nullopt;
+    }
+    return path_name{rest.substr(0, slash), rest.substr(slash + 1)};
+}
+
 } // namespace
 
 admin_api::admin_api(agent_configuration& configuration,
@@ -89,33 +111,39 @@
                                       std::string_view path,
                                       const std::string& operator_name)
 {
-    constexpr std::string_view records = "/v1/records";
-    constexpr std::string_view changes = "/v1/changes/";
-    const bool post = request.method() == http::verb::post;
-    if (post && path == records) {
+    if (request.method() != http::verb::post) {
+        return serve_query(to_view(request.target()), path);
+    }
+    if (path == "/v1/records") {
         return publish(request.body(), operator_name);
     }
-    if (post && path == "/v1/validate") {
+    if (path == "/v1/validate") {
         return validate(request.body());
     }
-    if (!post && path == records) {
+    return json_answer(404, protocol::encode_error("no such resource"));
+}
+
+http_answer admin_api::serve_query(std::string_view target,
+                                   std::string_view path) const
+{
+    constexpr std::string_view changes = "/v1/changes/";
+    if (path == "/v1/records") {
         return list_records();
     }
-    if (!post && path.starts_with("/v1/records/")) {
-        const auto rest = path.substr(records.size() + 1);
-        const auto slash = rest.find('/');
-        if (slash != std::string_view::npos) {
-            return show_records(rest.substr(0, slash), rest.substr(slash + 1));
-        }
+    if (path == "/v1/hosts") {
+        return list_hosts();
     }
-    if (!post && path.starts_with(changes)) {
+    if (path == "/v1/audit") {
+        return list_audit(target);
+    }
+    if (path.starts_with(changes)) {
         return show_change(path.substr(changes.size()));
     }
-    if (!post && path == "/v1/hosts") {
-        return list_hosts();
+    if (const auto name = named_below(path, "/v1/records/")) {
+        return show_records(name->kind, name->name);
     }
-    if (!post && path == "/v1/audit") {
-        return list_audit(to_view(request.target()));
+    if (const auto name = named_below(path, "/v1/history/")) {
+        return show_history(name->kind, name->name);
     }
     return json_answer(404, protocol::encode_error("no such resource"));
 }
--- a/src/transport/admin_status.cpp
+++ b/src/transport/admin_status.cpp
@@ -156,6 +156,19 @@
     audit_.add(std::move(event));
 }
 
+http_answer admin_api::show_history(std::string_view kind,
+                                    std::string_view name) const
+{
+    const auto wanted = state::enum_from_name<state::record_kind>(kind);
+    const auto changes = wanted
+                             ? configuration_.changes().history(*wanted, name)
+                             : std::vector<coordination::judged_record>();
+    if (changes.empty()) {
+        return json_answer(404, protocol::encode_error("no such change"));
+    }
+    return json_answer(200, protocol::encode_history(changes));
+}
+
 http_answer admin_api::list_hosts() const
 {
     const auto& members = membership_.members();
@@ -196,6 +209,9 @@
     const auto& gossip = membership_.traffic();
     out.counter("oriole_gossip_sent_bytes_total", gossip.sent_bytes);
     out.counter("oriole_gossip_received_bytes_total", gossip.received_bytes);
+    out.counter("oriole_gossip_sent_datagrams_total", gossip.sent_datagrams);
+    out.counter("oriole_gossip_received_datagrams_total",
+                gossip.received_datagrams);
     out.counter("oriole_gossip_refused_datagrams_total",
                 gossip.refused_datagrams);
     out.counter("oriole_push_sent_bytes_total", push_.traffic().sent_bytes);
--- a/src/transport/agent.cpp
+++ b/src/transport/agent.cpp
@@ -59,6 +59,8 @@
     })
 {
     set_handlers();
+    peer_server_.admit_only(
+        [this](std::uint32_t address) { return membership_.admits(address); });
 }
 
 void agent::set_handlers()
--- a/src/transport/agent_membership.cpp
+++ b/src/transport/agent_membership.cpp
@@ -93,6 +93,7 @@
             continue;
         }
         traffic_.received_bytes += n;
+        ++traffic_.received_datagrams;
         const auto message =
             protocol::decode_gossip({buf.data(), n}, settings_.fleet_key);
         if (!message) {
@@ -153,6 +154,7 @@
         const auto n =
             socket_.send_to(boost::asio::buffer(bytes), to_udp(it.to), 0, ec);
         traffic_.sent_bytes += ec ? 0 : n;
+        traffic_.sent_datagrams += ec ? 0 : 1;
     }
 }
 
@@ -229,6 +231,18 @@
     std::erase_if(reported_leaving_, forgotten);
 }
 
+bool agent_membership::admits(std::uint32_t address) const
+{
+    if (boost::asio::ip::address_v4(address).is_loopback()) {
+        return true;
+    }
+    const auto& all = members_.members().all();
+    return std::any_of(all.begin(), all.end(), [&](const auto& it) {
+        const auto& info = it.second.info;
+        return info.peer.address == address || info.gossip.address == address;
+    });
+}
+
 bool agent_membership::wait_peers(std::uint64_t known_version,
                                   state::duration limit)
 {
--- a/src/transport/agent_push.cpp
+++ b/src/transport/agent_push.cpp
@@ -52,9 +52,15 @@
         std::min<std::size_t>(settings_.log_readers, order.size());
     const auto own = static_cast<std::size_t>(
         std::find(order.begin(), order.end(), settings_.name) - order.begin());
-    configuration_.set_reader(own < readers);
+    const bool is_reader = own < readers;
+    if (is_reader != configuration_.is_reader()) {
+        event(log_level::info, "reader_elected")
+            .with("reads", is_reader ? "yes" : "no")
+            .with("hosts", order.size());
+    }
+    configuration_.set_reader(is_reader);
     std::map<std::string, state::endpoint> out;
-    if (own < readers) {
+    if (is_reader) {
         // Each reader serves its share of the others.
         for (auto n = readers + own; n < order.size(); n += readers) {
             out.emplace(order[n], peers.at(order[n]));
@@ -120,6 +126,10 @@
     if (!stream) {
         return;
     }
+    // What was lost with the stream before shows as a gap at once.
+    const auto offset = configuration_.current()->next_offset();
+    it.waiting.push_front(std::make_shared<const std::string>(
+        protocol::encode_record_batch({offset, offset, {}})));
     for (;;) {
         it.changed.wait([&] { return it.stopped || !it.waiting.empty(); });
         if (it.stopped) {
--- a/src/transport/agent_snapshots.cpp
+++ b/src/transport/agent_snapshots.cpp
@@ -19,8 +19,9 @@
 /// Hosts asked in one survey.
 constexpr std::size_t max_asked = 6;
 /// Longest wait for one offer, and for the content.
-constexpr std::chrono::seconds offer_limit{1};
+constexpr std::chrono::seconds offer_limit{2};
 constexpr std::chrono::seconds content_limit{15};
+constexpr std::chrono::milliseconds admission_pause{200};
 /// Time in which gossip finds enough hosts, or there are no more.
 constexpr std::chrono::seconds settle_time{3};
 /// Contents sent at a time. Each takes an encoding of the whole
@@ -137,6 +138,10 @@
     const state::snapshot_summary wanted{choice->next_offset, choice->digest};
     for (const auto n : choice->holders) {
         if (auto snapshot = fetch(addresses[n], wanted)) {
+            if (snapshot->next_offset <=
+                configuration_.current()->next_offset()) {
+                return snapshot;
+            }
             on_event_(state::audit_kind::snapshot_restored, wanted,
                       "from=" + offers[n].host +
                           " offers=" + std::to_string(offers.size()) +
@@ -151,7 +156,13 @@
 {
     const auto& host = run->hosts[n];
     stream_client client(ioc_, host.peer, settings_.fleet_key, {});
-    const auto reply = client.call(snapshot_offer_path, {}, "", offer_limit);
+    const auto end = clock::now() + offer_limit;
+    auto reply = client.call(snapshot_offer_path, {}, "", offer_limit);
+    // Hosts admit this one once they have heard of it.
+    while (!reply && clock::now() < end) {
+        boost::this_fiber::sleep_for(admission_pause);
+        reply = client.call(snapshot_offer_path, {}, "", offer_limit);
+    }
     if (reply && reply.value().status == 200) {
         const auto offer = protocol::decode_snapshot_offer(reply.value().body);
         if (offer) {
--- a/test/transport/admin_api_test.cpp
+++ b/test/transport/admin_api_test.cpp
@@ -76,6 +76,9 @@
     EXPECT_EQ(hosts[1].at("data_centre").as_string(), "dc2");
     EXPECT_EQ(hosts[1].at("state").as_string(), "alive");
     EXPECT_EQ(hosts[1].at("applied_offset").to_number<unsigned>(), 1U);
+    const auto history = ann.get("/v1/history/workspace/a");
+    ASSERT_EQ(history.at("changes").as_array().size(), 1U);
+    EXPECT_EQ(history.at("changes").at(0).at("change_id").as_string(), id);
     const auto audit = ann.get("/v1/audit?from=0");
     const auto& event = audit.at("events").at(0);
     EXPECT_EQ(event.at("kind").as_string(), "change_accepted");
--- a/test/transport/agent_membership_test.cpp
+++ b/test/transport/agent_membership_test.cpp
@@ -100,6 +100,19 @@
     EXPECT_TRUE(eventually([&] { return live() == 1; }, 2s));
 }
 
+// Guards against connections from addresses of no host, which would reach the
+// check of the key.
+TEST(agent_membership, only_addresses_of_hosts_are_admitted)
+{
+    agent_group group;
+    constexpr std::uint32_t listed = 0x0a000005;
+    group.platform().hosts.hosts = {
+        {"host-9", {listed, 7001}, "dc1", state::host_state::live}};
+    auto& one = group.start(1, "dc1");
+    EXPECT_TRUE(eventually([&] { return one.membership().admits(listed); }));
+    EXPECT_FALSE(one.membership().admits(listed + 1));
+}
+
 // Guards against strangers that read the list of hosts or announce
 // incarnations.
 TEST(agent_membership, wrong_fleet_key_is_refused)
