--- a/include/oriolegrade/transport/agent_log.hpp
+++ b/include/oriolegrade/transport/agent_log.hpp
@@ -8,6 +8,8 @@
 #include <oriolegrade/transport/latency_summary.hpp>
 #include <oriolegrade/transport/platform_client.hpp>
 
+#include <utility>
+
 namespace oriolegrade::transport {
 
 /// Models coordination::log_client. Used by the fibers of one thread.
@@ -30,10 +32,11 @@
         waiting_ = waiting;
     }
 
-    /// Records of the last read of the configuration that succeeded.
-    const state::record_batch& last_read() const
+    /// Gives away the records of the last read of the configuration that
+    /// succeeded.
+    state::record_batch take_last_read()
     {
-        return last_read_;
+        return std::exchange(last_read_, {});
     }
     /// When its answer arrived.
     state::time_point last_arrival() const
--- a/include/oriolegrade/transport/agent_push.hpp
+++ b/include/oriolegrade/transport/agent_push.hpp
@@ -65,6 +65,7 @@
         {}
         stream_client client;
         std::deque<std::shared_ptr<const std::string>> waiting;
+        std::size_t waiting_bytes = 0;
         fiber_signal changed;
         bool stopped = false;
     };
--- a/src/transport/agent_configuration.cpp
+++ b/src/transport/agent_configuration.cpp
@@ -102,8 +102,9 @@
         return;
     }
     trimmed_reads_ = 0;
+    const auto batch = reader_.take_last_read();
     if (result != follow_result::restored && is_reader_ && handlers_.pass_on) {
-        handlers_.pass_on(reader_.last_read());
+        handlers_.pass_on(batch);
     }
 }
 
--- a/src/transport/agent_push.cpp
+++ b/src/transport/agent_push.cpp
@@ -16,9 +16,10 @@
 
 using clock = std::chrono::steady_clock;
 
-/// Batches that wait for one receiver. One that is slower gets a gap and
-/// reads for itself.
+/// Batches that wait for one receiver, and their bytes. One that is slower
+/// gets a gap and reads for itself.
 constexpr std::size_t max_waiting = 64;
+constexpr std::size_t max_waiting_bytes = std::size_t{1} << 20U;
 /// Longest time for opening a stream, or for writing one batch.
 constexpr std::chrono::seconds send_limit{2};
 constexpr std::chrono::milliseconds reconnect_pause{200};
@@ -102,11 +103,18 @@
     }
     const auto bytes = std::make_shared<const std::string>(
         protocol::encode_record_batch(batch));
+    if (bytes->size() > max_waiting_bytes) {
+        // A long catch-up, which receivers read for themselves.
+        return;
+    }
     for (auto& [name, it] : receivers_) {
-        if (it->waiting.size() == max_waiting) {
+        it->waiting.push_back(bytes);
+        it->waiting_bytes += bytes->size();
+        while (it->waiting.size() > max_waiting ||
+               it->waiting_bytes > max_waiting_bytes) {
+            it->waiting_bytes -= it->waiting.front()->size();
             it->waiting.pop_front();
         }
-        it->waiting.push_back(bytes);
         it->changed.notify();
     }
 }
@@ -128,8 +136,10 @@
     }
     // What was lost with the stream before shows as a gap at once.
     const auto offset = configuration_.current()->next_offset();
-    it.waiting.push_front(std::make_shared<const std::string>(
-        protocol::encode_record_batch({offset, offset, {}})));
+    const auto confirmation = std::make_shared<const std::string>(
+        protocol::encode_record_batch({offset, offset, {}}));
+    it.waiting.push_front(confirmation);
+    it.waiting_bytes += confirmation->size();
     for (;;) {
         it.changed.wait([&] { return it.stopped || !it.waiting.empty(); });
         if (it.stopped) {
@@ -137,6 +147,7 @@
         }
         const auto bytes = it.waiting.front();
         it.waiting.pop_front();
+        it.waiting_bytes -= bytes->size();
         stream.value().set_deadline(clock::now() + send_limit);
         if (!write_message(stream.value(), *bytes)) {
             return;
