--- a/src/transport/fiber_scheduler.cpp
+++ b/src/transport/fiber_scheduler.cpp
@@ -60,7 +60,12 @@
     void suspend_until(
         const std::chrono::steady_clock::time_point& limit) noexcept override
     {
-        arm(limit);
+        // A new expiry cancels the wait before, whose handler then ends
+        // run_one at once. Arming on every call would do so each time, and
+        // spin until the limit. An earlier expiry is left to pass instead.
+        if (limit < armed_until_) {
+            arm(limit);
+        }
         ioc_->run_one();
     }
 
@@ -72,19 +77,14 @@
 private:
     using time_point = std::chrono::steady_clock::time_point;
 
-    /// Setting a timer anew queues the handler of its cancelled wait, and
-    /// run_one() returns for that. Without the comparison, a thread with a
-    /// sleeping fiber would spin from its next event to the fiber's time.
     void arm(const time_point& limit)
     {
-        if (limit == time_point::max() || limit == armed_) {
-            return;
-        }
-        armed_ = limit;
+        armed_until_ = limit;
         timer_.expires_at(limit);
-        timer_.async_wait([this, limit](const boost::system::error_code& ec) {
-            if (!ec && armed_ == limit) {
-                armed_ = time_point::max();
+        timer_.async_wait([this](const boost::system::error_code& ec) {
+            // A cancelled wait was replaced, or this object is gone.
+            if (!ec) {
+                armed_until_ = time_point::max();
             }
         });
     }
@@ -94,8 +94,8 @@
     /// Keeps run_one from returning at once when nothing is outstanding.
     asio::executor_work_guard<asio::io_context::executor_type> work_;
     asio::steady_timer timer_;
-    /// Time that the timer waits for; max when it does not wait.
-    time_point armed_ = time_point::max();
+    /// Expiry of the wait under way; max() without one.
+    time_point armed_until_ = time_point::max();
     fibers::scheduler::ready_queue_type ready_;
 };
 
