--- /dev/null
+++ b/src/coordination/peer_statistics.cpp
@@ -0,0 +1,95 @@
+// Baseline of a service.
+
+#include <oriolegrade/coordination/peer_statistics.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace oriolegrade::coordination {
+
+namespace {
+
+/// Upstreams with fewer recent requests say nothing about a usual rate.
+constexpr double least_judged = 5.0;
+
+struct sample
+{
+    double bad;
+    double judged;
+};
+
+double better_half_rate(std::vector<sample>& samples)
+{
+    if (samples.size() < 2) {
+        return 0;
+    }
+    const auto half = static_cast<std::ptrdiff_t>((samples.size() + 1) / 2);
+    std::nth_element(samples.begin(), samples.begin() + half - 1, samples.end(),
+                     [](const sample& a, const sample& b) {
+                         return a.bad * b.judged < b.bad * a.judged;
+                     });
+    sample sum{0, 0};
+    for (auto it = samples.begin(); it != samples.begin() + half; ++it) {
+        sum.bad += it->bad;
+        sum.judged += it->judged;
+    }
+    // Two standard errors less, so that chance among few requests does not
+    // hide a failing upstream.
+    return std::max(0.0, sum.bad - 2 * std::sqrt(sum.bad)) / sum.judged;
+}
+
+} // namespace
+
+void signal_counts::add(const state::evidence_counts& counts)
+{
+    using state::evidence_kind;
+    errors += counts[evidence_kind::failure];
+    errors += counts[evidence_kind::connect_failure];
+    slow += counts[evidence_kind::slow];
+    judged += static_cast<double>(counts.judged());
+}
+
+void signal_counts::scale(double factor)
+{
+    errors *= factor;
+    slow *= factor;
+    judged *= factor;
+}
+
+double decay_factor(state::duration passed, double seconds)
+{
+    const double age = std::chrono::duration<double>(passed).count();
+    return age > 0 ? std::exp(-age / seconds) : 1.0;
+}
+
+void recent_counts::add(const state::evidence_counts& counts,
+                        state::time_point now)
+{
+    counts_ = at(now);
+    last_ = std::max(last_, now);
+    counts_.add(counts);
+}
+
+signal_counts recent_counts::at(state::time_point now) const
+{
+    auto counts = counts_;
+    counts.scale(decay_factor(now - last_, baseline_seconds));
+    return counts;
+}
+
+peer_baseline baseline_of(const std::vector<signal_counts>& upstreams)
+{
+    std::vector<sample> errors;
+    std::vector<sample> slow;
+    errors.reserve(upstreams.size());
+    slow.reserve(upstreams.size());
+    for (const auto& it : upstreams) {
+        if (it.judged >= least_judged) {
+            errors.push_back({it.errors, it.judged});
+            slow.push_back({it.slow, it.judged});
+        }
+    }
+    return {better_half_rate(errors), better_half_rate(slow)};
+}
+
+} // namespace oriolegrade::coordination
