Arm the scheduler's timer only for an earlier time

suspend_until armed its timer on every call. Each new expiry cancels the wait before, whose handler then ends run_one at once, so after one event during a sleep the thread spun until the sleeper's time. An idle agent used 42% of a core. The timer is now armed only when the new limit is earlier than the one under way; a later limit is armed when the earlier one has passed.

--- a/src/transport/fiber_scheduler.cpp
+++ b/src/transport/fiber_scheduler.cpp
@@ -60,9 +60,11 @@
     void suspend_until(
         const std::chrono::steady_clock::time_point& limit) noexcept override
     {
-        if (limit != std::chrono::steady_clock::time_point::max()) {
-            timer_.expires_at(limit);
-            timer_.async_wait([](const boost::system::error_code&) {});
+        // A new expiry cancels the wait before, whose handler then ends
+        // run_one at once. Arming on every call would do so each time, and
+        // spin until the limit. An earlier expiry is left to pass instead.
+        if (limit < armed_until_) {
+            arm(limit);
         }
         ioc_->run_one();
     }
@@ -73,11 +75,27 @@
     }
 
 private:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    void arm(const time_point& limit)
+    {
+        armed_until_ = limit;
+        timer_.expires_at(limit);
+        timer_.async_wait([this](const boost::system::error_code& ec) {
+            // A cancelled wait was replaced, or this object is gone.
+            if (!ec) {
+                armed_until_ = time_point::max();
+            }
+        });
+    }
+
     /// Owned by the scheduler, which the thread destroys last.
     std::shared_ptr<asio::io_context> ioc_;
     /// Keeps run_one from returning at once when nothing is outstanding.
     asio::executor_work_guard<asio::io_context::executor_type> work_;
     asio::steady_timer timer_;
+    /// Expiry of the wait under way; max() without one.
+    time_point armed_until_ = time_point::max();
     fibers::scheduler::ready_queue_type ready_;
 };
 
--- a/test/transport/fiber_scheduler_test.cpp
+++ b/test/transport/fiber_scheduler_test.cpp
@@ -42,6 +42,26 @@
     });
 }
 
+// Guards against a timer that is armed anew on every suspension: its cancelled
+// wait ends the next suspension at once, which spins until a sleeper's time.
+TEST(fiber_scheduler, events_during_a_sleep_cause_no_spinning)
+{
+    on_fiber_thread([](asio::io_context& ioc) {
+        fibers::fiber sleeper([] { boost::this_fiber::sleep_for(500ms); });
+        const double before = thread_cpu_seconds();
+        // Ends before the sleeper, whose time must then be armed.
+        boost::this_fiber::sleep_for(20ms);
+        asio::steady_timer other(ioc);
+        boost::system::error_code ec;
+        for (int n = 0; n < 5; ++n) {
+            other.expires_after(10ms);
+            other.async_wait(fiber_yield(ec));
+        }
+        sleeper.join();
+        EXPECT_LT(thread_cpu_seconds() - before, 0.05);
+    });
+}
+
 // Guards against a lost wake-up of a sleeping thread.
 TEST(fiber_scheduler, other_thread_wakes_a_waiting_fiber)
 {
