Connect agents and entries for health verdicts

Evidence and verdicts existed as decisions without a way between processes. An entry now writes its evidence to one stream to its agent. The agent sends each batch to the service's collector by rendezvous order, anything but successes at once, successes after at most 200 ms; the reply brings a newer verdict set. A newly ejected or leaving upstream is pushed to all hosts that sent evidence in the last 30 s. Verdicts reach the entry over a second stream. Verdicts that no collector confirms expire after 10 s at the agent, and 10 s after the agent was lost at the entry. A new collector has not seen why an upstream was ejected, so the former one's verdicts stay for the same time.

--- /dev/null
+++ b/include/oriolegrade/coordination/collector_set.hpp
@@ -0,0 +1,129 @@
+// The collectors that run on a host: created by the first evidence about a
+// service, kept in step with its record, dropped when unused.
+
+#ifndef ORIOLEGRADE_COORDINATION_COLLECTOR_SET_HPP
+#define ORIOLEGRADE_COORDINATION_COLLECTOR_SET_HPP
+
+#include <oriolegrade/coordination/health_collector.hpp>
+#include <oriolegrade/coordination/leaving_set.hpp>
+#include <oriolegrade/coordination/verdict_book.hpp>
+#include <oriolegrade/state/configuration.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace oriolegrade::coordination {
+
+struct service_event
+{
+    service_key service;
+    health_event event;
+};
+
+using service_events = std::vector<service_event>;
+
+struct service_probe
+{
+    service_key service;
+    state::endpoint upstream;
+};
+
+/// A verdict that its reporters must not wait for.
+struct verdict_push
+{
+    state::verdict_set set;
+    std::vector<state::endpoint> hosts;
+};
+
+/// Interval between two probes of one suspected upstream.
+inline constexpr state::duration fast_tick = std::chrono::milliseconds(25);
+inline constexpr state::duration usual_tick = std::chrono::milliseconds(100);
+/// While every upstream is in service and nothing speaks against one.
+inline constexpr state::duration quiet_tick = std::chrono::seconds(1);
+
+class collector_set
+{
+public:
+    /// @param self address of this host, the collector of the sets
+    /// @param first_sequence above all sequences of earlier sets of this
+    ///        host, so that hosts take the sets of a restarted collector
+    collector_set(const state::endpoint& self, std::uint64_t first_sequence);
+
+    /// Adds evidence of a host. An empty batch only asks for verdicts.
+    service_events add(const state::evidence_batch& batch,
+                       const state::configuration& conf, state::time_point now);
+    /// Takes changed records over and drops removed services.
+    void update(const state::configuration& conf);
+    /// Moves on what only time decides and drops unused collectors.
+    service_events advance(state::time_point now);
+
+    std::vector<service_probe> take_probes(state::time_point now);
+    service_events add_probe(const service_probe& probe, bool healthy,
+                             state::time_point now);
+
+    /// The upstream announced to some host that it drains.
+    service_events drain_signal(const state::endpoint& upstream,
+                                state::time_point now);
+    service_events list_says(const state::endpoint& upstream,
+                             listed_state listed, state::time_point now);
+
+    /// Empty when this host does not collect for the service.
+    std::optional<state::verdict_set> verdicts(const service_key& key,
+                                               state::time_point now) const;
+    /// Sets in which an upstream is newly ejected or leaving, for the hosts
+    /// that sent evidence lately.
+    std::vector<verdict_push> take_pushes(state::time_point now);
+    /// Time until the next advance; empty when there is no collector.
+    std::optional<state::duration> pause(state::time_point now) const;
+
+    std::size_t size() const
+    {
+        return services_.size();
+    }
+    std::size_t memory_bytes() const;
+
+private:
+    struct service
+    {
+        service(state::entry_ptr record, std::uint64_t first)
+            : entry(std::move(record))
+            , collector(std::get<state::service_spec>(entry->body))
+            , first_sequence(first)
+        {}
+
+        state::entry_ptr entry;
+        health_collector collector;
+        std::uint64_t first_sequence;
+        state::time_point used{};
+        /// Last evidence against an upstream.
+        state::time_point bad{};
+        std::unordered_map<state::endpoint, state::time_point,
+                           state::endpoint_hash>
+            reporters;
+        std::uint64_t checked_sequence = 0;
+        /// Ejected or leaving upstreams at the last take_pushes.
+        std::set<state::endpoint> out;
+    };
+
+    service* find_or_create(const service_key& key,
+                            const state::configuration& conf,
+                            state::time_point now, service_events& events);
+    service_events set_leaving(const state::endpoint& upstream, bool leaving,
+                               state::time_point now);
+    void push_of(const service_key& key, service& it, state::time_point now,
+                 std::vector<verdict_push>& pushes) const;
+
+    const state::endpoint self_;
+    const std::uint64_t first_sequence_;
+    std::uint64_t created_ = 0;
+    std::map<service_key, service> services_;
+    leaving_set leaving_;
+    state::time_point probed_{};
+};
+
+} // namespace oriolegrade::coordination
+
+#endif
--- /dev/null
+++ b/src/coordination/evidence_merge.cpp
@@ -0,0 +1,91 @@
+// Merging of evidence.
+
+#include <oriolegrade/coordination/evidence_merge.hpp>
+
+#include <algorithm>
+
+namespace oriolegrade::coordination {
+
+namespace {
+
+/// Twice the services of the largest fleet.
+constexpr std::size_t max_waiting_services = 1024;
+
+void merge(std::vector<state::evidence_item>& into,
+           const state::evidence_item& item)
+{
+    const auto known =
+        std::find_if(into.begin(), into.end(), [&](const auto& it) {
+            return it.upstream == item.upstream && it.request == item.request;
+        });
+    if (known != into.end()) {
+        known->counts.add(item.counts);
+    } else if (into.size() < state::max_evidence_items) {
+        into.push_back(item);
+    }
+}
+
+} // namespace
+
+bool holds_bad_evidence(const state::evidence_batch& batch)
+{
+    return batch.host_suspects_itself ||
+           std::any_of(batch.items.begin(), batch.items.end(),
+                       [](const auto& it) {
+                           state::evidence_counts good;
+                           good[state::evidence_kind::success] =
+                               it.counts[state::evidence_kind::success];
+                           return it.counts != good;
+                       });
+}
+
+void evidence_merge::add(const state::evidence_batch& batch,
+                         state::time_point now)
+{
+    const service_key key{batch.service, batch.schema_version};
+    auto it = waiting_.find(key);
+    if (it == waiting_.end()) {
+        if (waiting_.size() >= max_waiting_services) {
+            for (const auto& item : batch.items) {
+                dropped_ += item.counts.judged();
+            }
+            return;
+        }
+        it = waiting_.emplace(key, waiting{batch, now + success_interval_})
+                 .first;
+    } else {
+        for (const auto& item : batch.items) {
+            merge(it->second.batch.items, item);
+        }
+        it->second.batch.host_suspects_itself = batch.host_suspects_itself;
+    }
+    if (holds_bad_evidence(batch) ||
+        it->second.batch.items.size() >= state::max_evidence_items / 2) {
+        it->second.due = now;
+    }
+}
+
+std::vector<state::evidence_batch>
+evidence_merge::take_due(state::time_point now)
+{
+    std::vector<state::evidence_batch> due;
+    for (auto it = waiting_.begin(); it != waiting_.end();) {
+        const bool take = it->second.due <= now;
+        if (take) {
+            due.push_back(std::move(it->second.batch));
+        }
+        it = take ? waiting_.erase(it) : std::next(it);
+    }
+    return due;
+}
+
+state::time_point evidence_merge::next_due() const
+{
+    auto next = state::time_point::max();
+    for (const auto& [key, it] : waiting_) {
+        next = std::min(next, it.due);
+    }
+    return next;
+}
+
+} // namespace oriolegrade::coordination
--- /dev/null
+++ b/src/coordination/verdict_book.cpp
@@ -0,0 +1,108 @@
+// Verdicts that a host knows.
+
+#include <oriolegrade/coordination/verdict_book.hpp>
+
+#include <algorithm>
+
+namespace oriolegrade::coordination {
+
+bool verdict_book::accept(const state::verdict_set& set, state::time_point now)
+{
+    const service_key key{set.service, set.schema_version};
+    auto [it, fresh] = services_.try_emplace(key);
+    auto& known = it->second;
+    if (!fresh && known.set.collector == set.collector &&
+        set.sequence <= known.set.sequence) {
+        return false;
+    }
+    if (!fresh && known.set.collector != set.collector) {
+        known.former = known.in_force;
+        known.former_until = now + verdict_lifetime;
+    }
+    known.set = set;
+    known.heard = now;
+    return refresh(known);
+}
+
+void verdict_book::confirm(const service_key& key, state::time_point now)
+{
+    const auto it = services_.find(key);
+    if (it != services_.end()) {
+        it->second.heard = now;
+    }
+}
+
+bool verdict_book::expire(state::time_point now)
+{
+    bool changed = false;
+    for (auto it = services_.begin(); it != services_.end();) {
+        auto& known = it->second;
+        if (now >= known.former_until) {
+            known.former.clear();
+        }
+        if (now - known.heard >= verdict_lifetime) {
+            known.set.verdicts.clear();
+            // A collector that is heard again must send its set again.
+            known.set.sequence = 0;
+        }
+        changed = refresh(known) || changed;
+        const bool old = now - known.heard >= service_memory;
+        it = old ? services_.erase(it) : std::next(it);
+    }
+    return changed;
+}
+
+bool verdict_book::refresh(known_set& it)
+{
+    auto next = it.set.verdicts;
+    for (const auto& old : it.former) {
+        const bool named =
+            std::any_of(next.begin(), next.end(), [&](const auto& verdict) {
+                return verdict.upstream == old.upstream;
+            });
+        if (!named && next.size() < state::max_verdicts) {
+            next.push_back(old);
+        }
+    }
+    if (next == it.in_force) {
+        return false;
+    }
+    it.in_force = std::move(next);
+    it.version = ++version_;
+    return true;
+}
+
+std::vector<state::verdict_set> verdict_book::since(std::uint64_t version) const
+{
+    std::vector<state::verdict_set> sets;
+    for (const auto& [key, known] : services_) {
+        if (known.version > version) {
+            sets.push_back({known.set.collector, key.name, key.schema_version,
+                            known.version, known.in_force});
+        }
+    }
+    return sets;
+}
+
+std::uint64_t
+verdict_book::known_sequence(const service_key& key,
+                             const state::endpoint& collector) const
+{
+    const auto it = services_.find(key);
+    return it != services_.end() && it->second.set.collector == collector
+               ? it->second.set.sequence
+               : 0;
+}
+
+std::vector<service_key> verdict_book::services_with_verdicts() const
+{
+    std::vector<service_key> keys;
+    for (const auto& [key, known] : services_) {
+        if (!known.in_force.empty()) {
+            keys.push_back(key);
+        }
+    }
+    return keys;
+}
+
+} // namespace oriolegrade::coordination
