Merge successes within a budget and send them as datagrams

At 810 hosts and 490 services a host sends and receives 69 batches a second, each for another collector. Batches that hold anything but successes still leave at once over a stream. Successes leave within 200 ms while a host stays below 20 messages a second, and wait longer beyond; they go as datagrams with an authentication code, because a lost success does little harm, and connections to collectors are closed after 4 s.

--- a/include/oriolegrade/transport/agent_health.hpp
+++ b/include/oriolegrade/transport/agent_health.hpp
@@ -44,18 +44,23 @@
     std::function<void(const coordination::service_event& event,
                        const std::string& line)>
         audit;
+    /// Sends a datagram to the agent with this address, for example over the
+    /// socket of gossip; whoever receives it there calls take_datagram().
+    /// May be empty: successes then take the same way as other evidence.
+    std::function<void(const state::endpoint& agent, const std::string& bytes)>
+        send_datagram;
 };
 
 struct agent_health_options
 {
     state::duration success_interval = std::chrono::milliseconds(200);
-    /// Connections to collectors. Most collectors get a batch every few
-    /// seconds: a connection that is kept meanwhile saves its set-up, and
-    /// rare pings keep it cheap.
+    double messages_per_second = 20;
+    /// Connections to collectors. They carry failures and questions, which
+    /// are rare in a large fleet: a connection per collector that is kept for
+    /// them would take 50 MB.
     stream_limits collector_streams = [] {
         stream_limits limits;
-        limits.ping_interval = std::chrono::seconds(20);
-        limits.idle_timeout = std::chrono::seconds(60);
+        limits.idle_timeout = std::chrono::seconds(4);
         return limits;
     }();
 };
@@ -71,6 +76,9 @@
     std::uint64_t verdicts_received = 0;
     std::uint64_t verdicts_pushed = 0;
     std::uint64_t probes = 0;
+    /// Both directions, without the headers of UDP and IP.
+    std::uint64_t datagrams = 0;
+    std::uint64_t datagram_bytes = 0;
 };
 
 /// Used by the fibers of one thread.
@@ -90,6 +98,10 @@
     /// Serves a stream of another agent; false when the path is another's.
     bool serve_peer(server_stream& stream);
 
+    /// Takes a datagram of another agent; returns the reply to its source,
+    /// empty for none.
+    std::string take_datagram(std::string_view bytes);
+
     /// What a list of upstreams says about one.
     void list_says(const state::endpoint& upstream,
                    coordination::listed_state listed);
@@ -128,6 +140,9 @@
     void ask_loop();
 
     void send(state::evidence_batch batch);
+    /// True when the batch has left as a datagram.
+    bool send_datagram(const state::endpoint& collector,
+                       const state::evidence_batch& batch);
     void call_collector(const state::endpoint& collector,
                         const state::evidence_batch& batch);
     void collect(const state::evidence_batch& batch);
@@ -138,12 +153,15 @@
     void take_drain(const state::verdict_set& notice);
 
     void report(const coordination::service_events& events);
+    /// Takes a set that was not asked for.
+    void accept_pushed(const state::verdict_set& set);
     void accept(const state::verdict_set& set);
     void accept_own(const service_key& key);
     std::optional<state::endpoint> collector_for(const service_key& key) const;
 
     boost::asio::io_context& ioc_;
     const agent_health_sources sources_;
+    const std::string fleet_key_;
     const state::identifier incarnation_;
     std::uint64_t sequence_ = 0;
     coordination::evidence_merge merge_;
--- a/include/oriolegrade/transport/entry_health.hpp
+++ b/include/oriolegrade/transport/entry_health.hpp
@@ -33,8 +33,9 @@
     void stop();
 
     /// Sends a batch when the agent is there. Evidence that waits too long or
-    /// does not fit any more is dropped, oldest first.
-    void send(const state::evidence_batch& batch);
+    /// does not fit any more is dropped, oldest first. Host, incarnation and
+    /// sequence are the agent's to set.
+    void send(state::evidence_batch batch);
 
     /// An upstream of a service announced that it drains. Without effect
     /// while the agent is away: the upstream repeats its signal.
--- a/src/coordination/evidence_merge.cpp
+++ b/src/coordination/evidence_merge.cpp
@@ -51,7 +51,8 @@
             }
             return;
         }
-        it = waiting_.emplace(key, waiting{batch, now + success_interval_})
+        it = waiting_
+                 .emplace(key, waiting{batch, now + success_interval_, false})
                  .first;
     } else {
         for (const auto& item : batch.items) {
@@ -62,30 +63,61 @@
     if (holds_bad_evidence(batch) ||
         it->second.batch.items.size() >= state::max_evidence_items / 2) {
         it->second.due = now;
+        it->second.urgent = true;
     }
 }
 
+void evidence_merge::refill(state::time_point now)
+{
+    const auto passed = std::chrono::duration<double>(now - refilled_).count();
+    const double most = std::max(1.0, rate_ / 2);
+    tokens_ = std::min(most, tokens_ + std::max(passed, 0.0) * rate_);
+    refilled_ = now;
+}
+
 std::vector<state::evidence_batch>
 evidence_merge::take_due(state::time_point now)
 {
-    std::vector<state::evidence_batch> due;
-    for (auto it = waiting_.begin(); it != waiting_.end();) {
-        const bool take = it->second.due <= now;
-        if (take) {
-            due.push_back(std::move(it->second.batch));
+    refill(now);
+    std::vector<std::map<service_key, waiting>::iterator> due;
+    for (auto it = waiting_.begin(); it != waiting_.end(); ++it) {
+        if (it->second.due <= now) {
+            due.push_back(it);
         }
-        it = take ? waiting_.erase(it) : std::next(it);
     }
-    return due;
+    std::sort(due.begin(), due.end(), [](const auto& a, const auto& b) {
+        return std::pair(!a->second.urgent, a->second.due) <
+               std::pair(!b->second.urgent, b->second.due);
+    });
+    std::vector<state::evidence_batch> batches;
+    for (const auto& it : due) {
+        if (!it->second.urgent && tokens_ < 1) {
+            break;
+        }
+        // A burst of failures delays successes by two seconds at most.
+        tokens_ = std::max(tokens_ - 1, -2 * rate_);
+        batches.push_back(std::move(it->second.batch));
+        waiting_.erase(it);
+    }
+    return batches;
 }
 
 state::time_point evidence_merge::next_due() const
 {
     auto next = state::time_point::max();
     for (const auto& [key, it] : waiting_) {
+        if (it.urgent) {
+            return it.due;
+        }
         next = std::min(next, it.due);
     }
-    return next;
+    if (next == state::time_point::max() || tokens_ >= 1) {
+        return next;
+    }
+    const std::chrono::duration<double> wait((1 - tokens_) / rate_);
+    // Rounded up, so that the token is there by then.
+    return std::max(
+        next, refilled_ + std::chrono::ceil<std::chrono::milliseconds>(wait));
 }
 
 } // namespace oriolegrade::coordination
--- a/src/transport/agent_health.cpp
+++ b/src/transport/agent_health.cpp
@@ -2,6 +2,7 @@
 
 #include <oriolegrade/transport/agent_health.hpp>
 
+#include <oriolegrade/protocol/health_datagram.hpp>
 #include <oriolegrade/protocol/health_messages.hpp>
 #include <oriolegrade/transport/event_log.hpp>
 #include <oriolegrade/transport/http_client.hpp>
@@ -107,8 +108,9 @@
                            const agent_health_options& options)
     : ioc_(ioc)
     , sources_(std::move(sources))
+    , fleet_key_(fleet_key)
     , incarnation_(state::random_identifier())
-    , merge_(options.success_interval)
+    , merge_(options.success_interval, options.messages_per_second)
     , book_(first_sequence())
     , collectors_(sources_.self, first_sequence())
     , clients_(ioc, fleet_key, options.collector_streams)
@@ -233,12 +235,43 @@
     if (!set) {
         return;
     }
+    accept_pushed(set.value());
+    (void)stream.reply(204, "");
+}
+
+void agent_health::accept_pushed(const state::verdict_set& set)
+{
     // A host follows only the collector that it sends its evidence to, so
     // that two collectors do not take turns in its book.
-    if (collector_for(key_of(set.value())) == set.value().collector) {
-        accept(set.value());
+    if (collector_for(key_of(set)) == set.collector) {
+        accept(set);
     }
-    (void)stream.reply(204, "");
+}
+
+std::string agent_health::take_datagram(std::string_view bytes)
+{
+    ++counts_.datagrams;
+    counts_.datagram_bytes += bytes.size();
+    const auto message = protocol::decode_health_datagram(bytes, fleet_key_);
+    if (!message) {
+        // Not logged: anyone can send datagrams in any number.
+        ++counts_.messages_refused;
+        return {};
+    }
+    if (const auto* set = std::get_if<state::verdict_set>(&message.value())) {
+        accept_pushed(*set);
+        return {};
+    }
+    const auto& it = std::get<protocol::evidence_datagram>(message.value());
+    collect(it.batch);
+    const auto set = collectors_.verdicts(key_of(it.batch), now());
+    if (!set || set->sequence == it.known_sequence) {
+        return {};
+    }
+    auto reply = protocol::encode_datagram(*set, fleet_key_);
+    counts_.datagrams += reply.empty() ? 0 : 1;
+    counts_.datagram_bytes += reply.size();
+    return reply;
 }
 
 void agent_health::serve_drain(server_stream& stream, bool from_entry)
@@ -304,6 +337,9 @@
         accept_own(key_of(batch));
         return;
     }
+    if (send_datagram(*collector, batch)) {
+        return;
+    }
     if (calls_ >= max_calls) {
         ++counts_.batches_lost;
         return;
@@ -315,6 +351,25 @@
     });
 }
 
+bool agent_health::send_datagram(const state::endpoint& collector,
+                                 const state::evidence_batch& batch)
+{
+    if (!sources_.send_datagram || batch.items.empty() ||
+        coordination::holds_bad_evidence(batch)) {
+        return false;
+    }
+    const auto known = book_.known_sequence(key_of(batch), collector);
+    const auto bytes = protocol::encode_datagram({batch, known}, fleet_key_);
+    if (bytes.empty()) {
+        return false;
+    }
+    ++counts_.batches_sent;
+    ++counts_.datagrams;
+    counts_.datagram_bytes += bytes.size();
+    sources_.send_datagram(collector, bytes);
+    return true;
+}
+
 void agent_health::call_collector(const state::endpoint& collector,
                                   const state::evidence_batch& batch)
 {
--- a/src/transport/entry_health.cpp
+++ b/src/transport/entry_health.cpp
@@ -52,8 +52,9 @@
     fibers_.join();
 }
 
-void entry_health::send(const state::evidence_batch& batch)
+void entry_health::send(state::evidence_batch batch)
 {
+    batch.host = client_.peer();
     if (queue_.size() >= max_queued_batches) {
         queue_.pop_front();
         ++dropped_;
--- a/test/fakes/health_fleet.hpp
+++ b/test/fakes/health_fleet.hpp
@@ -52,6 +52,10 @@
 struct health_fleet
 {
     std::vector<state::endpoint> live;
+    /// Where a datagram to an agent goes.
+    std::map<state::endpoint, transport::agent_health*> agents;
+    std::size_t datagrams = 0;
+    bool with_datagrams = true;
     state::configuration_ptr configuration;
     /// Kinds of the collectors' decisions.
     std::vector<coordination::health_event_kind> decisions;
@@ -81,7 +85,8 @@
     health_agent(health_fleet& fleet, boost::asio::ip::tcp::acceptor feed,
                  boost::asio::ip::tcp::acceptor peer,
                  const transport::agent_health_options& options = {})
-        : self(address_of(peer))
+        : fleet_(fleet)
+        , self(address_of(peer))
         , feed_address(address_of(feed))
         , health(fiber_context(), "key", sources_of(fleet, self), options)
         , feed_server(std::move(feed), "key", {},
@@ -93,12 +98,14 @@
                           (void)health.serve_peer(stream);
                       })
     {
+        fleet_.agents[self] = &health;
         health.start();
         feed_server.start();
         peer_server.start();
     }
     ~health_agent()
     {
+        fleet_.agents.erase(self);
         feed_server.stop(std::chrono::milliseconds(0));
         peer_server.stop(std::chrono::milliseconds(0));
         health.stop();
@@ -113,9 +120,32 @@
                          const std::string&) {
                     fleet.decisions.push_back(it.event.kind);
                     fleet.decided_at = std::chrono::steady_clock::now();
-                }};
+                },
+                fleet.with_datagrams
+                    ? datagram_sender(fleet, self)
+                    : decltype(datagram_sender(fleet, self))()};
     }
 
+    /// Delivers at once, within the process.
+    static std::function<void(const state::endpoint&, const std::string&)>
+    datagram_sender(health_fleet& fleet, const state::endpoint& self)
+    {
+        return [&fleet, self](const state::endpoint& to,
+                              const std::string& bytes) {
+            const auto it = fleet.agents.find(to);
+            if (it == fleet.agents.end()) {
+                return;
+            }
+            ++fleet.datagrams;
+            const auto reply = it->second->take_datagram(bytes);
+            const auto sender = fleet.agents.find(self);
+            if (!reply.empty() && sender != fleet.agents.end()) {
+                (void)sender->second->take_datagram(reply);
+            }
+        };
+    }
+
+    health_fleet& fleet_;
     state::endpoint self;
     state::endpoint feed_address;
     transport::agent_health health;
@@ -153,7 +183,6 @@
               const std::map<state::endpoint, state::evidence_kind>& seen)
     {
         state::evidence_batch batch;
-        batch.host = self;
         batch.service = service;
         for (const auto& [upstream, kind] : seen) {
             state::evidence_item item;
@@ -161,7 +190,7 @@
             item.counts[kind] = 2;
             batch.items.push_back(item);
         }
-        entry.send(batch);
+        entry.send(std::move(batch));
     }
 
     const state::health_verdict* verdict(const std::string& service,
--- a/test/transport/agent_health_test.cpp
+++ b/test/transport/agent_health_test.cpp
@@ -2,6 +2,7 @@
 
 #include "fakes/health_fleet.hpp"
 
+#include <oriolegrade/protocol/health_datagram.hpp>
 #include <oriolegrade/protocol/health_messages.hpp>
 #include <oriolegrade/transport/http_server.hpp>
 #include <oriolegrade/transport/message_frame.hpp>
@@ -144,6 +145,7 @@
         sleep_for(20ms);
     }
     EXPECT_GT(collector().agent->health.counts().batches_collected, 60U);
+    EXPECT_GT(fleet.datagrams, 0U);
     EXPECT_TRUE(fleet.decisions.empty());
     for (const auto& it : hosts) {
         EXPECT_FALSE(is_out(*it));
@@ -250,6 +252,24 @@
     }
 }
 
+// Guards against an agent that needs datagrams to pass its evidence on.
+TEST_F(agent_health, successes_reach_the_collector_without_datagrams)
+{
+    hosts.clear();
+    fleet.live.clear();
+    fleet.with_datagrams = false;
+    for (int n = 0; n < 3; ++n) {
+        hosts.push_back(std::make_unique<health_host>(fleet, lifetime));
+    }
+    for (auto& it : hosts) {
+        send_round(*it, evidence_kind::success);
+    }
+    EXPECT_TRUE(eventually(1s, [&] {
+        return collector().agent->health.counts().batches_collected == 3;
+    }));
+    EXPECT_EQ(fleet.datagrams, 0U);
+}
+
 // Guards against a drain signal that helps only the host that received it.
 TEST_F(agent_health, drain_notice_of_one_entry_reaches_all)
 {
@@ -284,6 +304,14 @@
     EXPECT_EQ(call(member, transport::push_verdict_path, "\x07"), 400U);
     EXPECT_EQ(agent.health.counts().messages_refused, 2U);
     EXPECT_EQ(call(member, transport::collect_path, bytes), 200U);
+    const protocol::evidence_datagram evidence{batch, 0};
+    (void)agent.health.take_datagram(
+        protocol::encode_datagram(evidence, "other"));
+    (void)agent.health.take_datagram("\x01");
+    EXPECT_EQ(agent.health.counts().messages_refused, 4U);
+    EXPECT_FALSE(
+        agent.health.take_datagram(protocol::encode_datagram(evidence, "key"))
+            .empty());
     stranger.stop();
     member.stop();
 }
