--- a/src/protocol/record_body_decode.cpp
+++ b/src/protocol/record_body_decode.cpp
@@ -237,7 +237,7 @@
         in.number("floor_percent", {0, percent_max}));
     spec.floor_slots = floor_from_percent(spec.upstreams, *spec.floor_percent);
     spec.profile = in.enumerator<state::health_profile>("health_profile");
-    spec.costs = state::health_profile_costs[index_of(*spec.profile)];
+    spec.costs = state::profile_costs[index_of(*spec.profile)];
     return spec;
 }
 
