Connect evidence, collectors and verdicts between entry and agent

Evidence of the entry reaches the service's collector through its agent, over the gossip socket for successes and streams for the rest; verdicts come back and become standings within the floor. Decisions leave audit events, and oriolectl upstreams shows the verdicts.

--- a/include/oriolegrade/protocol/admin_json.hpp
+++ b/include/oriolegrade/protocol/admin_json.hpp
@@ -7,6 +7,7 @@
 #include <oriolegrade/coordination/publisher.hpp>
 #include <oriolegrade/state/configuration.hpp>
 #include <oriolegrade/state/finding.hpp>
+#include <oriolegrade/state/health_verdict.hpp>
 
 #include <optional>
 #include <string>
@@ -52,6 +53,10 @@
 
 std::string encode_change(const coordination::change_status& status);
 
+/// Upstreams of all services with the verdicts on them.
+std::string encode_upstreams(const state::configuration& conf,
+                             const std::vector<state::verdict_set>& verdicts);
+
 } // namespace oriolegrade::protocol
 
 #endif
--- a/include/oriolegrade/transport/admin_api.hpp
+++ b/include/oriolegrade/transport/admin_api.hpp
@@ -7,6 +7,7 @@
 #include <oriolegrade/protocol/settings.hpp>
 #include <oriolegrade/transport/agent_audit.hpp>
 #include <oriolegrade/transport/agent_configuration.hpp>
+#include <oriolegrade/transport/agent_health.hpp>
 #include <oriolegrade/transport/agent_membership.hpp>
 #include <oriolegrade/transport/agent_push.hpp>
 #include <oriolegrade/transport/http_server.hpp>
@@ -24,7 +25,8 @@
 public:
     admin_api(agent_configuration& configuration,
               const agent_membership& membership, const agent_push& push,
-              agent_audit& audit, const protocol::agent_settings& settings);
+              const agent_health& health, agent_audit& audit,
+              const protocol::agent_settings& settings);
 
     http_answer serve(const http_request& request);
 
@@ -44,6 +46,7 @@
                              std::string_view name) const;
     http_answer show_change(std::string_view id) const;
     http_answer list_hosts() const;
+    http_answer list_upstreams() const;
     http_answer list_audit(std::string_view target) const;
     http_answer metrics() const;
     void audit_result(const protocol::record_result& result,
@@ -57,6 +60,7 @@
     agent_configuration& configuration_;
     const agent_membership& membership_;
     const agent_push& push_;
+    const agent_health& health_;
     agent_audit& audit_;
     const protocol::agent_settings& settings_;
 };
--- a/include/oriolegrade/transport/agent.hpp
+++ b/include/oriolegrade/transport/agent.hpp
@@ -8,6 +8,7 @@
 #include <oriolegrade/transport/admin_api.hpp>
 #include <oriolegrade/transport/agent_audit.hpp>
 #include <oriolegrade/transport/agent_configuration.hpp>
+#include <oriolegrade/transport/agent_health.hpp>
 #include <oriolegrade/transport/agent_membership.hpp>
 #include <oriolegrade/transport/agent_push.hpp>
 #include <oriolegrade/transport/agent_snapshots.hpp>
@@ -50,6 +51,9 @@
     void set_handlers();
     void take(const coordination::configuration_change& change);
     void take_members();
+    agent_health_sources health_sources();
+    void audit_health(const coordination::service_event& event,
+                      const std::string& line);
     void audit_end(const state::member_info& member, bool dead);
     void audit_snapshot(state::audit_kind kind,
                         const state::snapshot_summary& what,
@@ -61,6 +65,7 @@
     agent_audit audit_;
     agent_push push_;
     agent_snapshots snapshots_;
+    agent_health health_;
     /// For the entry on this host.
     stream_server own_server_;
     /// For other hosts.
--- a/include/oriolegrade/transport/agent_health.hpp
+++ b/include/oriolegrade/transport/agent_health.hpp
@@ -106,6 +106,12 @@
     void list_says(const state::endpoint& upstream,
                    coordination::listed_state listed);
 
+    /// Verdicts on the services that this host's entry uses.
+    std::vector<state::verdict_set> verdicts() const
+    {
+        return book_.since(0);
+    }
+
     const agent_health_counts& counts() const
     {
         return counts_;
--- a/include/oriolegrade/transport/agent_membership.hpp
+++ b/include/oriolegrade/transport/agent_membership.hpp
@@ -76,6 +76,20 @@
         on_end_ = std::move(handler);
     }
 
+    /// Receives datagrams on the gossip socket that belong to health; returns
+    /// the reply to their source, empty for none.
+    using datagram_handler = std::function<std::string(std::string_view bytes)>;
+
+    void on_health_datagram(datagram_handler handler)
+    {
+        on_health_datagram_ = std::move(handler);
+    }
+
+    /// Sends bytes of another protocol to the gossip socket of an agent.
+    /// @param peer the agent's address for streams; without effect when it is
+    ///        not a known host's
+    void send_datagram(const state::endpoint& peer, const std::string& bytes);
+
     /// Called after members may have changed, at most a few times a second.
     void on_refresh(std::function<void()> handler)
     {
@@ -106,6 +120,8 @@
 
 private:
     void receive_loop();
+    void answer_health(std::string_view bytes,
+                       const boost::asio::ip::udp::endpoint& from);
     void tick_loop();
     void host_list_loop();
     void refresh_loop();
@@ -122,6 +138,7 @@
     gossip_traffic traffic_;
     end_handler on_end_;
     std::function<void()> on_refresh_;
+    datagram_handler on_health_datagram_;
     /// Something that peers() depends on may have changed.
     bool dirty_ = true;
     fiber_signal dirtied_;
--- a/include/oriolegrade/transport/service_control.hpp
+++ b/include/oriolegrade/transport/service_control.hpp
@@ -48,6 +48,11 @@
     /// Receives each batch of evidence, in the order of the sequences.
     std::function<void(const state::evidence_batch&)> on_evidence;
 
+    /// Receives each upstream that announced itself that it drains.
+    std::function<void(const state::record_key& service,
+                       const state::endpoint& upstream)>
+        on_drain;
+
     /// Collects the evidence of all threads and builds the tables that
     /// change by it. To be called every `collect_interval`.
     void collect(state::time_point now);
@@ -75,6 +80,7 @@
     bool judge(service& it, state::time_point now);
     void take_evidence(const service_evidence& found, state::time_point now);
     void send_batch(const service& it, std::vector<state::evidence_item> items);
+    void send_drain(const state::endpoint& upstream);
     void
     take_leave_event(const std::optional<coordination::health_event>& event);
     /// Lets upstreams back in that gave notice long ago and are still
--- a/src/programs/oriole-entry/main.cpp
+++ b/src/programs/oriole-entry/main.cpp
@@ -6,6 +6,7 @@
 #include <oriolegrade/protocol/settings.hpp>
 #include <oriolegrade/transport/claim_service.hpp>
 #include <oriolegrade/transport/entry_feed.hpp>
+#include <oriolegrade/transport/entry_health.hpp>
 #include <oriolegrade/transport/entry_peers.hpp>
 #include <oriolegrade/transport/entry_server.hpp>
 #include <oriolegrade/transport/event_log.hpp>
@@ -58,6 +59,19 @@
     };
 }
 
+/// Passes evidence and drain signals to the agent.
+void connect_health(transport::service_control& services,
+                    transport::entry_health& health)
+{
+    services.on_evidence = [&health](const state::evidence_batch& batch) {
+        health.send(batch);
+    };
+    services.on_drain = [&health](const state::record_key& service,
+                                  const state::endpoint& upstream) {
+        health.send_drain({service.name, service.schema_version}, upstream);
+    };
+}
+
 void stop(const protocol::entry_settings& settings,
           boost::asio::io_context& ioc, transport::entry_server& server,
           transport::once_shared& once)
@@ -88,7 +102,12 @@
     once.on_incarnations_changed = [&] {
         boost::asio::post(ioc, [&peers] { peers.announce(); });
     };
+    transport::entry_health health(
+        ioc, settings.agent, settings.fleet_key,
+        [&](const state::verdict_set& set) { services.set_verdicts(set); });
+    connect_health(services, health);
     transport::entry_server server(shared, once, settings.threads);
+    health.start();
     transport::spawn_fiber([&] { feed.follow(); });
     transport::spawn_fiber([&] { services.run(); });
     transport::spawn_fiber([&] { peers.follow(); });
--- a/src/programs/oriolectl/commands.cpp
+++ b/src/programs/oriolectl/commands.cpp
@@ -186,7 +186,7 @@
     return show(context, "upstreams", context.agent.get("/v1/services"),
                 "upstreams",
                 {"service", "schema_version", "address", "state", "weight",
-                 "kept_by_floor", "reason"});
+                 "score", "bad_share", "hosts"});
 }
 
 exit_code history(command_context& context)
--- a/src/protocol/admin_json.cpp
+++ b/src/protocol/admin_json.cpp
@@ -80,6 +80,40 @@
     return ec ? json::value() : value.at("body");
 }
 
+/// Verdict on an upstream; in service when there is none.
+state::health_verdict verdict_on(const std::vector<state::verdict_set>& sets,
+                                 const state::record_key& service,
+                                 const state::endpoint& upstream)
+{
+    for (const auto& set : sets) {
+        if (set.service != service.name ||
+            set.schema_version != service.schema_version) {
+            continue;
+        }
+        for (const auto& it : set.verdicts) {
+            if (it.upstream == upstream) {
+                return it;
+            }
+        }
+    }
+    state::health_verdict healthy;
+    healthy.upstream = upstream;
+    return healthy;
+}
+
+json::object upstream_object(const state::record_key& service,
+                             const state::health_verdict& it)
+{
+    return {{"service", service.name},
+            {"schema_version", service.schema_version},
+            {"address", to_string(it.upstream)},
+            {"state", state::name_of(it.state)},
+            {"weight", it.weight},
+            {"score", it.score},
+            {"bad_share", it.severity},
+            {"hosts", it.hosts}};
+}
+
 void sort_by_key(std::vector<state::entry_ptr>& entries)
 {
     std::sort(entries.begin(), entries.end(),
@@ -177,4 +211,26 @@
     return json::serialize(object);
 }
 
+std::string encode_upstreams(const state::configuration& conf,
+                             const std::vector<state::verdict_set>& verdicts)
+{
+    std::vector<state::entry_ptr> services;
+    conf.for_each([&](const state::entry_ptr& it) {
+        if (it->key.kind == state::record_kind::service) {
+            services.push_back(it);
+        }
+    });
+    sort_by_key(services);
+    json::array list;
+    for (const auto& it : services) {
+        const auto& spec = std::get<state::service_spec>(it->body);
+        for (const auto& upstream : spec.upstreams) {
+            const auto verdict =
+                verdict_on(verdicts, it->key, upstream.address);
+            list.push_back(upstream_object(it->key, verdict));
+        }
+    }
+    return json::serialize(json::object{{"upstreams", std::move(list)}});
+}
+
 } // namespace oriolegrade::protocol
--- a/src/transport/admin_api.cpp
+++ b/src/transport/admin_api.cpp
@@ -74,11 +74,12 @@
 
 admin_api::admin_api(agent_configuration& configuration,
                      const agent_membership& membership, const agent_push& push,
-                     agent_audit& audit,
+                     const agent_health& health, agent_audit& audit,
                      const protocol::agent_settings& settings)
     : configuration_(configuration)
     , membership_(membership)
     , push_(push)
+    , health_(health)
     , audit_(audit)
     , settings_(settings)
 {}
@@ -130,6 +131,9 @@
     if (path == "/v1/records") {
         return list_records();
     }
+    if (path == "/v1/services") {
+        return list_upstreams();
+    }
     if (path == "/v1/hosts") {
         return list_hosts();
     }
@@ -181,6 +185,12 @@
     return json_answer(200, protocol::encode_results(results));
 }
 
+http_answer admin_api::list_upstreams() const
+{
+    return json_answer(200, protocol::encode_upstreams(
+                                *configuration_.current(), health_.verdicts()));
+}
+
 http_answer admin_api::list_records() const
 {
     std::vector<state::entry_ptr> entries;
--- a/src/transport/agent.cpp
+++ b/src/transport/agent.cpp
@@ -23,6 +23,28 @@
 /// one of them may end too.
 constexpr std::size_t end_witnesses = 2;
 
+/// Audit kind of a decision; empty for steps in between, which are logged
+/// only.
+std::optional<state::audit_kind>
+audit_kind_of(coordination::health_event_kind kind)
+{
+    using coordination::health_event_kind;
+    switch (kind) {
+    case health_event_kind::ejected:
+        return state::audit_kind::upstream_ejected;
+    case health_event_kind::trial:
+        return state::audit_kind::upstream_trial;
+    case health_event_kind::returned:
+        return state::audit_kind::upstream_returned;
+    case health_event_kind::leaving:
+        return state::audit_kind::upstream_leaving;
+    case health_event_kind::kept_by_floor:
+        return state::audit_kind::floor_kept;
+    default:
+        return std::nullopt;
+    }
+}
+
 boost::asio::ip::tcp::acceptor open_acceptor(boost::asio::io_context& ioc,
                                              const state::endpoint& address)
 {
@@ -47,13 +69,14 @@
                  [this](auto kind, const auto& what, const auto& detail) {
                      audit_snapshot(kind, what, detail);
                  })
+    , health_(ioc, settings_.fleet_key, health_sources())
     , own_server_(open_acceptor(ioc, settings_.feed_listen),
                   settings_.fleet_key, {},
                   [this](server_stream& stream) { serve_own(stream); })
     , peer_server_(open_acceptor(ioc, settings_.peer_listen),
                    settings_.fleet_key, {},
                    [this](server_stream& stream) { serve_peer(stream); })
-    , api_(configuration_, membership_, push_, audit_, settings_)
+    , api_(configuration_, membership_, push_, health_, audit_, settings_)
     , admin_(ioc, settings_.admin_listen, [this](const http_request& request) {
         return api_.serve(request);
     })
@@ -75,11 +98,15 @@
         audit_end(member, dead);
     });
     membership_.on_refresh([this] { take_members(); });
+    membership_.on_health_datagram([this](std::string_view bytes) {
+        return health_.take_datagram(bytes);
+    });
 }
 
 void agent::start()
 {
     membership_.start();
+    health_.start();
     own_server_.start();
     peer_server_.start();
     spawn_fiber([this] { configuration_.follow(); });
@@ -103,7 +130,7 @@
         serve_feed(configuration_, stream);
     } else if (stream.path() == peers_path) {
         serve_peers(membership_, stream);
-    } else {
+    } else if (!health_.serve_own(stream)) {
         (void)stream.reply(404, "");
     }
 }
@@ -116,7 +143,7 @@
         snapshots_.serve_content(stream);
     } else if (stream.path() == snapshot_offer_path) {
         snapshots_.serve_offer(stream);
-    } else {
+    } else if (!health_.serve_peer(stream)) {
         (void)stream.reply(404, "");
     }
 }
@@ -152,6 +179,47 @@
     }
 }
 
+agent_health_sources agent::health_sources()
+{
+    agent_health_sources sources;
+    sources.self = settings_.peer_listen;
+    sources.live_hosts = [this] {
+        std::vector<state::endpoint> hosts{settings_.peer_listen};
+        for (const auto& it : membership_.members().live()) {
+            if (it.peer != settings_.peer_listen) {
+                hosts.push_back(it.peer);
+            }
+        }
+        return hosts;
+    };
+    sources.configuration = [this] {
+        return configuration_.current();
+    };
+    sources.audit = [this](const coordination::service_event& event,
+                           const std::string& line) {
+        audit_health(event, line);
+    };
+    sources.send_datagram = [this](const state::endpoint& peer,
+                                   const std::string& bytes) {
+        membership_.send_datagram(peer, bytes);
+    };
+    return sources;
+}
+
+void agent::audit_health(const coordination::service_event& event,
+                         const std::string& line)
+{
+    const auto kind = audit_kind_of(event.event.kind);
+    if (!kind) {
+        return;
+    }
+    state::audit_event entry;
+    entry.kind = *kind;
+    entry.subject = "upstream/" + to_string(event.event.upstream);
+    entry.detail = line;
+    audit_.add(std::move(entry));
+}
+
 void agent::audit_end(const state::member_info& member, bool dead)
 {
     std::vector<std::string> names;
--- a/src/transport/agent_membership.cpp
+++ b/src/transport/agent_membership.cpp
@@ -56,6 +56,14 @@
     return {it.name, it.data_centre, it.forward, it.incarnations, leaving};
 }
 
+/// The first byte of gossip is the tag of a protobuf field, which is 8 or
+/// more. Health datagrams begin with their kind, which is below.
+bool is_health_datagram(char first)
+{
+    constexpr unsigned char least_tag = 8;
+    return static_cast<unsigned char>(first) < least_tag;
+}
+
 } // namespace
 
 agent_membership::agent_membership(boost::asio::io_context& ioc,
@@ -94,6 +102,10 @@
         }
         traffic_.received_bytes += n;
         ++traffic_.received_datagrams;
+        if (n > 0 && is_health_datagram(buf[0])) {
+            answer_health({buf.data(), n}, from);
+            continue;
+        }
         const auto message =
             protocol::decode_gossip({buf.data(), n}, settings_.fleet_key);
         if (!message) {
@@ -109,6 +121,30 @@
     }
 }
 
+void agent_membership::answer_health(std::string_view bytes,
+                                     const udp::endpoint& from)
+{
+    const auto reply =
+        on_health_datagram_ ? on_health_datagram_(bytes) : std::string();
+    if (!reply.empty()) {
+        error_code ec;
+        socket_.send_to(boost::asio::buffer(reply), from, 0, ec);
+    }
+}
+
+void agent_membership::send_datagram(const state::endpoint& peer,
+                                     const std::string& bytes)
+{
+    for (const auto& [name, it] : members_.members().all()) {
+        if (it.info.peer == peer) {
+            error_code ec;
+            socket_.send_to(boost::asio::buffer(bytes), to_udp(it.info.gossip),
+                            0, ec);
+            return;
+        }
+    }
+}
+
 void agent_membership::tick_loop()
 {
     for (;;) {
--- a/src/transport/service_control.cpp
+++ b/src/transport/service_control.cpp
@@ -137,7 +137,11 @@
             take_evidence(found, now);
         }
         for (const auto& upstream : it.draining) {
-            take_leave_event(leaving_.drain_signal(upstream, now));
+            const auto event = leaving_.drain_signal(upstream, now);
+            take_leave_event(event);
+            if (event) {
+                send_drain(upstream);
+            }
         }
     });
     expire_notices(now);
@@ -189,6 +193,22 @@
     on_evidence(batch);
 }
 
+void service_control::send_drain(const state::endpoint& upstream)
+{
+    if (!on_drain) {
+        return;
+    }
+    for (const auto& [key, it] : services_) {
+        const auto& spec = std::get<state::service_spec>(it.entry->body);
+        const bool own = std::any_of(
+            spec.upstreams.begin(), spec.upstreams.end(),
+            [&](const auto& known) { return known.address == upstream; });
+        if (own) {
+            on_drain(key, upstream);
+        }
+    }
+}
+
 void service_control::take_notice(const coordination::leave_notice& notice,
                                   state::time_point now)
 {
