--- a/ci/capacity.py
+++ b/ci/capacity.py
@@ -56,7 +56,9 @@
         s, t = self.slope, self.target
         rate = self.requests_per_host()
         entries = self.once_per_host() * self.assumed["token_lifetime_s"]
-        forward = t["hosts"] * self.assumed["forward_peers_share"]
+        # Each token forwarded opens or keeps a connection at both ends.
+        forward = min(2 * t["hosts"], 2 * self.once_per_host()
+                      * self.assumed["forward_idle_s"])
         cpu = rate * s["entry_cpu_us_per_request"] / 1e6
         memory = (s["entry_base_mb"] + s["configuration_mb"]
                   + entries * s["used_entry_bytes"] / MB
@@ -75,15 +77,16 @@
         gossip_cpu = s["gossip_us_per_period"] / 1e6
         change_cpu = self.changes_per_s() * s["change_apply_us"] / 1e6
         gossip = s["gossip_bytes_per_s"]
-        push = self.changes_per_s() * s["record_bytes"]
+        push = self.changes_per_s() * self.assumed["record_bytes"]
         boot = (t["restarts_per_day"] + t["failures_per_day"]) / DAY \
             * s["snapshot_bytes"] / t["hosts"]
         memory = s["agent_base_mb"] + s["configuration_mb"]
         return ["agent", "configuration, member table, change history, audit buffer",
-                f"gossip {number(gossip / 1e3)} KB/s, records "
+                f"gossip {number(gossip / 1e3)} KB/s, streams "
+                f"{number(s['agent_streams_bytes_per_s'] / 1e3)} KB/s, records "
                 f"{number(push)} B/s, snapshots to booting hosts "
                 f"{number(boot)} B/s",
-                f"{number((gossip_cpu + change_cpu) * 100)}% of a core",
+                f"{number(s['agent_cpu_idle_percent'] + (gossip_cpu + change_cpu) * 100)}% of a core",
                 f"{number(memory)} MB",
                 "gossip with constant messages per host; deltas"]
 
@@ -91,7 +94,7 @@
         s, t = self.slope, self.target
         per_centre = t["hosts"] / t["data_centres"]
         pushes = per_centre / self.assumed["log_readers"]
-        out = self.changes_per_s() * s["record_bytes"] * pushes
+        out = self.changes_per_s() * self.assumed["record_bytes"] * pushes
         polls = self.assumed["log_readers"] * t["data_centres"] \
             / self.assumed["read_wait_s"]
         return ["log reader", "log position",
@@ -105,7 +108,7 @@
         appends = 64 / self.assumed["append_gap_s"]
         claims = self.claims_per_s()
         held = claims * self.assumed["key_lifetime_s"] / 64
-        memory = held * s["claim_bytes"] / MB
+        memory = held * self.assumed["claim_bytes"] / MB
         return ["claim writer", f"{number(held)} held keys per partition "
                 f"({number(memory)} MB)",
                 f"{number(claims)} claims/s in at most {number(appends)} "
@@ -116,8 +119,7 @@
     def collector(self):
         s, t = self.slope, self.target
         services = t["services"] / t["hosts"]
-        rate = t["requests_per_s"] / t["hosts"]
-        cpu = rate * s["evidence_item_us"] / 1e6
+        cpu = s["evidence_cpu_percent"] / 100
         traffic = s["evidence_bytes_per_s"]
         return ["evidence collector",
                 f"{number(services)} services, "
@@ -146,6 +148,22 @@
                 "the collector probes, so the budget is the fleet's"]
 
 
+def control(model):
+    """Control of one node against its budget."""
+    s = model.slope
+    gossip = s["gossip_us_per_period"] / 1e4
+    cpu = s["agent_cpu_idle_percent"] + gossip + s["evidence_cpu_percent"]
+    network = (s["gossip_bytes_per_s"] + s["agent_streams_bytes_per_s"]
+               + s["evidence_bytes_per_s"]) / 1e3
+    upstreams = model.target["servers"] / model.target["hosts"]
+    memory = (s["agent_base_mb"] + s["configuration_mb"]
+              + upstreams * s["collector_bytes_per_upstream"] / MB)
+    return table(["control of a node", "budget", "computed"],
+                 [["processor", "2.8% of a core", f"{number(cpu)}%"],
+                  ["memory", "64 MB", f"{number(memory)} MB"],
+                  ["network", "14 KB/s", f"{number(network)} KB/s"]])
+
+
 def table(header, rows):
     lines = ["| " + " | ".join(header) + " |", "|" + "---|" * len(header)]
     lines += ["| " + " | ".join(row) + " |" for row in rows]
@@ -188,7 +206,7 @@
         ["an hour between regions",
          f"the side without the log misses "
          f"{number(t['changes_per_day'] / 24)} changes and reads "
-         f"{number(t['changes_per_day'] / 24 * s['record_bytes'] / 1e3)} KB "
+         f"{number(t['changes_per_day'] / 24 * model.assumed['record_bytes'] / 1e3)} KB "
          "afterwards"],
     ]
     return table(["event", "cost"], rows)
@@ -213,6 +231,7 @@
         "## Per role, for one host at the target",
         table(["role", "state", "messages", "processor", "memory", "mechanism"],
               model.rows()),
+        "## Control against its budget", control(model),
         "## Appends", appends(model),
         "## Connections",
         f"A server of a service with 19 servers holds at most "
--- a/include/oriolegrade/transport/once_shared.hpp
+++ b/include/oriolegrade/transport/once_shared.hpp
@@ -20,8 +20,10 @@
 /// Time for which a token can be used, on its incarnation's clock.
 inline constexpr std::chrono::hours token_lifetime{1};
 
-/// Time for which a claimed key is remembered.
-inline constexpr std::chrono::hours key_lifetime{24};
+/// Time for which a claimed key is remembered; the claim table's longest. A
+/// day would put more than a million keys into each partition at the planned
+/// size.
+inline constexpr std::chrono::hours key_lifetime{1};
 
 /// Submits a claim to the writer of its partition. Called from any thread;
 /// the callback may come from any thread.
