Send unrun requests elsewhere; tell unknown after any attempt that may have run

Cause: a request whose first attempt lost its answer and whose retry was shed was told not-run, although the first attempt may have run. The outcome of a reply now covers all attempts.

Clean-up: one seeded random source and one place for fiber threads in tests, one path_of, and the forward client uses the map of stream clients.

--- a/demo/demo.py
+++ b/demo/demo.py
@@ -17,6 +17,7 @@
 HERE = pathlib.Path(__file__).resolve().parent
 LOAD_SECONDS = 15
 LOAD_RATE = 300
+RETURN_SECONDS = 60
 
 START = time.monotonic()
 
@@ -57,13 +58,13 @@
         return answer.read().decode()
 
 
-def start_load(fleet, hosts, report):
+def start_load(fleet, hosts, report, seconds=LOAD_SECONDS, name="load"):
     return fleet.start(
-        "load", "oriole-load",
+        name, "oriole-load",
         "--targets=" + ",".join(h.at(CALLER_PORT) for h in hosts),
         "--upstreams=" + ",".join(fleet.all_upstreams()),
         f"--mix={HERE / 'mix.json'}", f"--report={report}",
-        f"--rate={LOAD_RATE}", f"--duration_s={LOAD_SECONDS}")
+        f"--rate={LOAD_RATE}", f"--duration_s={seconds}")
 
 
 def set_fault(address, **fault):
@@ -122,6 +123,38 @@
     return have == want
 
 
+def audit_events(fleet):
+    """Audit events about upstreams, from all hosts, in order of time."""
+    events = []
+    for host in fleet.hosts:
+        if host.agent.poll() is None:
+            _, value = call(host.at(ADMIN_PORT), "/v1/audit", auth=True)
+            events += [e for e in value["events"]
+                       if e["kind"].startswith("upstream_")]
+    return sorted(events, key=lambda e: e["unix_ms"])
+
+
+def watch_return(fleet):
+    """Keeps a light load up until the gray upstream is back in service."""
+    hosts = [h for h in fleet.hosts if h.entry.poll() is None]
+    load = start_load(fleet, hosts, fleet.folder / "return.json",
+                      RETURN_SECONDS, "load-return")
+    say("light load until the gray upstream is back in service")
+
+    def returned():
+        return any(e["kind"] == "upstream_returned"
+                   for e in audit_events(fleet))
+    try:
+        wait_for(returned, "the upstream's return", RETURN_SECONDS)
+        back = True
+    except RuntimeError:
+        back = False
+    load.kill()
+    for event in audit_events(fleet):
+        say(f"audit: {event['kind']} {event['subject']} {event['detail']}")
+    return back
+
+
 def print_report(report):
     for key, value in report.items():
         if not isinstance(value, (dict, list)):
@@ -159,7 +192,9 @@
         say("load finished")
         print_report(json.loads(report.read_text()))
         kept = start_without_log(fleet, fleet.hosts[0])
-        ok = load.returncode == 0 and kept
+        fleet.set_log("up")
+        back = watch_return(fleet)
+        ok = load.returncode == 0 and kept and back
         say("all promises were kept" if ok else "A PROMISE WAS BROKEN")
         return 0 if ok else 1
 
--- a/include/oriolegrade/coordination/attempt_policy.hpp
+++ b/include/oriolegrade/coordination/attempt_policy.hpp
@@ -51,6 +51,17 @@
     state::reply_reason reason = state::reply_reason::no_upstream;
 };
 
+/// Attempts that a request may make after one that ended so. One that was
+/// refused unrun may go elsewhere whatever its class: servers are small, and
+/// most sheds find room at the next upstream.
+/// @param max_attempts the route's limit
+std::uint32_t attempt_limit(state::attempt_result result,
+                            std::uint32_t max_attempts);
+
+/// Outcome to tell the caller with a reply after some attempts. A last
+/// attempt that proves not-run says nothing about the ones before it.
+state::run_outcome outcome_after(state::reply_reason reason, bool may_have_run);
+
 /// Decides the step after an attempt. A request that may have run is only
 /// sent again when its class says that this is harmless.
 attempt_decision decide_next(const attempt_facts& facts);
--- a/include/oriolegrade/transport/forward_client.hpp
+++ b/include/oriolegrade/transport/forward_client.hpp
@@ -7,10 +7,9 @@
 #include <oriolegrade/transport/body_stream.hpp>
 #include <oriolegrade/transport/forward_message.hpp>
 #include <oriolegrade/transport/message_frame.hpp>
-#include <oriolegrade/transport/stream_client.hpp>
+#include <oriolegrade/transport/stream_client_map.hpp>
 
-#include <memory>
-#include <unordered_map>
+#include <string>
 #include <vector>
 
 namespace oriolegrade::transport {
@@ -29,9 +28,15 @@
 class forward_client
 {
 public:
-    forward_client(boost::asio::io_context& ioc, std::string fleet_key);
+    forward_client(boost::asio::io_context& ioc, std::string fleet_key)
+        : clients_(ioc, std::move(fleet_key), stream_limits())
+    {}
 
-    stream_client& to(const state::endpoint& peer);
+    /// Client of an entry; keep the pointer for the length of a call.
+    stream_client_map::client_ptr to(const state::endpoint& peer)
+    {
+        return clients_.at(peer);
+    }
 
     /// Sends a request and passes its answer on.
     template <body_source Source, answer_sink Sink>
@@ -39,7 +44,8 @@
                            const protocol::forward_request& request,
                            Source& source, Sink& sink)
     {
-        auto opened = to(peer).open(
+        const auto client = to(peer);
+        auto opened = client->open(
             forward_path, {}, std::chrono::milliseconds(request.deadline_ms));
         if (!opened) {
             return forward_result::failed;
@@ -132,11 +138,7 @@
         }
     }
 
-    boost::asio::io_context& ioc_;
-    std::string fleet_key_;
-    std::unordered_map<state::endpoint, std::unique_ptr<stream_client>,
-                       state::endpoint_hash>
-        clients_;
+    stream_client_map clients_;
 };
 
 } // namespace oriolegrade::transport
--- a/include/oriolegrade/transport/once_runner.hpp
+++ b/include/oriolegrade/transport/once_runner.hpp
@@ -78,7 +78,7 @@
     if (!report.may_have_run) {
         used.abandon(request.id);
         if (report.step == coordination::next_step::reply) {
-            send_reply(sink, report.reason);
+            send_reply(sink, report.reason, report.outcome());
         }
         return;
     }
@@ -86,7 +86,7 @@
                                : state::run_outcome::unknown,
             nullptr});
     if (report.step == coordination::next_step::reply) {
-        send_reply(sink, report.reason);
+        send_reply(sink, report.reason, report.outcome());
     }
 }
 
--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -58,6 +58,12 @@
     bool may_have_run = false;
     std::uint32_t attempts = 0;
     error_code caller_error;
+
+    /// Outcome to tell with the reason, over all attempts.
+    state::run_outcome outcome() const
+    {
+        return coordination::outcome_after(reason, may_have_run);
+    }
 };
 
 template <body_source Source, answer_sink Sink, upstream_choice Choice>
@@ -91,9 +97,8 @@
             const auto upstream = choice_.next();
             if (!upstream) {
                 // After an attempt, its reason tells the caller more.
-                report.reason = report.attempts == 0
-                                    ? choice_.refusal()
-                                    : decide(last, route_.max_attempts).reason;
+                report.reason = report.attempts == 0 ? choice_.refusal()
+                                                     : reason_after(last);
                 report.step = coordination::next_step::reply;
                 return report;
             }
@@ -146,13 +151,26 @@
         facts.max_attempts = route_.max_attempts;
         facts.answer_started = answer_started_;
         facts.body_replayable = body_.replayable();
+        // Asked last: a choice that agrees has taken from the retry budget.
         const bool more = result != state::attempt_result::answered &&
-                          attempts < route_.max_attempts && choice_.may_retry();
+                          attempts < coordination::attempt_limit(
+                                         result, route_.max_attempts) &&
+                          choice_.may_retry();
         facts.budget_left = more;
         facts.upstream_left = more;
         return coordination::decide_next(facts);
     }
 
+    /// Reason of a reply when no upstream is left after an attempt.
+    state::reply_reason reason_after(state::attempt_result result) const
+    {
+        coordination::attempt_facts facts;
+        facts.result = result;
+        facts.request = route_.request;
+        facts.upstream_left = false;
+        return coordination::decide_next(facts).reason;
+    }
+
     bool past_deadline() const
     {
         return std::chrono::steady_clock::now() >= deadline_;
--- a/src/coordination/attempt_policy.cpp
+++ b/src/coordination/attempt_policy.cpp
@@ -2,6 +2,8 @@
 
 #include <oriolegrade/coordination/attempt_policy.hpp>
 
+#include <algorithm>
+
 namespace oriolegrade::coordination {
 
 namespace {
@@ -47,6 +49,22 @@
 
 } // namespace
 
+std::uint32_t attempt_limit(state::attempt_result result,
+                            std::uint32_t max_attempts)
+{
+    constexpr std::uint32_t max_unrun_attempts = 3;
+    return proves_not_run(result) ? std::max(max_attempts, max_unrun_attempts)
+                                  : max_attempts;
+}
+
+state::run_outcome outcome_after(reply_reason reason, bool may_have_run)
+{
+    const auto outcome = state::reply_of(reason).outcome;
+    return may_have_run && outcome == state::run_outcome::not_run
+               ? state::run_outcome::unknown
+               : outcome;
+}
+
 attempt_decision decide_next(const attempt_facts& facts)
 {
     if (facts.result == attempt_result::answered) {
@@ -55,10 +73,10 @@
     if (facts.answer_started || facts.result == attempt_result::caller_lost) {
         return {next_step::abort, {}};
     }
-    const bool retry = may_repeat(facts) && has_time(facts.result) &&
-                       facts.attempts_made < facts.max_attempts &&
-                       facts.body_replayable && facts.budget_left &&
-                       facts.upstream_left;
+    const bool retry =
+        may_repeat(facts) && has_time(facts.result) &&
+        facts.attempts_made < attempt_limit(facts.result, facts.max_attempts) &&
+        facts.body_replayable && facts.budget_left && facts.upstream_left;
     if (retry) {
         return {next_step::retry, {}};
     }
--- a/src/programs/common/query.hpp
+++ b/src/programs/common/query.hpp
@@ -10,11 +10,6 @@
 
 namespace oriolegrade::programs {
 
-inline std::string_view path_of(std::string_view target)
-{
-    return target.substr(0, target.find('?'));
-}
-
 /// Value of a key; percent signs are not decoded.
 inline std::optional<std::string_view> query_value(std::string_view target,
                                                    std::string_view key)
--- a/src/programs/oriole-standin/platform_mode.cpp
+++ b/src/programs/oriole-standin/platform_mode.cpp
@@ -7,6 +7,7 @@
 
 #include "../common/query.hpp"
 
+#include <oriolegrade/protocol/http_head.hpp>
 #include <oriolegrade/protocol/platform_json.hpp>
 #include <oriolegrade/transport/event_log.hpp>
 #include <oriolegrade/transport/fiber_scheduler.hpp>
@@ -66,7 +67,7 @@
 /// Stream name of a target `/v1/streams/{name}/records`, or empty.
 std::string_view stream_of(std::string_view target)
 {
-    auto path = path_of(target);
+    auto path = protocol::path_of(target);
     if (!path.starts_with(streams_prefix) || !path.ends_with(records_suffix)) {
         return {};
     }
@@ -86,7 +87,7 @@
     {
         const std::string_view target(request.target().data(),
                                       request.target().size());
-        const auto path = path_of(target);
+        const auto path = protocol::path_of(target);
         if (path == "/control") {
             return control(request.body());
         }
--- a/src/programs/oriole-standin/upstream_control.cpp
+++ b/src/programs/oriole-standin/upstream_control.cpp
@@ -3,6 +3,7 @@
 #include "../common/query.hpp"
 #include "upstream_server.hpp"
 
+#include <oriolegrade/protocol/http_head.hpp>
 #include <oriolegrade/transport/fiber_yield.hpp>
 
 #include <boost/json.hpp>
@@ -39,7 +40,7 @@
     if (ec || body.size() > control_body_limit) {
         return false;
     }
-    const auto path = path_of(ex.target);
+    const auto path = protocol::path_of(ex.target);
     if (path == "/control/runs" && message.method() == http::verb::get) {
         return send_text(ex, http::status::ok, runs_json(ex.target),
                          "application/json");
--- a/src/programs/oriole-standin/upstream_server.cpp
+++ b/src/programs/oriole-standin/upstream_server.cpp
@@ -7,6 +7,7 @@
 #include "../common/socket_probe.hpp"
 
 #include <oriolegrade/protocol/header_field.hpp>
+#include <oriolegrade/protocol/http_head.hpp>
 #include <oriolegrade/transport/fiber_scheduler.hpp>
 
 #include <boost/fiber/operations.hpp>
@@ -131,7 +132,7 @@
     if (ex.id.empty()) {
         ex.id = ex.target;
     }
-    const auto path = path_of(ex.target);
+    const auto path = protocol::path_of(ex.target);
     if (path == "/control" || path.starts_with("/control/")) {
         return control(ex);
     }
@@ -239,7 +240,7 @@
         std::chrono::milliseconds(query_number(ex.target, "ms", 0) % 600'000);
     const auto time = std::chrono::duration_cast<clock::duration>(
         (settings_.service_time + own) * faults_.slow_factor);
-    const auto path = path_of(ex.target);
+    const auto path = protocol::path_of(ex.target);
     const auto method = text_of(ex.request.get().method_string());
     const auto end = clock::now() + time;
     while (true) {
@@ -260,7 +261,7 @@
 bool upstream_server::answer(exchange& ex)
 {
     const auto& message = ex.request.get();
-    const auto path = path_of(ex.target);
+    const auto path = protocol::path_of(ex.target);
     const bool fails =
         faults_.matches(text_of(message.method_string()), path) &&
         std::uniform_real_distribution<>(0, 1)(random_) < faults_.fail_share;
--- a/src/transport/claim_service.cpp
+++ b/src/transport/claim_service.cpp
@@ -62,7 +62,8 @@
 {
     const protocol::claim_request request{state::partition_of(what.key),
                                           {what}};
-    const auto reply = peers_.to(peer).call(
+    const auto client = peers_.to(peer);
+    const auto reply = client->call(
         claims_path, {}, protocol::encode(request),
         std::chrono::duration_cast<std::chrono::milliseconds>(limit));
     if (!reply) {
--- a/src/transport/entry_worker.cpp
+++ b/src/transport/entry_worker.cpp
@@ -200,7 +200,7 @@
         return send_reply(answer, reply_reason::too_large, outcome);
     }
     if (report.step == coordination::next_step::reply) {
-        send_reply(answer, report.reason);
+        send_reply(answer, report.reason, report.outcome());
     }
 }
 
--- a/src/transport/once_path.cpp
+++ b/src/transport/once_path.cpp
@@ -103,7 +103,7 @@
 {
     const auto report = runner_.run(it.context, it.source, it.answer);
     if (report.step == coordination::next_step::reply) {
-        send_reply(it.answer, report.reason);
+        send_reply(it.answer, report.reason, report.outcome());
     }
 }
 
--- a/test/coordination/load_policy_test.cpp
+++ b/test/coordination/load_policy_test.cpp
@@ -5,7 +5,7 @@
 #include <oriolegrade/coordination/hedge_policy.hpp>
 #include <oriolegrade/coordination/retry_budget.hpp>
 
-#include <coordination/fake_random.hpp>
+#include <fakes/seeded_random.hpp>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -94,7 +94,7 @@
 // so high that none is.
 RC_GTEST_PROP(hedge_policy, delay_is_near_the_percentile, (std::uint64_t seed))
 {
-    fake_random random{seed};
+    fakes::seeded_random random{seed};
     percentile_estimate estimate(0.95);
     int above = 0;
     for (int i = 0; i < 20000; ++i) {
--- a/test/coordination/picker_test.cpp
+++ b/test/coordination/picker_test.cpp
@@ -2,7 +2,7 @@
 
 #include <oriolegrade/coordination/picker.hpp>
 
-#include <coordination/fake_random.hpp>
+#include <fakes/seeded_random.hpp>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -17,11 +17,12 @@
 
 constexpr state::time_point now{1s};
 
-static_assert(coordination::picker<coordination::random_picker, fake_random>);
 static_assert(
-    coordination::picker<coordination::least_in_flight_picker, fake_random>);
-static_assert(
-    coordination::picker<coordination::two_choices_picker, fake_random>);
+    coordination::picker<coordination::random_picker, fakes::seeded_random>);
+static_assert(coordination::picker<coordination::least_in_flight_picker,
+                                   fakes::seeded_random>);
+static_assert(coordination::picker<coordination::two_choices_picker,
+                                   fakes::seeded_random>);
 
 state::endpoint address(std::uint32_t i)
 {
@@ -46,7 +47,7 @@
 RC_GTEST_PROP(picker, picks_only_eligible_upstreams,
               (std::uint64_t seed, bool idempotent))
 {
-    fake_random random{seed};
+    fakes::seeded_random random{seed};
     std::vector<state::upstream_standing> standings;
     const auto count = *rc::gen::inRange(1U, 12U);
     for (std::uint32_t i = 0; i < count; ++i) {
@@ -79,7 +80,7 @@
     state::upstream_load_registry loads;
     const auto table = table_of(
         {{address(0)}, {address(1), upstream_state::trial, 1.0, false}}, loads);
-    fake_random random{7};
+    fakes::seeded_random random{7};
     int trial = 0;
     for (int i = 0; i < 10000; ++i) {
         trial += static_cast<int>(coordination::two_choices_picker()
@@ -98,7 +99,7 @@
     const auto table = table_of(
         {{address(0)}, {address(1), upstream_state::ramping, 0.25, false}},
         loads);
-    fake_random random{7};
+    fakes::seeded_random random{7};
     int ramping = 0;
     for (int i = 0; i < 10000; ++i) {
         ramping += static_cast<int>(coordination::random_picker()
@@ -116,7 +117,7 @@
 {
     state::upstream_load_registry loads;
     const auto table = table_of({{address(0)}}, loads);
-    fake_random random{7};
+    fakes::seeded_random random{7};
     const coordination::least_in_flight_picker picker;
     const std::vector<state::endpoint> excluded{address(0)};
     EXPECT_EQ(picker.pick(*table, {false, excluded}, random, now).error(),
@@ -141,7 +142,7 @@
         table_of({{address(0), upstream_state::ejected, 0, true},
                   {address(1), upstream_state::leaving, 1, true}},
                  loads);
-    fake_random random{7};
+    fakes::seeded_random random{7};
     for (int i = 0; i < 20; ++i) {
         EXPECT_EQ(coordination::two_choices_picker()
                       .pick(*table, {}, random, now)
--- a/test/transport/fiber_thread.hpp
+++ b/test/fakes/own_fiber_thread.hpp
@@ -1,7 +1,7 @@
-// Runs a test body on a thread with fibers.
+// Runs a test body on a thread with fibers of its own.
 
-#ifndef ORIOLEGRADE_TEST_TRANSPORT_FIBER_THREAD_HPP
-#define ORIOLEGRADE_TEST_TRANSPORT_FIBER_THREAD_HPP
+#ifndef ORIOLEGRADE_TEST_FAKES_OWN_FIBER_THREAD_HPP
+#define ORIOLEGRADE_TEST_FAKES_OWN_FIBER_THREAD_HPP
 
 #include <oriolegrade/transport/fiber_scheduler.hpp>
 
--- a/test/transport/entry_worker_test.cpp
+++ b/test/transport/entry_worker_test.cpp
@@ -219,6 +219,39 @@
     });
 }
 
+// Guards against not-run for a request whose first attempt may have run: one
+// upstream loses the answer, the other one sheds the retry.
+TEST(entry_worker, shed_after_a_lost_answer_is_unknown)
+{
+    on_bench([](bench& b) {
+        const std::string shed = "HTTP/1.1 503 Busy\r\nOriolegrade-Shed: "
+                                 "1\r\nContent-Length: 0\r\n\r\n";
+        fake_caller caller(b.ioc, b.worker.address());
+        // Either upstream may be asked first, so several requests are sent.
+        for (int n = 0; n < 8; ++n) {
+            b.first.add({"", 0ms, after_answer::close});
+            b.second.add({shed});
+            EXPECT_EQ(outcome_of(caller.get("/read")), "unknown");
+        }
+    });
+}
+
+// Guards against a booking that fails because one of two upstreams is full.
+TEST(entry_worker, shed_booking_runs_at_another_upstream)
+{
+    on_bench([](bench& b) {
+        const std::string shed = "HTTP/1.1 503 Busy\r\nOriolegrade-Shed: "
+                                 "1\r\nContent-Length: 0\r\n\r\n";
+        b.first.add({shed});
+        b.first.add({shed});
+        b.second.add({answer_text("booked")});
+        b.second.add({answer_text("booked")});
+        fake_caller caller(b.ioc, b.worker.address());
+        EXPECT_EQ(caller.post("/book", "carton").body(), "booked");
+        EXPECT_EQ(caller.post("/book", "carton").body(), "booked");
+    });
+}
+
 // Guards against request smuggling by two lengths and against malformed
 // lines.
 TEST(entry_worker, ambiguous_and_malformed_requests_are_refused)
--- a/test/transport/standin_upstream_test.cpp
+++ b/test/transport/standin_upstream_test.cpp
@@ -1,6 +1,6 @@
 // Behaviours of the upstream stand-in that proofs about the fleet rely on.
 
-#include "fiber_thread.hpp"
+#include "fakes/own_fiber_thread.hpp"
 #include "standin_process.hpp"
 
 #include <boost/asio.hpp>
--- a/test/transport/stream_test.cpp
+++ b/test/transport/stream_test.cpp
@@ -1,6 +1,6 @@
 // Streams between own processes over loopback.
 
-#include "fiber_thread.hpp"
+#include "fakes/own_fiber_thread.hpp"
 
 #include <oriolegrade/transport/fiber_yield.hpp>
 #include <oriolegrade/transport/stream_client_map.hpp>
