--- a/demo/demo.py
+++ b/demo/demo.py
@@ -17,7 +17,7 @@
 HERE = pathlib.Path(__file__).resolve().parent
 LOAD_SECONDS = 15
 LOAD_RATE = 300
-RETURN_SECONDS = 60
+CYCLE_SECONDS = 90
 
 START = time.monotonic()
 
@@ -134,24 +134,41 @@
     return sorted(events, key=lambda e: e["unix_ms"])
 
 
-def watch_return(fleet):
-    """Keeps a light load up until the gray upstream is back in service."""
-    hosts = [h for h in fleet.hosts if h.entry.poll() is None]
-    load = start_load(fleet, hosts, fleet.folder / "return.json",
-                      RETURN_SECONDS, "load-return")
-    say("light load until the gray upstream is back in service")
-
-    def returned():
-        return any(e["kind"] == "upstream_returned"
+def wait_for_event(fleet, kind, upstream, since):
+    """Waits for an audit event; false when none comes in time."""
+    def seen():
+        return any(e["kind"] == kind and e["unix_ms"] >= since
+                   and e["subject"] == f"upstream/{upstream}"
                    for e in audit_events(fleet))
     try:
-        wait_for(returned, "the upstream's return", RETURN_SECONDS)
-        back = True
+        wait_for(seen, kind, CYCLE_SECONDS / 2)
+        return True
     except RuntimeError:
-        back = False
+        return False
+
+
+def watch_cycle(fleet):
+    """Shows an upstream leave service and come back, with the audit lines.
+
+    The host that was killed may have been the collector of the first fault,
+    so a new one is switched on.
+    """
+    hosts = [h for h in fleet.hosts if h.entry.poll() is None]
+    load = start_load(fleet, hosts, fleet.folder / "cycle.json",
+                      CYCLE_SECONDS, "load-cycle")
+    since = time.time() * 1000
+    gray = fleet.services[0].upstreams[1]
+    say(f"fault: upstream {gray} fails half of its requests")
+    set_fault(gray, fail_share=0.5)
+    left = wait_for_event(fleet, "upstream_ejected", gray, since)
+    say("the upstream recovers")
+    set_fault(gray, clear=True)
+    back = left and wait_for_event(fleet, "upstream_returned", gray,
+                                   since)
     load.kill()
     for event in audit_events(fleet):
-        say(f"audit: {event['kind']} {event['subject']} {event['detail']}")
+        if event["unix_ms"] >= since:
+            say(f"audit: {event['kind']} {event['subject']} {event['detail']}")
     return back
 
 
@@ -193,7 +210,7 @@
         print_report(json.loads(report.read_text()))
         kept = start_without_log(fleet, fleet.hosts[0])
         fleet.set_log("up")
-        back = watch_return(fleet)
+        back = watch_cycle(fleet)
         ok = load.returncode == 0 and kept and back
         say("all promises were kept" if ok else "A PROMISE WAS BROKEN")
         return 0 if ok else 1
