Bind tokens and keys to named callers; refuse repeats as unknown

Cause: a caller without a name was bound by its address. Behind several balancers a repeat may come from another address: a key would then have been claimed a second time and run twice, and a token refused as not-run although it ran. Unnamed callers now share one name space. A 404, 413 or 503 before the gate told not-run to repeats with a token or key; it now follows told_outcome.

Oriolegrade-Token-Request, documented but not built, now brings a token with any response of the route.

Tests: refused_repeat_with_a_token_is_unknown, unnamed_caller_is_not_bound_to_its_address, token_comes_with_a_response_on_request.

--- a/include/oriolegrade/transport/caller_stream.hpp
+++ b/include/oriolegrade/transport/caller_stream.hpp
@@ -79,6 +79,9 @@
     caller_answer(tcp_stream& stream, const caller_io_limits& limits,
                   unsigned version, bool is_head, bool keep_alive);
 
+    /// Adds a field to the head that start() gets, unless it has one.
+    void add_field(protocol::header_field field, std::string_view value);
+
     void start(const protocol::answer_head& head, error_code& ec);
     void write(std::string_view bytes, error_code& ec);
     void finish(error_code& ec);
@@ -101,6 +104,7 @@
     bool is_head_;
     bool keep_alive_;
     bool finished_ = false;
+    protocol::http_fields added_;
     /// Body bytes that the head promises and that are not written yet; empty
     /// for a chunked answer.
     std::optional<std::uint64_t> remaining_;
--- a/include/oriolegrade/transport/request_context.hpp
+++ b/include/oriolegrade/transport/request_context.hpp
@@ -5,6 +5,7 @@
 
 #include <oriolegrade/protocol/http_head.hpp>
 #include <oriolegrade/state/configuration.hpp>
+#include <oriolegrade/state/reply_reason.hpp>
 #include <oriolegrade/state/time_type.hpp>
 
 #include <string>
@@ -16,7 +17,8 @@
     protocol::request_head head;
     state::entry_ptr route;
     state::entry_ptr service;
-    /// Name that the caller gave, or its address.
+    /// Name that the caller gave, or empty. Not its address: a repeat may
+    /// come through another balancer, and must be known as the same request.
     std::string caller;
     state::time_point deadline;
 
@@ -30,6 +32,18 @@
     }
 };
 
+/// What a host knows about earlier attempts before the owner has decided: a
+/// request with a token or key may have run in one of them.
+inline state::attempt_knowledge
+knowledge_of(const protocol::http_fields& fields)
+{
+    using protocol::header_field;
+    const bool named = fields.find(header_field::token) ||
+                       fields.find(header_field::idempotency_key);
+    return named ? state::attempt_knowledge::earlier_attempts_possible
+                 : state::attempt_knowledge::only_attempt;
+}
+
 } // namespace oriolegrade::transport
 
 #endif
--- a/src/transport/caller_stream.cpp
+++ b/src/transport/caller_stream.cpp
@@ -142,6 +142,12 @@
     , keep_alive_(keep_alive)
 {}
 
+void caller_answer::add_field(protocol::header_field field,
+                              std::string_view value)
+{
+    added_.set(field, value);
+}
+
 void caller_answer::start(const protocol::answer_head& head, error_code&)
 {
     constexpr unsigned http_1_0 = 10;
@@ -150,6 +156,11 @@
     for (const auto& it : head.fields) {
         message_.insert(it.name, it.value);
     }
+    for (const auto& it : added_) {
+        if (!head.fields.find(it.name)) {
+            message_.insert(it.name, it.value);
+        }
+    }
     if (head.framing.length) {
         message_.content_length(*head.framing.length);
         remaining_ = is_head_ ? 0 : *head.framing.length;
--- a/src/transport/entry_worker.cpp
+++ b/src/transport/entry_worker.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace oriolegrade::transport {
 
@@ -23,11 +24,19 @@
 std::optional<std::uint32_t> schema_of(const protocol::request_head& head)
 {
     const auto text = head.fields.find(protocol::header_field::schema);
-    const auto n = text ? protocol::parse_number(*text) : std::nullopt;
-    return n ? std::optional(static_cast<std::uint32_t>(*n)) : std::nullopt;
+    if (!text) {
+        return std::nullopt;
+    }
+    // No entry has the largest version, so a malformed one finds no service
+    // instead of another version's.
+    constexpr std::uint64_t none = std::numeric_limits<std::uint32_t>::max();
+    const auto n = protocol::parse_number(*text).value_or(none);
+    return static_cast<std::uint32_t>(std::min(n, none));
 }
 
-std::string caller_of(const protocol::request_head& head, tcp_stream& stream)
+/// Whom the limits count a request for.
+std::string limited_caller_of(const protocol::request_head& head,
+                              tcp_stream& stream)
 {
     if (const auto name = head.fields.find(protocol::header_field::caller)) {
         return std::string(*name);
@@ -52,20 +61,20 @@
     return std::chrono::steady_clock::now() + limit;
 }
 
-/// A request with a token or key may have run in an earlier attempt.
+/// Refuses a request before it was given to an upstream.
+void refuse(const protocol::request_head& head, caller_answer& answer,
+            reply_reason reason, protocol::http_fields fields = {})
+{
+    send_reply(answer, reason,
+               state::told_outcome(reason, knowledge_of(head.fields)),
+               std::move(fields));
+}
+
 void refuse_by_limit(const protocol::request_head& head, caller_answer& answer)
 {
-    using protocol::header_field;
-    const bool earlier = head.fields.find(header_field::token) ||
-                         head.fields.find(header_field::idempotency_key);
-    const auto known = earlier
-                           ? state::attempt_knowledge::earlier_attempts_possible
-                           : state::attempt_knowledge::only_attempt;
     protocol::http_fields fields;
     fields.add("Retry-After", "1");
-    send_reply(answer, reply_reason::limit,
-               state::told_outcome(reply_reason::limit, known),
-               std::move(fields));
+    refuse(head, answer, reply_reason::limit, std::move(fields));
 }
 
 } // namespace
@@ -147,30 +156,37 @@
         return reply_status(head.target, answer);
     }
     if (!shared_.configured) {
-        return send_reply(answer, reply_reason::not_ready);
+        return refuse(head, answer, reply_reason::not_ready);
     }
     const auto conf = shared_.configuration.read();
     request_context context;
     context.route =
         conf->find_route(head.method, protocol::path_of(head.target));
     if (!context.route) {
-        return send_reply(answer, reply_reason::no_route);
+        return refuse(head, answer, reply_reason::no_route);
     }
     const auto& route = context.route_spec();
     context.service = conf->find_service(route.service, schema_of(head));
     if (!context.service) {
-        return send_reply(answer, reply_reason::no_service);
+        return refuse(head, answer, reply_reason::no_service);
     }
     if (head.framing.length.value_or(0) > route.max_request_bytes) {
-        return send_reply(answer, reply_reason::too_large);
+        return refuse(head, answer, reply_reason::too_large);
     }
-    context.caller = caller_of(head, stream);
-    const auto place = shared_.limits.enter(*conf, head, context.caller,
-                                            std::chrono::steady_clock::now());
+    const auto place =
+        shared_.limits.enter(*conf, head, limited_caller_of(head, stream),
+                             std::chrono::steady_clock::now());
     if (!place) {
         return refuse_by_limit(head, answer);
     }
     request.set_body_limit(route.max_request_bytes);
+    if (const auto name = head.fields.find(protocol::header_field::caller)) {
+        context.caller = *name;
+    }
+    if (head.fields.find(protocol::header_field::token_request) == "1") {
+        answer.add_field(protocol::header_field::token,
+                         once_path_.offered_token(context));
+    }
     context.deadline = deadline_of(head, route);
     context.head = std::move(head);
     if (route.request == state::request_class::non_idempotent) {
--- a/src/transport/once_path.cpp
+++ b/src/transport/once_path.cpp
@@ -61,7 +61,9 @@
     source.fill(ec);
     if (ec) {
         if (ec == boost::beast::http::error::body_limit) {
-            send_reply(answer, reply_reason::too_large);
+            send_reply(answer, reply_reason::too_large,
+                       state::told_outcome(reply_reason::too_large,
+                                           knowledge_of(context.head.fields)));
         }
         return;
     }
--- a/test/fakes/request_path.hpp
+++ b/test/fakes/request_path.hpp
@@ -32,10 +32,15 @@
 class fake_caller
 {
 public:
-    fake_caller(asio::io_context& ioc, const state::endpoint& entry)
+    /// @param address loopback address that the caller connects from
+    fake_caller(asio::io_context& ioc, const state::endpoint& entry,
+                std::uint32_t address = 0x7f000001)
         : stream_(ioc)
     {
         transport::error_code ec;
+        stream_.socket().open(asio::ip::tcp::v4(), ec);
+        stream_.socket().bind({asio::ip::address_v4(address), 0}, ec);
+        EXPECT_FALSE(ec);
         stream_.async_connect(transport::to_tcp(entry),
                               transport::fiber_yield(ec));
         EXPECT_FALSE(ec);
--- a/test/transport/once_path_test.cpp
+++ b/test/transport/once_path_test.cpp
@@ -271,6 +271,59 @@
     });
 }
 
+// Guards against not-run for a repeat whose route is gone or whose service
+// version is unknown: the first attempt may have run.
+TEST(once_path, refused_repeat_with_a_token_is_unknown)
+{
+    on_fleet([](fleet& f) {
+        f.upstream.add({answer_text("booked")});
+        const auto token = f.token(f.a);
+        EXPECT_EQ(f.book(f.a, token).body(), "booked");
+        const auto other = f.book(f.a, "Oriolegrade-Schema: 7\r\n" + token);
+        EXPECT_EQ(other.result_int(), 404U);
+        EXPECT_EQ(outcome_of(other), "unknown");
+        f.a.shared.configuration.publish(
+            std::make_shared<const state::configuration>());
+        const auto gone = f.book(f.a, token);
+        EXPECT_EQ(gone.result_int(), 404U);
+        EXPECT_EQ(outcome_of(gone), "unknown");
+    });
+}
+
+// Guards against a caller without a name being taken for another one when
+// its repeat arrives from another address, as behind several balancers.
+TEST(once_path, unnamed_caller_is_not_bound_to_its_address)
+{
+    on_fleet([](fleet& f) {
+        f.upstream.add({answer_text("booked")});
+        fake_caller first(f.ioc, f.a.worker.address());
+        const auto offer = first.post("/book", "carton");
+        const auto token =
+            "Oriolegrade-Token: " + std::string(offer["Oriolegrade-Token"]) +
+            "\r\n";
+        EXPECT_EQ(first.post("/book", "carton", token).body(), "booked");
+        fake_caller second(f.ioc, f.b.worker.address(), 0x7f000002);
+        EXPECT_EQ(second.post("/book", "carton", token).body(), "booked");
+        EXPECT_EQ(f.upstream.runs, 1);
+    });
+}
+
+// Guards against a caller that needs a 428 before each booking although it
+// asked for the next token.
+TEST(once_path, token_comes_with_a_response_on_request)
+{
+    on_fleet([](fleet& f) {
+        f.upstream.add({answer_text("first")});
+        f.upstream.add({answer_text("second")});
+        const auto one =
+            f.book(f.a, f.token(f.a) + "Oriolegrade-Token-Request: 1\r\n");
+        const auto next =
+            "Oriolegrade-Token: " + std::string(one["Oriolegrade-Token"]) +
+            "\r\n";
+        EXPECT_EQ(f.book(f.b, next).body(), "second");
+    });
+}
+
 // Guards against the loss of outcomes at a graceful stop, and against the
 // stopped host still running tokens.
 TEST(once_path, handover_moves_outcomes_and_the_right_to_run)
