--- a/include/oriolegrade/transport/service_control.hpp
+++ b/include/oriolegrade/transport/service_control.hpp
@@ -35,16 +35,6 @@
     /// Takes a collector's verdicts into the next table.
     void set_verdicts(state::verdict_set verdicts);
 
-    /// Takes a notice that a peer passed on.
-    void take_notice(const coordination::leave_notice& notice,
-                     state::time_point now);
-
-    /// Notices to pass on to peers.
-    std::vector<coordination::leave_notice> leave_notices(state::time_point now)
-    {
-        return leaving_.to_gossip(now);
-    }
-
     /// Receives each batch of evidence, in the order of the sequences.
     std::function<void(const state::evidence_batch&)> on_evidence;
 
--- a/include/oriolegrade/transport/upstream_pool.hpp
+++ b/include/oriolegrade/transport/upstream_pool.hpp
@@ -42,8 +42,6 @@
     /// Closes connections that were idle for too long.
     void close_expired(state::time_point now);
 
-    std::size_t idle_connections() const;
-
 private:
     connection_ptr take_idle(const state::endpoint& upstream,
                              reuse_policy policy, state::time_point now);
--- a/src/transport/service_control.cpp
+++ b/src/transport/service_control.cpp
@@ -209,12 +209,6 @@
     }
 }
 
-void service_control::take_notice(const coordination::leave_notice& notice,
-                                  state::time_point now)
-{
-    take_leave_event(leaving_.gossip(notice, now));
-}
-
 void service_control::take_leave_event(
     const std::optional<coordination::health_event>& event)
 {
--- a/src/transport/upstream_pool.cpp
+++ b/src/transport/upstream_pool.cpp
@@ -84,13 +84,4 @@
     }
 }
 
-std::size_t upstream_pool::idle_connections() const
-{
-    std::size_t n = 0;
-    for (const auto& [upstream, list] : idle_) {
-        n += list.size();
-    }
-    return n;
-}
-
 } // namespace oriolegrade::transport
