Learn a service's latency without the bias of its first answers; start hosts with two store calls

Cause: a dispatcher that has just started sees the shortest answers first. Ruled out: failed sends as the cause of the holds (standing lines show slowness of 250% to 890% and no failures before), hosts that place alone (one dispatcher had 409 of the 660 changes). Change: until there are as many answers as requests in flight, or a hundred, the expected latency is the least that counts.

Cause: each start of a host took some six calls to the store: announcement, rules, a wait for rules, hosts, and two reads of the register by a host that knows only itself and takes itself for the dispatcher.

--- a/include/oriolegrade/coordination/dispatch_queue.hpp
+++ b/include/oriolegrade/coordination/dispatch_queue.hpp
@@ -54,15 +54,28 @@
 class route_latency
 {
 public:
+    /// A request was sent; add() or drop() follows.
+    void begin()
+    {
+        ++in_flight_;
+    }
+    /// A request ended without a latency to learn from.
+    void drop();
     void add(state::duration took);
-    /// Before the first answers: a guess.
-    state::duration usual() const;
+
+    /// @param expected counts until the answers are representative: the first
+    ///        ones of a new dispatcher are the shortest, and against these
+    ///        alone all other requests look stalled
+    state::duration usual(state::duration expected) const;
 
 private:
+    bool is_representative() const;
+
     /// Averages of the latency and of its square, in milliseconds.
     double mean_ = 0;
     double mean_square_ = 0;
-    std::uint32_t samples_ = 0;
+    std::uint64_t answers_ = 0;
+    std::uint64_t in_flight_ = 0;
 };
 
 class dispatch_queue
@@ -207,6 +220,12 @@
     /// Ends the oldest holds when too many upstreams are held.
     void limit_holds(state::time_point now);
     state::duration usual_latency(const std::string& route) const;
+    /// Of all routes together.
+    state::duration usual_latency() const;
+    /// Latency record of a route; null when there are too many.
+    route_latency* latency_of(const std::string& route);
+    void learn_latency(const std::string& route,
+                       const state::send_report& report);
 
     dispatch_options options_;
     double budget_share_ = 0.8;
--- a/include/oriolegrade/transport/gateway/dispatch_router.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_router.hpp
@@ -130,6 +130,9 @@
     /// In the order of their ends: every wait has the same length.
     std::deque<wait> waits_;
     fiber_signal changed_;
+    /// Streams to the first dispatchers are to be checked at once.
+    bool links_due_ = false;
+    fiber_signal members_changed_;
 };
 
 } // namespace oriolegrade::transport
--- a/include/oriolegrade/transport/gateway/gateway.hpp
+++ b/include/oriolegrade/transport/gateway/gateway.hpp
@@ -109,7 +109,7 @@
         , shared_(std::move(options))
         , registry_(source)
         , rules_(shared_, source)
-        , members_(source, shared_.options.self)
+        , members_(source, shared_.options.self, is_seed(shared_.options))
         , service_(shared_.options.budget, view())
         , router_(ioc, shared_, service_)
         , server_(ioc, shared_, service_)
@@ -167,6 +167,13 @@
     }
 
 private:
+    static bool is_seed(const gateway_options& options)
+    {
+        const auto& seeds = options.seeds;
+        return std::find(seeds.begin(), seeds.end(), options.self.control) !=
+               seeds.end();
+    }
+
     register_view view()
     {
         return {[this](state::time_point now) { return registry_.age(now); },
@@ -217,7 +224,7 @@
             router_.set_members(members);
         };
         service_.is_primary = [this](const std::string& service) {
-            return router_.is_primary(service);
+            return members_.is_known() && router_.is_primary(service);
         };
         server_.hosts = [this] {
             return members_.members();
@@ -229,9 +236,11 @@
     {
         const auto rules = shared_.rules.read();
         const auto& services = rules->rules().services;
-        return std::any_of(
-            services.begin(), services.end(),
-            [this](const auto& it) { return router_.is_primary(it.first); });
+        return members_.is_known() &&
+               std::any_of(services.begin(), services.end(),
+                           [this](const auto& it) {
+                               return router_.is_primary(it.first);
+                           });
     }
 
     /// Confirms the version in force to the hosts that have a stream here.
--- a/include/oriolegrade/transport/gateway/member_directory.hpp
+++ b/include/oriolegrade/transport/gateway/member_directory.hpp
@@ -14,6 +14,7 @@
 #include <chrono>
 #include <functional>
 #include <optional>
+#include <random>
 #include <vector>
 
 namespace oriolegrade::transport {
@@ -21,6 +22,11 @@
 /// First read after the announcement: hosts of a new fleet announce
 /// themselves within a second of each other.
 inline constexpr std::chrono::milliseconds member_first_read{1200};
+/// Hosts that others ask first read the store before the others ask them.
+inline constexpr std::chrono::milliseconds member_seed_lead{200};
+inline constexpr std::chrono::milliseconds member_ask_spread{300};
+/// A host that knows no other one has nothing to tell.
+inline constexpr std::size_t member_fewest_told = 2;
 /// Interval of later reads. A host that is not known yet dispatches nothing,
 /// which costs no promise.
 inline constexpr std::chrono::seconds member_interval{10};
@@ -31,9 +37,11 @@
 class member_directory
 {
 public:
-    member_directory(Source& source, state::host_member self)
+    /// @param is_seed other hosts ask this one first
+    member_directory(Source& source, state::host_member self, bool is_seed)
         : source_(source)
         , self_(std::move(self))
+        , is_seed_(is_seed)
         , members_{self_}
     {}
 
@@ -47,6 +55,12 @@
     {
         return members_;
     }
+    /// False until the other hosts have been read. A host that knows only
+    /// itself would take itself for the dispatcher of every service.
+    bool is_known() const
+    {
+        return known_;
+    }
 
     /// Adds hosts that another host told of.
     void add(const std::vector<state::host_member>& told)
@@ -70,8 +84,15 @@
         while (!source_.put_host(self_)) {
             boost::this_fiber::sleep_for(member_retry);
         }
+        // A host that comes back finds the others at work.
+        (void)ask();
         boost::this_fiber::sleep_for(member_first_read);
-        read();
+        if (is_seed_) {
+            read();
+        } else {
+            boost::this_fiber::sleep_for(member_seed_lead + spread());
+            ask_or_read();
+        }
         for (;;) {
             boost::this_fiber::sleep_for(member_interval);
             refresh();
@@ -95,10 +116,34 @@
         if (is_reader()) {
             return read();
         }
-        if (const auto told = ask_peer()) {
-            return add(told->hosts);
+        ask_or_read();
+    }
+
+    void ask_or_read()
+    {
+        if (!ask()) {
+            read();
         }
-        read();
+    }
+
+    /// Takes the hosts that another host knows; false when it knows none.
+    bool ask()
+    {
+        const auto told = ask_peer();
+        if (!told || told->hosts.size() < member_fewest_told) {
+            return false;
+        }
+        known_ = true;
+        add(told->hosts);
+        return true;
+    }
+
+    /// Spreads questions to the few seeds over some time.
+    std::chrono::milliseconds spread()
+    {
+        std::uniform_int_distribution<std::chrono::milliseconds::rep> pick(
+            0, member_ask_spread.count());
+        return std::chrono::milliseconds(pick(random_));
     }
 
     void read()
@@ -109,6 +154,7 @@
                 .with("reason", state::name_of(result.error()));
             return;
         }
+        known_ = true;
         auto next = std::move(result.value());
         std::erase_if(next,
                       [&](const auto& it) { return it.name == self_.name; });
@@ -130,6 +176,9 @@
 
     Source& source_;
     const state::host_member self_;
+    const bool is_seed_;
+    bool known_ = false;
+    std::mt19937_64 random_{std::random_device()()};
     /// Sorted by name; holds this host.
     std::vector<state::host_member> members_;
 };
--- a/include/oriolegrade/transport/gateway/rules_follower.hpp
+++ b/include/oriolegrade/transport/gateway/rules_follower.hpp
@@ -43,6 +43,9 @@
 inline constexpr std::chrono::milliseconds rules_confirm_interval{500};
 /// Time since the last confirmation after which a host reads for itself.
 inline constexpr std::chrono::milliseconds rules_confirm_limit{1200};
+/// The same for the first confirmation of a host that has started and read the
+/// document: it learns of the other hosts in this time.
+inline constexpr std::chrono::milliseconds rules_first_confirm_limit{1900};
 /// Age of a read up to which it confirms the version in force.
 inline constexpr std::chrono::milliseconds rules_fresh_limit{1600};
 /// Interval of questions to other hosts while the store cannot be read.
@@ -185,6 +188,10 @@
             return false;
         }
         note_success();
+        if (read_at_ == state::time_point{}) {
+            confirmed_at_ =
+                began + (rules_first_confirm_limit - rules_confirm_limit);
+        }
         read_at_ = had_offset ? clock::now() : began;
         next_offset_ = result.value().next_offset;
         if (result.value().document) {
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -51,6 +51,9 @@
 /// With less than this many usual latencies to its deadline a request takes
 /// any upstream: an unlikely answer is better than none.
 constexpr double last_chance_factor = 1.5;
+/// Expected of a service before its answers tell: the users' services take
+/// 100 ms to 400 ms.
+constexpr state::duration expected_latency = std::chrono::milliseconds(300);
 /// Routes whose latencies are kept apart.
 constexpr std::size_t max_routes = 4096;
 
@@ -62,24 +65,39 @@
 
 } // namespace
 
+void route_latency::drop()
+{
+    in_flight_ -= std::min<std::uint64_t>(in_flight_, 1);
+}
+
 void route_latency::add(state::duration took)
 {
-    constexpr std::uint32_t settled = 40;
-    samples_ = std::min(samples_ + 1, settled);
+    constexpr std::uint64_t averaged = 40;
+    drop();
+    ++answers_;
+    const auto weight = static_cast<double>(std::min(answers_, averaged));
     const double ms = std::chrono::duration<double, std::milli>(took).count();
-    mean_ += (ms - mean_) / samples_;
-    mean_square_ += (ms * ms - mean_square_) / samples_;
+    mean_ += (ms - mean_) / weight;
+    mean_square_ += (ms * ms - mean_square_) / weight;
 }
 
-state::duration route_latency::usual() const
+bool route_latency::is_representative() const
 {
-    constexpr std::uint32_t fewest_samples = 4;
-    constexpr std::chrono::milliseconds guess{300};
-    if (samples_ < fewest_samples || mean_ <= 0) {
-        return guess;
+    // A fleet's largest services have some hundred requests in flight; after
+    // as many answers the first requests have all ended.
+    constexpr std::uint64_t enough = 100;
+    constexpr std::uint64_t fewest = 4;
+    return answers_ >= fewest && (answers_ >= in_flight_ || answers_ >= enough);
+}
+
+state::duration route_latency::usual(state::duration expected) const
+{
+    if (mean_ <= 0) {
+        return expected;
     }
-    return std::chrono::duration_cast<state::duration>(
+    const auto seen = std::chrono::duration_cast<state::duration>(
         std::chrono::duration<double, std::milli>(mean_square_ / mean_));
+    return is_representative() ? seen : std::max(seen, expected);
 }
 
 dispatch_queue::dispatch_queue(const dispatch_options& options)
@@ -129,7 +147,13 @@
 state::duration dispatch_queue::usual_latency(const std::string& route) const
 {
     const auto it = latencies_.find(route);
-    return it == latencies_.end() ? all_routes_.usual() : it->second.usual();
+    const auto of_all = usual_latency();
+    return it == latencies_.end() ? of_all : it->second.usual(of_all);
+}
+
+state::duration dispatch_queue::usual_latency() const
+{
+    return all_routes_.usual(expected_latency);
 }
 
 bool dispatch_queue::is_candidate(const upstream_track& track,
@@ -327,6 +351,10 @@
     flights_[number] = {
         spec.id, it.request.host, it.request.route, now,
         false,   trial,           it.request.kind,  it.request.repeatable};
+    all_routes_.begin();
+    if (auto* latency = latency_of(it.request.route)) {
+        latency->begin();
+    }
     if (it.request.kind == send_kind::first) {
         budget_.add_request(now);
         unserved_.add_event(now);
@@ -334,6 +362,31 @@
     return out;
 }
 
+route_latency* dispatch_queue::latency_of(const std::string& route)
+{
+    const auto it = latencies_.find(route);
+    if (it != latencies_.end()) {
+        return &it->second;
+    }
+    return latencies_.size() < max_routes ? &latencies_[route] : nullptr;
+}
+
+void dispatch_queue::learn_latency(const std::string& route,
+                                   const state::send_report& report)
+{
+    auto* own = latency_of(route);
+    for (auto* it : {&all_routes_, own}) {
+        if (it == nullptr) {
+            continue;
+        }
+        if (report.result == state::send_result::answered) {
+            it->add(report.took);
+        } else {
+            it->drop();
+        }
+    }
+}
+
 state::duration dispatch_queue::expected_wait(std::uint32_t rank,
                                               state::time_point now) const
 {
@@ -351,7 +404,7 @@
         std::count_if(line_.begin(), line_.end(),
                       [&](const auto& it) { return it.first.rank <= rank; });
     const auto turns = static_cast<double>(ahead + 1) / std::max(slots, 1.0);
-    return scaled(all_routes_.usual(), turns);
+    return scaled(usual_latency(), turns);
 }
 
 state::turn_away
@@ -375,8 +428,8 @@
 {
     // Callers that were refused together come back one after the other.
     constexpr std::uint64_t spread_steps = 16;
-    const auto wait = std::max<state::duration>(expected_wait(rank, now),
-                                                all_routes_.usual());
+    const auto wait =
+        std::max<state::duration>(expected_wait(rank, now), usual_latency());
     const auto spread = static_cast<double>(number % spread_steps) /
                         static_cast<double>(spread_steps);
     return {reason, scaled(wait, 1.0 + spread)};
@@ -453,13 +506,7 @@
     flights_.erase(found);
     const auto usual = usual_latency(flight.route);
     count_unserved(flight, report, now);
-    if (report.result == state::send_result::answered) {
-        if (latencies_.size() < max_routes ||
-            latencies_.contains(flight.route)) {
-            latencies_[flight.route].add(report.took);
-        }
-        all_routes_.add(report.took);
-    }
+    learn_latency(flight.route, report);
     if (report.result == state::send_result::server_error) {
         faults_.add(report.took);
     }
@@ -486,7 +533,7 @@
 void dispatch_queue::judge_flights(state::time_point now)
 {
     const auto vouched_after =
-        scaled(faults_.usual(), vouch_factor) + shortest_vouch;
+        scaled(faults_.usual(expected_latency), vouch_factor) + shortest_vouch;
     for (auto& [number, flight] : flights_) {
         const auto usual = usual_latency(flight.route);
         const auto age = now - flight.began;
--- a/src/transport/gateway/dispatch_router.cpp
+++ b/src/transport/gateway/dispatch_router.cpp
@@ -58,6 +58,8 @@
     const std::vector<state::host_member>& members)
 {
     ranking_.set_members(members);
+    links_due_ = true;
+    members_changed_.notify();
 }
 
 bool dispatch_router::is_primary(const std::string& service)
@@ -233,7 +235,9 @@
 void dispatch_router::keep_links()
 {
     for (;;) {
-        boost::this_fiber::sleep_for(link_check_interval);
+        members_changed_.wait_until(clock::now() + link_check_interval,
+                                    [this] { return links_due_; });
+        links_due_ = false;
         const auto rules = shared_.rules.read();
         const auto now = clock::now();
         std::size_t links = 0;
--- a/test/coordination/dispatch_queue_test.cpp
+++ b/test/coordination/dispatch_queue_test.cpp
@@ -370,6 +370,28 @@
               coordination::upstream_standing::in_service);
 }
 
+// A dispatcher that has just started: the first answers to come back are the
+// shortest ones, and requests of usual length must not look stalled beside
+// them. On a day of the users 62 of 78 upstreams were held in the first 0.25 s.
+TEST_F(dispatch_queue_rules, first_answers_do_not_make_others_look_stalled)
+{
+    set_upstreams(10);
+    for (int n = 0; n < 20; ++n) {
+        ASSERT_NE(ask(request()), "");
+    }
+    now += 20ms;
+    for (int n = 1; n <= 6; ++n) {
+        end(n, send_result::answered, 20ms);
+    }
+    now += 380ms;
+    queue.settle(now);
+    for (const auto& it : list) {
+        EXPECT_EQ(queue.find(it.id)->standing(now),
+                  coordination::upstream_standing::in_service)
+            << it.id;
+    }
+}
+
 // A route may allow less time than its work takes; its requests prove nothing
 // about the upstream. The second failure found on that quiet day.
 TEST_F(dispatch_queue_rules, a_short_time_limit_is_no_failure_of_the_upstream)
