Read the store through another host while it turns dispatchers away

Change: hosts answer reads of the store for others (/source); dispatchers use it when their own read fails and try the store again every 2 s. Only dispatchers ask, so a store that is away for all is not read twice by all.

--- a/fuzz/dispatch_messages_fuzz.cpp
+++ b/fuzz/dispatch_messages_fuzz.cpp
@@ -1,7 +1,8 @@
-// The decoders of dispatch frames must refuse or read any input, and what they
-// read must survive a second round.
+// The decoders of frames between hosts must refuse or read any input, and what
+// they read must survive a second round.
 
 #include <oriolegrade/protocol/dispatch_messages.hpp>
+#include <oriolegrade/protocol/source_messages.hpp>
 
 #include <cstdint>
 #include <cstdlib>
@@ -38,6 +39,20 @@
     }
 }
 
+void check_source_messages(const std::string& bytes)
+{
+    const auto request = protocol::decode_source_request(bytes);
+    if (request && !protocol::decode_source_request(
+                       protocol::encode_source_request(request.value()))) {
+        std::abort();
+    }
+    const auto reply = protocol::decode_source_reply(bytes);
+    if (reply && !protocol::decode_source_reply(
+                     protocol::encode_source_reply(reply.value()))) {
+        std::abort();
+    }
+}
+
 } // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
@@ -47,5 +62,6 @@
     check_entry_frame(bytes);
     check_dispatcher_frame(bytes);
     check_fleet_view(bytes);
+    check_source_messages(bytes);
     return 0;
 }
--- a/include/oriolegrade/state/source_type.hpp
+++ b/include/oriolegrade/state/source_type.hpp
@@ -6,12 +6,14 @@
 #include <oriolegrade/state/enum_names.hpp>
 #include <oriolegrade/state/registered_upstream.hpp>
 #include <oriolegrade/state/result.hpp>
+#include <oriolegrade/state/time_type.hpp>
 
 #include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace oriolegrade::state {
@@ -50,6 +52,33 @@
     std::uint64_t next_offset = 0;
 };
 
+/// A read that one host makes for another.
+enum class source_call : std::uint8_t
+{
+    newest_rules,
+    wait_for_rules,
+    newest_upstreams,
+    read_upstreams,
+};
+
+template <>
+struct enum_names<source_call>
+{
+    static constexpr std::array<std::string_view, 4> value{
+        "newest_rules", "wait_for_rules", "newest_upstreams", "read_upstreams"};
+};
+
+struct source_request
+{
+    source_call call = source_call::newest_rules;
+    /// Offset of the first record, where the call takes one.
+    std::uint64_t from = 0;
+    /// Longest wait for a change, where the call waits.
+    duration wait{};
+};
+
+using source_reply = std::variant<source_failure, rules_read, registry_read>;
+
 } // namespace oriolegrade::state
 
 #endif
--- a/include/oriolegrade/transport/gateway/dispatch_link.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_link.hpp
@@ -15,6 +15,7 @@
 
 inline constexpr std::string_view dispatch_path = "/dispatch";
 inline constexpr std::string_view fleet_view_path = "/view";
+inline constexpr std::string_view source_path = "/source";
 
 /// Limits of streams between gateways.
 stream_limits gateway_stream_limits();
--- a/include/oriolegrade/transport/gateway/dispatch_server.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_server.hpp
@@ -4,6 +4,7 @@
 #ifndef ORIOLEGRADE_TRANSPORT_GATEWAY_DISPATCH_SERVER_HPP
 #define ORIOLEGRADE_TRANSPORT_GATEWAY_DISPATCH_SERVER_HPP
 
+#include <oriolegrade/state/source_type.hpp>
 #include <oriolegrade/transport/gateway/dispatch_service.hpp>
 #include <oriolegrade/transport/gateway/gateway_shared.hpp>
 #include <oriolegrade/transport/stream_server.hpp>
@@ -28,6 +29,9 @@
     /// Called when an entry tells the version of its rules.
     std::function<void(const std::string&, const protocol::rules_notice&)>
         on_rules;
+    /// Reads the store for another host.
+    std::function<state::source_reply(const state::source_request&)>
+        read_source;
     /// Tells whether the version in force was just read to be the newest.
     std::function<bool()> is_fresh;
     /// Tells the version in force to the entries with an open stream.
@@ -39,6 +43,7 @@
     void serve(server_stream& stream);
     void serve_dispatch(server_stream& stream);
     void serve_view(server_stream& stream);
+    void serve_source(server_stream& stream);
 
     gateway_shared& shared_;
     dispatch_service& service_;
--- a/include/oriolegrade/transport/gateway/gateway.hpp
+++ b/include/oriolegrade/transport/gateway/gateway.hpp
@@ -8,7 +8,9 @@
 #include <oriolegrade/transport/gateway/dispatch_server.hpp>
 #include <oriolegrade/transport/gateway/gateway_worker.hpp>
 #include <oriolegrade/transport/gateway/member_directory.hpp>
+#include <oriolegrade/transport/gateway/peer_source.hpp>
 #include <oriolegrade/transport/gateway/registry_follower.hpp>
+#include <oriolegrade/transport/gateway/relayed_source.hpp>
 #include <oriolegrade/transport/gateway/rules_follower.hpp>
 #include <oriolegrade/transport/http_server.hpp>
 #include <oriolegrade/transport/stop_signal.hpp>
@@ -107,8 +109,11 @@
             Source& source)
         : ioc_(ioc)
         , shared_(std::move(options))
-        , registry_(source)
-        , rules_(shared_, source)
+        , source_(source)
+        , peer_source_(ioc)
+        , relayed_(source, peer_source_)
+        , registry_(relayed_)
+        , rules_(shared_, relayed_)
         , members_(source, shared_.options.self, is_seed(shared_.options))
         , service_(shared_.options.budget, view())
         , router_(ioc, shared_, service_)
@@ -229,6 +234,15 @@
         server_.hosts = [this] {
             return members_.members();
         };
+        peer_source_.is_wanted = [this] {
+            return dispatches();
+        };
+        peer_source_.some_peer = [this] {
+            return some_peer();
+        };
+        server_.read_source = [this](const state::source_request& request) {
+            return read_source(source_, request);
+        };
     }
 
     /// True when this host is the first choice for a service in force.
@@ -323,8 +337,13 @@
 
     boost::asio::io_context& ioc_;
     gateway_shared shared_;
-    registry_follower<Source> registry_;
-    rules_follower<Source> rules_;
+    using relayed = relayed_source<Source, peer_source>;
+
+    Source& source_;
+    peer_source peer_source_;
+    relayed relayed_;
+    registry_follower<relayed> registry_;
+    rules_follower<relayed> rules_;
     member_directory<Source> members_;
     dispatch_service service_;
     dispatch_router router_;
--- /dev/null
+++ b/include/oriolegrade/transport/gateway/relayed_source.hpp
@@ -0,0 +1,191 @@
+// Reads the store, and through another host while the store turns this one
+// away.
+//
+// Load pattern: the store is out of reach of a third of the hosts, the
+// dispatchers among them. Without a detour their views grow old, and every
+// host of the fleet reads the store and places its requests alone.
+
+#ifndef ORIOLEGRADE_TRANSPORT_GATEWAY_RELAYED_SOURCE_HPP
+#define ORIOLEGRADE_TRANSPORT_GATEWAY_RELAYED_SOURCE_HPP
+
+#include <oriolegrade/transport/event_log.hpp>
+#include <oriolegrade/transport/fiber_scheduler.hpp>
+#include <oriolegrade/transport/gateway/traffic_source.hpp>
+
+#include <chrono>
+#include <concepts>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace oriolegrade::transport {
+
+/// Interval at which a host that reads through others tries the store again.
+inline constexpr std::chrono::seconds relay_test_interval{2};
+
+/// Asks another host to read; empty when none can.
+template <class Relay>
+concept source_relay = requires(Relay& r, const state::source_request& request)
+{
+    {
+        r.relay(request)
+        } -> std::same_as<std::optional<state::source_reply>>;
+};
+
+/// Makes the call that a request describes.
+template <traffic_source Source>
+state::source_reply read_source(Source& source,
+                                const state::source_request& request)
+{
+    const auto reply = [](auto result) -> state::source_reply {
+        if (!result) {
+            return result.error();
+        }
+        return std::move(result.value());
+    };
+    switch (request.call) {
+    case state::source_call::newest_rules:
+        return reply(source.newest_rules());
+    case state::source_call::wait_for_rules:
+        return reply(source.wait_for_rules(request.from, request.wait));
+    case state::source_call::newest_upstreams:
+        return reply(source.newest_upstreams());
+    case state::source_call::read_upstreams:
+        return reply(source.read_upstreams(request.from));
+    }
+    return state::source_failure::unreachable;
+}
+
+/// Lives on the control thread; calls block the calling fiber.
+template <traffic_source Source, source_relay Relay>
+class relayed_source
+{
+public:
+    relayed_source(Source& own, Relay& relay)
+        : own_(own)
+        , relay_(relay)
+    {}
+
+    state::source_result<state::rules_read> newest_rules()
+    {
+        return read<state::rules_read>(
+            {state::source_call::newest_rules, 0, {}});
+    }
+    state::source_result<state::rules_read> wait_for_rules(std::uint64_t from,
+                                                           state::duration wait)
+    {
+        return read<state::rules_read>(
+            {state::source_call::wait_for_rules, from, wait});
+    }
+    state::source_result<state::registry_read> newest_upstreams()
+    {
+        return read<state::registry_read>(
+            {state::source_call::newest_upstreams, 0, {}});
+    }
+    state::source_result<state::registry_read>
+    read_upstreams(std::uint64_t from)
+    {
+        return read<state::registry_read>(
+            {state::source_call::read_upstreams, from, {}});
+    }
+
+    state::result<state::traffic_rules, state::findings>
+    decode_rules(const std::string& document) const
+    {
+        return own_.decode_rules(document);
+    }
+
+    // Hosts learn of each other in other ways when the store is away.
+    state::source_result<std::vector<state::host_member>> hosts()
+    {
+        return own_.hosts();
+    }
+    state::source_result<void> put_host(const state::host_member& host)
+    {
+        return own_.put_host(host);
+    }
+    state::source_result<void> drop_host(const std::string& name)
+    {
+        return own_.drop_host(name);
+    }
+
+private:
+    using clock = std::chrono::steady_clock;
+
+    template <class Read>
+    state::source_result<Read> read(const state::source_request& request)
+    {
+        auto failure = state::source_failure::unreachable;
+        if (!relaying_) {
+            auto own = to_result<Read>(read_source(own_, request));
+            if (own || own.error() == state::source_failure::trimmed) {
+                return own;
+            }
+            failure = own.error();
+        }
+        const auto reply = relay_.relay(request);
+        if (!reply) {
+            set_relaying(false);
+            return failure;
+        }
+        auto result = to_result<Read>(*reply);
+        const bool reached =
+            result || result.error() == state::source_failure::trimmed;
+        set_relaying(reached);
+        if (reached) {
+            test_own();
+        }
+        return result;
+    }
+
+    template <class Read>
+    static state::source_result<Read> to_result(state::source_reply reply)
+    {
+        if (auto* it = std::get_if<Read>(&reply)) {
+            return std::move(*it);
+        }
+        const auto* failure = std::get_if<state::source_failure>(&reply);
+        return failure != nullptr ? *failure
+                                  : state::source_failure::unreachable;
+    }
+
+    void set_relaying(bool relaying)
+    {
+        if (relaying != relaying_) {
+            relaying_ = relaying;
+            tested_at_ = clock::now();
+            event(log_level::info,
+                  relaying ? "store_read_by_peer" : "store_read_directly");
+        }
+    }
+
+    /// Looks whether the store answers this host again. A silent store would
+    /// hold up the read in progress for longer than a view may be old.
+    void test_own()
+    {
+        if (testing_ || clock::now() - tested_at_ < relay_test_interval) {
+            return;
+        }
+        testing_ = true;
+        spawn_fiber([this] {
+            const bool answers = own_.newest_rules().has_value();
+            testing_ = false;
+            tested_at_ = clock::now();
+            if (answers) {
+                set_relaying(false);
+            }
+        });
+    }
+
+    Source& own_;
+    Relay& relay_;
+    /// The last read went through another host.
+    bool relaying_ = false;
+    bool testing_ = false;
+    clock::time_point tested_at_{};
+};
+
+} // namespace oriolegrade::transport
+
+#endif
--- a/src/transport/gateway/dispatch_server.cpp
+++ b/src/transport/gateway/dispatch_server.cpp
@@ -8,6 +8,7 @@
 #include <oriolegrade/transport/tcp.hpp>
 
 #include <oriolegrade/protocol/http_head.hpp>
+#include <oriolegrade/protocol/source_messages.hpp>
 
 #include <boost/system/system_error.hpp>
 
@@ -151,6 +152,8 @@
         serve_dispatch(stream);
     } else if (stream.path() == fleet_view_path) {
         serve_view(stream);
+    } else if (stream.path() == source_path) {
+        serve_source(stream);
     } else {
         (void)stream.reply(404, "");
     }
@@ -219,4 +222,22 @@
     (void)stream.reply(200, protocol::encode_fleet_view(view));
 }
 
+void dispatch_server::serve_source(server_stream& stream)
+{
+    const auto body = stream.read_all(protocol::max_source_request_bytes);
+    if (!body || shared_.stopping) {
+        (void)stream.reply(503, "");
+        return;
+    }
+    const auto request = protocol::decode_source_request(body.value());
+    if (!request) {
+        event(log_level::error, "source_request_malformed")
+            .with("findings", request.error().to_text("request"));
+        (void)stream.reply(400, "");
+        return;
+    }
+    (void)stream.reply(
+        200, protocol::encode_source_reply(read_source(request.value())));
+}
+
 } // namespace oriolegrade::transport
--- /dev/null
+++ b/src/transport/gateway/peer_source.cpp
@@ -0,0 +1,79 @@
+// Choice of the host that is asked to read, and the call.
+
+#include <oriolegrade/transport/gateway/peer_source.hpp>
+
+#include <oriolegrade/protocol/source_messages.hpp>
+#include <oriolegrade/transport/event_log.hpp>
+#include <oriolegrade/transport/gateway/dispatch_link.hpp>
+#include <oriolegrade/transport/stream_client.hpp>
+
+#include <chrono>
+
+namespace oriolegrade::transport {
+
+namespace {
+
+/// A read takes some 10 ms; a silent host must not use up the time for which a
+/// view of the register may be old.
+constexpr std::chrono::milliseconds call_limit{250};
+/// Hosts asked for one read. The store turns away a third of the hosts at
+/// once, so all three fail in one of 27 reads.
+constexpr int most_peers = 3;
+
+bool reached_store(const std::optional<state::source_reply>& reply)
+{
+    if (!reply) {
+        return false;
+    }
+    const auto* failure = std::get_if<state::source_failure>(&*reply);
+    return failure == nullptr || *failure == state::source_failure::trimmed;
+}
+
+} // namespace
+
+std::optional<state::source_reply>
+peer_source::relay(const state::source_request& request)
+{
+    if (!is_wanted()) {
+        return std::nullopt;
+    }
+    for (int n = 0; n < most_peers; ++n) {
+        if (peer_.port == 0) {
+            peer_ = some_peer();
+        }
+        auto reply = ask(request);
+        if (reached_store(reply)) {
+            return reply;
+        }
+        peer_ = {};
+    }
+    return std::nullopt;
+}
+
+std::optional<state::source_reply>
+peer_source::ask(const state::source_request& request)
+{
+    if (peer_.port == 0) {
+        return std::nullopt;
+    }
+    const auto peer = peer_;
+    const auto wait =
+        std::chrono::duration_cast<std::chrono::milliseconds>(request.wait);
+    stream_client client(ioc_, peer, {}, gateway_stream_limits());
+    const auto reply =
+        client.call(source_path, {}, protocol::encode_source_request(request),
+                    call_limit + wait);
+    if (!reply || reply.value().status != 200) {
+        return std::nullopt;
+    }
+    auto told = protocol::decode_source_reply(reply.value().body);
+    if (!told) {
+        event(log_level::error, "source_reply_malformed")
+            .with("peer", to_string(peer))
+            .with("findings", told.error().to_text("reply"));
+        return std::nullopt;
+    }
+    return std::move(told.value());
+}
+
+} // namespace oriolegrade::transport
--- /dev/null
+++ b/test/transport/relayed_source_test.cpp
@@ -0,0 +1,113 @@
+// Guards reads through another host: dispatchers that the store turns away
+// keep a fresh view, and hosts return to the store when it answers.
+
+#include "fakes/fake_source.hpp"
+#include "fakes/fiber_thread.hpp"
+
+#include <oriolegrade/transport/gateway/relayed_source.hpp>
+
+#include <boost/fiber/operations.hpp>
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace oriolegrade;
+using namespace std::chrono_literals;
+
+/// Another host, with its own way to the store.
+struct fake_relay
+{
+    std::optional<state::source_reply>
+    relay(const state::source_request& request)
+    {
+        if (!reachable) {
+            return std::nullopt;
+        }
+        ++calls;
+        return transport::read_source(source, request);
+    }
+
+    test::fake_source source;
+    bool reachable = true;
+    int calls = 0;
+};
+
+static_assert(transport::source_relay<fake_relay>);
+
+struct relayed_reads : ::testing::Test
+{
+    relayed_reads()
+    {
+        other.source.upstreams.next_offset = 7;
+    }
+
+    test::fake_source own;
+    fake_relay other;
+    transport::relayed_source<test::fake_source, fake_relay> source{own, other};
+};
+
+TEST_F(relayed_reads, a_store_that_answers_is_read_directly)
+{
+    EXPECT_TRUE(source.read_upstreams(1));
+    EXPECT_TRUE(source.newest_rules());
+    EXPECT_EQ(other.calls, 0);
+}
+
+// The store is out of reach of this host only. Its calls are charged also when
+// they fail, so it does not repeat each of them before it asks.
+TEST_F(relayed_reads, a_host_that_is_turned_away_reads_through_another)
+{
+    own.failure = state::source_failure::turned_away;
+    for (int n = 0; n < 10; ++n) {
+        const auto read = source.read_upstreams(1);
+        ASSERT_TRUE(read);
+        EXPECT_EQ(read.value().next_offset, 7U);
+    }
+    EXPECT_EQ(own.calls, 1);
+    EXPECT_EQ(other.calls, 10);
+}
+
+TEST_F(relayed_reads, dropped_history_is_no_reason_to_ask)
+{
+    own.failure = state::source_failure::trimmed;
+    const auto read = source.read_upstreams(1);
+    ASSERT_FALSE(read);
+    EXPECT_EQ(read.error(), state::source_failure::trimmed);
+    EXPECT_EQ(other.calls, 0);
+}
+
+// History that the other host finds dropped is dropped for this one too.
+TEST_F(relayed_reads, dropped_history_is_told_by_the_other_host)
+{
+    own.failure = state::source_failure::unreachable;
+    other.source.failure = state::source_failure::trimmed;
+    const auto read = source.read_upstreams(1);
+    ASSERT_FALSE(read);
+    EXPECT_EQ(read.error(), state::source_failure::trimmed);
+}
+
+TEST_F(relayed_reads, a_store_that_is_away_for_all_tells_its_failure)
+{
+    own.failure = state::source_failure::turned_away;
+    other.reachable = false;
+    const auto read = source.read_upstreams(1);
+    ASSERT_FALSE(read);
+    EXPECT_EQ(read.error(), state::source_failure::turned_away);
+    EXPECT_FALSE(source.read_upstreams(1));
+    EXPECT_EQ(own.calls, 2);
+}
+
+TEST_F(relayed_reads, a_host_returns_to_the_store_when_it_answers)
+{
+    own.failure = state::source_failure::unreachable;
+    ASSERT_TRUE(source.read_upstreams(1));
+    own.failure.reset();
+    boost::this_fiber::sleep_for(transport::relay_test_interval + 50ms);
+    ASSERT_TRUE(source.read_upstreams(1));
+    boost::this_fiber::sleep_for(20ms);
+    const auto asked = other.calls;
+    ASSERT_TRUE(source.read_upstreams(1));
+    EXPECT_EQ(other.calls, asked);
+}
+
+} // namespace
