Look the upstreams up once for a whole line; read members at once at a start

Cause 1: after each answer the queue compared every waiting request with every upstream, and each comparison counted the line and the slots again. Ruled out: the store (it read through a peer all the time), cuts of its links (all hosts lost it within 0.4 s). Test: a_long_line_costs_little, with the bound of 2.8% of a core.

Change: the directory is read at once, since it still names the others.

--- a/include/oriolegrade/coordination/dispatch_queue.hpp
+++ b/include/oriolegrade/coordination/dispatch_queue.hpp
@@ -121,10 +121,14 @@
     void adopt(const std::string& upstream, std::uint32_t count,
                state::time_point now);
 
-    /// Answers for requests in line that are due. Call after every change
-    /// and from time to time.
+    /// Answers for requests in line that are due: places, and refusals of
+    /// those whose time is over. Call from time to time.
     std::vector<answer> settle(state::time_point now);
 
+    /// Places that have become free. Call after every change; cheap also with
+    /// a long line.
+    std::vector<answer> fill(state::time_point now);
+
     /// Changes of standings since the last call, for the log.
     std::vector<standing_change> take_changes(state::time_point now);
 
@@ -169,11 +173,35 @@
         bool repeatable = false;
     };
 
-    upstream_track* choose(const waiter& it, state::time_point now);
-    bool all_held(state::time_point now) const;
-    /// Held upstream that the floor demands a request for; null when none
-    /// is due.
-    upstream_track* due_for_floor(const waiter& it, state::time_point now);
+    /// The upstreams with a free slot, looked up once for many requests: a
+    /// line of hundreds before a hundred upstreams is looked through after
+    /// every answer.
+    struct survey
+    {
+        /// In service, on trial, or held and due for a trial.
+        std::vector<upstream_track*> usable;
+        /// Held, for requests that have nothing to lose.
+        std::vector<upstream_track*> held;
+        /// Those that the floor demands a request for, the longest rest first.
+        std::vector<upstream_track*> resting;
+
+        bool is_full() const
+        {
+            return usable.empty() && held.empty() && resting.empty();
+        }
+    };
+
+    survey look_around(state::time_point now);
+    void find_resting(survey& found, std::size_t ready, state::time_point now);
+    upstream_track* choose(const waiter& it, survey& found,
+                           state::time_point now);
+    /// Cost of the standing of an upstream.
+    /// @param canary the request may try a suspected upstream first
+    static double tier(const upstream_track& track, bool canary,
+                       state::time_point now);
+    /// Takes out of a survey what a request that was placed has used up.
+    static void forget_full(survey& found, upstream_track& track,
+                            state::time_point now);
     /// Counts a request that ends without an answer worth having.
     void count_unserved(const flight& it, const state::send_report& report,
                         state::time_point now);
@@ -183,8 +211,11 @@
     state::place_answer place_or_refuse(ticket number, const waiter& it,
                                         upstream_track& track,
                                         state::time_point now);
-    void settle_line(bool in_time, std::vector<answer>& out,
+    void refuse_hopeless(std::vector<answer>& out, state::time_point now);
+    void fill_places(bool in_time, survey& found, std::vector<answer>& out,
                      state::time_point now);
+    std::map<line_key, waiter>::iterator
+    leave_line(std::map<line_key, waiter>::iterator it);
     bool may_use(const upstream_track& track, const waiter& it,
                  state::time_point now) const;
     /// Lower is better.
@@ -236,6 +267,8 @@
     std::unordered_map<ticket, flight> flights_;
     std::map<line_key, waiter> line_;
     std::unordered_map<ticket, line_key> line_keys_;
+    /// Requests in line of each rank.
+    std::map<std::uint32_t, std::size_t> line_ranks_;
     std::unordered_map<std::string, route_latency> latencies_;
     route_latency all_routes_;
     /// Requests of which the marked ones were not served.
--- a/include/oriolegrade/transport/gateway/dispatch_service.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_service.hpp
@@ -87,6 +87,8 @@
     /// Answers after the view was refreshed, or gives up for its age.
     void resume(ticket number);
     void answer(ticket number, const reply& what);
+    void answer_all(
+        const std::vector<coordination::dispatch_queue::answer>& answers);
     void settle(coordination::dispatch_queue& queue, time_point now);
     bool is_busy() const;
 
--- a/include/oriolegrade/transport/gateway/member_directory.hpp
+++ b/include/oriolegrade/transport/gateway/member_directory.hpp
@@ -19,12 +19,12 @@
 
 namespace oriolegrade::transport {
 
-/// First read after the announcement: hosts of a new fleet announce
-/// themselves within a second of each other.
-inline constexpr std::chrono::milliseconds member_first_read{1200};
+/// Time after the first read at which the hosts of a new fleet have announced
+/// themselves: within a second of each other.
+inline constexpr std::chrono::milliseconds member_second_read{1200};
 /// Hosts that others ask first read the store before the others ask them.
 inline constexpr std::chrono::milliseconds member_seed_lead{200};
-inline constexpr std::chrono::milliseconds member_ask_spread{300};
+inline constexpr std::chrono::milliseconds member_ask_spread{800};
 /// A host that knows no other one has nothing to tell.
 inline constexpr std::size_t member_fewest_told = 2;
 /// Interval of later reads. A host that is not known yet dispatches nothing,
@@ -84,9 +84,11 @@
         while (!source_.put_host(self_)) {
             boost::this_fiber::sleep_for(member_retry);
         }
-        // A host that comes back finds the others at work.
-        (void)ask();
-        boost::this_fiber::sleep_for(member_first_read);
+        // After a loss of all hosts the directory still names them, and
+        // callers are waiting.
+        read();
+        boost::this_fiber::sleep_for(member_second_read);
+        settled_ = true;
         if (is_seed_) {
             read();
         } else {
@@ -154,11 +156,11 @@
                 .with("reason", state::name_of(result.error()));
             return;
         }
-        known_ = true;
         auto next = std::move(result.value());
         std::erase_if(next,
                       [&](const auto& it) { return it.name == self_.name; });
         next.push_back(self_);
+        known_ = known_ || next.size() >= member_fewest_told || settled_;
         take(std::move(next));
     }
 
@@ -178,6 +180,8 @@
     const state::host_member self_;
     const bool is_seed_;
     bool known_ = false;
+    /// Hosts that started together have announced themselves.
+    bool settled_ = false;
     std::mt19937_64 random_{std::random_device()()};
     /// Sorted by name; holds this host.
     std::vector<state::host_member> members_;
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -196,91 +196,130 @@
     return sum + std::clamp(slow, 0.0, most_slowness_cost);
 }
 
-upstream_track* dispatch_queue::choose(const waiter& it, state::time_point now)
+dispatch_queue::survey dispatch_queue::look_around(state::time_point now)
 {
-    if (auto* due = due_for_floor(it, now)) {
-        return due;
+    survey out;
+    std::size_t ready = 0;
+    std::size_t held = 0;
+    for (auto& [id, track] : upstreams_) {
+        if (track.spec().state != state::registration_state::ready) {
+            continue;
+        }
+        ++ready;
+        const bool is_held = track.standing(now) == upstream_standing::held;
+        held += is_held ? 1 : 0;
+        if (!track.has_room(now)) {
+            continue;
+        }
+        (is_held && !track.quick_trial_due(now) ? out.held : out.usable)
+            .push_back(&track);
+    }
+    if (held == ready) {
+        out.usable.insert(out.usable.end(), out.held.begin(), out.held.end());
+        out.held.clear();
+    }
+    if (unserved_.exceeds(floor_unserved_share, floor_fewest_requests, now)) {
+        find_resting(out, ready, now);
+    }
+    return out;
+}
+
+void dispatch_queue::find_resting(survey& found, std::size_t ready,
+                                  state::time_point now)
+{
+    const auto may_rest =
+        static_cast<std::size_t>(static_cast<double>(ready) * floor_rest_share);
+    auto& resting = found.resting;
+    for (auto& [id, track] : upstreams_) {
+        if (track.spec().state == state::registration_state::ready &&
+            now - track.last_begin() >= floor_rest_time) {
+            resting.push_back(&track);
+        }
+    }
+    if (resting.size() <= may_rest) {
+        resting.clear();
+        return;
     }
+    std::sort(resting.begin(), resting.end(),
+              [](const upstream_track* a, const upstream_track* b) {
+                  return a->last_begin() < b->last_begin();
+              });
+    resting.resize(resting.size() - may_rest);
+}
+
+double dispatch_queue::tier(const upstream_track& track, bool canary,
+                            state::time_point now)
+{
     // Tiers: a trial that a repeatable request may fail, in service, a trial
     // for any request, held.
     constexpr double tier_cost = 100.0;
-    upstream_track* best = nullptr;
-    double best_cost = std::numeric_limits<double>::max();
+    constexpr double most_age = 10.0;
+    switch (track.standing(now)) {
+    case upstream_standing::in_service:
+        return 0;
+    case upstream_standing::on_trial:
+        return canary || track.trial_is_old(now) ? 0 : tier_cost;
+    case upstream_standing::held:
+        break;
+    }
+    if (canary && track.quick_trial_due(now)) {
+        return 0;
+    }
+    // The oldest failure says least about the present.
+    const std::chrono::duration<double> age = now - track.last_failure();
+    return 2 * tier_cost - std::min(age.count(), most_age);
+}
+
+upstream_track* dispatch_queue::choose(const waiter& it, survey& found,
+                                       state::time_point now)
+{
     const bool canary = it.request.repeatable &&
                         it.request.kind == send_kind::first &&
                         budget_.used(now) < canary_budget_share * budget_share_;
-    const bool any_will_do = is_last_chance(it, now) || all_held(now);
-    for (auto& [id, track] : upstreams_) {
-        if (!may_use(track, it, now)) {
-            continue;
-        }
-        double sum = cost(track, it, now);
-        switch (track.standing(now)) {
-        case upstream_standing::in_service:
-            break;
-        case upstream_standing::on_trial:
-            if (!canary && !track.trial_is_old(now)) {
-                sum += tier_cost;
-            }
-            break;
-        case upstream_standing::held: {
-            const auto age = now - track.last_failure();
-            if (canary && track.quick_trial_due(now)) {
-                break;
-            }
-            // When all others are full, a server that has recovered is worth
-            // more than the failures of those that have not.
-            if (!any_will_do && !track.quick_trial_due(now)) {
-                continue;
-            }
-            // The oldest failure says least about the present.
-            sum += 2 * tier_cost -
-                   std::min(std::chrono::duration<double>(age).count(), 10.0);
-            break;
+    upstream_track* best = nullptr;
+    double best_cost = std::numeric_limits<double>::max();
+    if (it.request.kind == send_kind::first) {
+        const auto due = std::find_if(
+            found.resting.begin(), found.resting.end(),
+            [&](const auto* track) { return may_use(*track, it, now); });
+        if (due != found.resting.end()) {
+            return *due;
         }
+    }
+    const auto consider = [&](upstream_track& track) {
+        if (!may_use(track, it, now)) {
+            return;
         }
+        const double sum = cost(track, it, now) + tier(track, canary, now);
         if (sum < best_cost ||
             (sum == best_cost && track.last_begin() < best->last_begin())) {
             best = &track;
             best_cost = sum;
         }
+    };
+    for (auto* track : found.usable) {
+        consider(*track);
+    }
+    // When all others are full, a server that has recovered is worth more than
+    // the failures of those that have not.
+    const bool none_better =
+        best == nullptr || best->standing(now) == upstream_standing::held;
+    if (none_better && !found.held.empty() && is_last_chance(it, now)) {
+        for (auto* track : found.held) {
+            consider(*track);
+        }
     }
     return best;
 }
 
-upstream_track* dispatch_queue::due_for_floor(const waiter& it,
-                                              state::time_point now)
+void dispatch_queue::forget_full(survey& found, upstream_track& track,
+                                 state::time_point now)
 {
-    if (it.request.kind != send_kind::first ||
-        !unserved_.exceeds(floor_unserved_share, floor_fewest_requests, now)) {
-        return nullptr;
+    std::erase(found.resting, &track);
+    if (!track.has_room(now)) {
+        std::erase(found.usable, &track);
+        std::erase(found.held, &track);
     }
-    std::size_t ready = 0;
-    std::vector<upstream_track*> resting;
-    for (auto& [id, track] : upstreams_) {
-        if (track.spec().state != state::registration_state::ready) {
-            continue;
-        }
-        ++ready;
-        if (now - track.last_begin() >= floor_rest_time) {
-            resting.push_back(&track);
-        }
-    }
-    const auto may_rest =
-        static_cast<std::size_t>(static_cast<double>(ready) * floor_rest_share);
-    if (resting.size() <= may_rest) {
-        return nullptr;
-    }
-    std::sort(resting.begin(), resting.end(),
-              [](const upstream_track* a, const upstream_track* b) {
-                  return a->last_begin() < b->last_begin();
-              });
-    resting.resize(resting.size() - may_rest);
-    const auto found =
-        std::find_if(resting.begin(), resting.end(), [&](const auto* track) {
-            return may_use(*track, it, now);
-        });
-    return found == resting.end() ? nullptr : *found;
 }
 
 void dispatch_queue::count_unserved(const flight& it,
@@ -300,15 +339,6 @@
     }
 }
 
-bool dispatch_queue::all_held(state::time_point now) const
-{
-    return std::all_of(
-        upstreams_.begin(), upstreams_.end(), [&](const auto& it) {
-            return it.second.spec().state != state::registration_state::ready ||
-                   it.second.standing(now) == upstream_standing::held;
-        });
-}
-
 bool dispatch_queue::is_last_chance(const waiter& it,
                                     state::time_point now) const
 {
@@ -400,9 +430,10 @@
             track.standing(now) == upstream_standing::in_service;
         slots += track.spec().slots * (in_service ? 1.0 : held_slot_share);
     }
-    const auto ahead =
-        std::count_if(line_.begin(), line_.end(),
-                      [&](const auto& it) { return it.first.rank <= rank; });
+    std::size_t ahead = 0;
+    for (const auto& [of, count] : line_ranks_) {
+        ahead += of <= rank ? count : 0;
+    }
     const auto turns = static_cast<double>(ahead + 1) / std::max(slots, 1.0);
     return scaled(usual_latency(), turns);
 }
@@ -473,7 +504,8 @@
         line_.empty() ||
         line_key{request.rank, it.target, number} < line_.begin()->first;
     if (first_in_line || request.kind == send_kind::hedge) {
-        if (auto* track = choose(it, now)) {
+        auto found = look_around(now);
+        if (auto* track = choose(it, found, now)) {
             return place_or_refuse(number, it, *track, now);
         }
     }
@@ -486,6 +518,7 @@
     const line_key key{request.rank, it.target, number};
     line_.emplace(key, it);
     line_keys_.emplace(number, key);
+    ++line_ranks_[request.rank];
     return std::nullopt;
 }
 
@@ -494,8 +527,7 @@
 {
     const auto waiting = line_keys_.find(number);
     if (waiting != line_keys_.end()) {
-        line_.erase(waiting->second);
-        line_keys_.erase(waiting);
+        leave_line(line_.find(waiting->second));
         return;
     }
     const auto found = flights_.find(number);
@@ -590,41 +622,77 @@
     judge_flights(now);
     limit_holds(now);
     std::vector<answer> out;
+    refuse_hopeless(out, now);
+    auto found = look_around(now);
     // Requests that can still be in time come first: under overload the
     // others would make all of them late.
-    settle_line(true, out, now);
-    settle_line(false, out, now);
+    fill_places(true, found, out, now);
+    fill_places(false, found, out, now);
     return out;
 }
 
-void dispatch_queue::settle_line(bool in_time, std::vector<answer>& out,
-                                 state::time_point now)
+std::vector<dispatch_queue::answer> dispatch_queue::fill(state::time_point now)
+{
+    std::vector<answer> out;
+    if (line_.empty()) {
+        return out;
+    }
+    auto found = look_around(now);
+    // What is left to the last chance of a request can wait for settle().
+    found.held.clear();
+    fill_places(true, found, out, now);
+    fill_places(false, found, out, now);
+    return out;
+}
+
+void dispatch_queue::refuse_hopeless(std::vector<answer>& out,
+                                     state::time_point now)
 {
     for (auto it = line_.begin(); it != line_.end();) {
-        const auto number = it->first.number;
         const auto& waiter = it->second;
-        std::optional<state::place_answer> what;
-        if (can_be_in_time(waiter, now) != in_time) {
+        const bool hopeless = is_hopeless(waiter, {}, now);
+        if (!hopeless && any_candidate(waiter.request, now)) {
             ++it;
             continue;
         }
-        if (is_hopeless(waiter, {}, now)) {
-            what = refuse_request(turn_away_reason::overloaded, number,
-                                  waiter.request, now);
-        } else if (auto* track = choose(waiter, now)) {
-            what = place_or_refuse(number, waiter, *track, now);
-        } else if (!any_candidate(waiter.request, now)) {
-            what = refuse_request(turn_away_reason::no_upstream, number,
-                                  waiter.request, now);
-        }
-        if (!what) {
+        const auto number = it->first.number;
+        out.push_back(
+            {number, refuse_request(hopeless ? turn_away_reason::overloaded
+                                             : turn_away_reason::no_upstream,
+                                    number, waiter.request, now)});
+        it = leave_line(it);
+    }
+}
+
+void dispatch_queue::fill_places(bool in_time, survey& found,
+                                 std::vector<answer>& out,
+                                 state::time_point now)
+{
+    for (auto it = line_.begin(); it != line_.end() && !found.is_full();) {
+        const auto& waiter = it->second;
+        auto* track = can_be_in_time(waiter, now) == in_time
+                          ? choose(waiter, found, now)
+                          : nullptr;
+        if (track == nullptr) {
             ++it;
             continue;
         }
-        out.push_back({number, std::move(*what)});
-        line_keys_.erase(number);
-        it = line_.erase(it);
+        const auto number = it->first.number;
+        out.push_back({number, place_or_refuse(number, waiter, *track, now)});
+        forget_full(found, *track, now);
+        it = leave_line(it);
+    }
+}
+
+std::map<dispatch_queue::line_key, dispatch_queue::waiter>::iterator
+dispatch_queue::leave_line(std::map<line_key, waiter>::iterator it)
+{
+    line_keys_.erase(it->first.number);
+    const auto rank = line_ranks_.find(it->first.rank);
+    if (--rank->second == 0) {
+        line_ranks_.erase(rank);
     }
+    return line_.erase(it);
 }
 
 } // namespace oriolegrade::coordination
--- a/src/transport/gateway/dispatch_service.cpp
+++ b/src/transport/gateway/dispatch_service.cpp
@@ -132,7 +132,7 @@
         std::visit([&](const auto& a) { answer(number, a); }, *what);
     } else {
         answer(number, protocol::in_line{});
-        settle(queue, now);
+        answer_all(queue.fill(now));
     }
     busy_.notify();
 }
@@ -165,7 +165,7 @@
     const auto now = clock::now();
     auto& queue = queue_of(request.service, now);
     queue.report(number, report, now);
-    settle(queue, now);
+    answer_all(queue.fill(now));
 }
 
 void dispatch_service::adopt(const protocol::adopted_work& work)
@@ -174,12 +174,18 @@
     queue_of(work.service, now).adopt(work.upstream, work.count, now);
 }
 
-void dispatch_service::settle(coordination::dispatch_queue& queue,
-                              time_point now)
+void dispatch_service::answer_all(
+    const std::vector<coordination::dispatch_queue::answer>& answers)
 {
-    for (const auto& it : queue.settle(now)) {
+    for (const auto& it : answers) {
         std::visit([&](const auto& a) { answer(it.number, a); }, it.what);
     }
+}
+
+void dispatch_service::settle(coordination::dispatch_queue& queue,
+                              time_point now)
+{
+    answer_all(queue.settle(now));
     for (const auto& it : queue.take_changes(now)) {
         event(log_level::info, "upstream_standing")
             .with("id", it.upstream)
--- a/test/coordination/dispatch_queue_test.cpp
+++ b/test/coordination/dispatch_queue_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <ctime>
 #include <map>
 
 namespace {
@@ -552,6 +553,35 @@
     EXPECT_LE(rested, 3U);
 }
 
+// A burst above the capacity of a large service: 300 requests in line before
+// 100 upstreams. A dispatcher that looked at each pair after every answer used
+// up its share of a core and was given up as silent. The bound is the target:
+// 2.8% of a core for the 114 requests/s of a service.
+TEST_F(dispatch_queue_rules, a_long_line_costs_little)
+{
+    constexpr int upstreams = 100;
+    constexpr int in_line = 300;
+    constexpr int requests = 114;
+    constexpr double limit_s = 0.028;
+    set_upstreams(upstreams);
+    for (int n = 0; n < upstreams * static_cast<int>(slots) + in_line; ++n) {
+        ask(request());
+    }
+    ASSERT_EQ(queue.waiting(), static_cast<std::size_t>(in_line));
+    const auto began = std::clock();
+    std::size_t placed = 0;
+    for (int n = 1; n <= requests; ++n) {
+        now += 8ms;
+        end(n);
+        placed += queue.fill(now).size();
+        ask(request());
+    }
+    const auto used =
+        static_cast<double>(std::clock() - began) / CLOCKS_PER_SEC;
+    EXPECT_EQ(placed, static_cast<std::size_t>(requests));
+    EXPECT_LT(used, limit_s);
+}
+
 TEST_F(dispatch_queue_rules, a_draining_upstream_gets_nothing)
 {
     set_upstreams(1);
