--- a/include/oriolegrade/coordination/recent_share.hpp
+++ b/include/oriolegrade/coordination/recent_share.hpp
@@ -3,9 +3,9 @@
 #ifndef ORIOLEGRADE_COORDINATION_RECENT_SHARE_HPP
 #define ORIOLEGRADE_COORDINATION_RECENT_SHARE_HPP
 
+#include <oriolegrade/coordination/bucket_ring.hpp>
 #include <oriolegrade/state/time_type.hpp>
 
-#include <array>
 #include <cstdint>
 
 namespace oriolegrade::coordination {
@@ -15,12 +15,12 @@
 public:
     void add_event(state::time_point now)
     {
-        ++bucket_at(now).events;
+        ++buckets_.at(number_of(now)).events;
     }
     /// Marks an event that was added before.
     void mark(state::time_point now)
     {
-        ++bucket_at(now).marked;
+        ++buckets_.at(number_of(now)).marked;
     }
 
     /// True when at least `fewest` events happened and more than `share` of
@@ -28,22 +28,16 @@
     bool exceeds(double share, std::uint32_t fewest,
                  state::time_point now) const
     {
-        std::uint32_t events = 0;
-        std::uint32_t marked = 0;
-        const auto number = number_of(now);
-        for (const auto& it : buckets_) {
-            if (it.number > number - bucket_count) {
-                events += it.events;
-                marked += it.marked;
-            }
-        }
+        const auto last = number_of(now);
+        const auto first = last - bucket_count + 1;
+        const auto events = buckets_.sum(&counts::events, first, last);
+        const auto marked = buckets_.sum(&counts::marked, first, last);
         return events >= fewest && marked > share * events;
     }
 
 private:
-    struct bucket
+    struct counts
     {
-        std::int64_t number = -1;
         std::uint32_t events = 0;
         std::uint32_t marked = 0;
     };
@@ -56,17 +50,7 @@
         return now.time_since_epoch() / bucket_time;
     }
 
-    bucket& bucket_at(state::time_point now)
-    {
-        const auto number = number_of(now);
-        auto& it = buckets_[static_cast<std::size_t>(number % bucket_count)];
-        if (it.number != number) {
-            it = {number, 0, 0};
-        }
-        return it;
-    }
-
-    std::array<bucket, bucket_count> buckets_;
+    bucket_ring<counts, bucket_count> buckets_;
 };
 
 } // namespace oriolegrade::coordination
--- a/include/oriolegrade/coordination/window_budget.hpp
+++ b/include/oriolegrade/coordination/window_budget.hpp
@@ -3,9 +3,9 @@
 #ifndef ORIOLEGRADE_COORDINATION_WINDOW_BUDGET_HPP
 #define ORIOLEGRADE_COORDINATION_WINDOW_BUDGET_HPP
 
+#include <oriolegrade/coordination/bucket_ring.hpp>
 #include <oriolegrade/state/time_type.hpp>
 
-#include <array>
 #include <cstdint>
 
 namespace oriolegrade::coordination {
@@ -37,9 +37,8 @@
     double used(state::time_point now) const;
 
 private:
-    struct bucket
+    struct counts
     {
-        std::int64_t number = -1;
         std::uint32_t requests = 0;
         std::uint32_t extras = 0;
     };
@@ -48,12 +47,11 @@
     static constexpr std::int64_t buckets_per_window = 20;
 
     std::int64_t number_of(state::time_point now) const;
-    bucket& current(state::time_point now);
     double allowed(std::int64_t number) const;
     std::uint32_t extras(std::int64_t number) const;
 
     window_budget_options options_;
-    std::array<bucket, buckets_per_window + 1> buckets_;
+    bucket_ring<counts, buckets_per_window + 1> buckets_;
 };
 
 } // namespace oriolegrade::coordination
--- a/include/oriolegrade/transport/entry_server.hpp
+++ b/include/oriolegrade/transport/entry_server.hpp
@@ -4,12 +4,11 @@
 #define ORIOLEGRADE_TRANSPORT_ENTRY_SERVER_HPP
 
 #include <oriolegrade/transport/entry_shared.hpp>
+#include <oriolegrade/transport/entry_worker.hpp>
 #include <oriolegrade/transport/once_shared.hpp>
-
-#include <boost/fiber/future/promise.hpp>
+#include <oriolegrade/transport/worker_thread.hpp>
 
 #include <memory>
-#include <thread>
 #include <vector>
 
 namespace oriolegrade::transport {
@@ -32,10 +31,8 @@
     bool stop(state::duration notice, state::duration drain_limit);
 
 private:
-    struct worker_thread;
-
     entry_shared& shared_;
-    std::vector<std::unique_ptr<worker_thread>> workers_;
+    std::vector<std::unique_ptr<worker_thread<entry_worker>>> workers_;
 };
 
 } // namespace oriolegrade::transport
--- a/include/oriolegrade/transport/entry_worker.hpp
+++ b/include/oriolegrade/transport/entry_worker.hpp
@@ -44,8 +44,6 @@
 
 private:
     void serve(tcp_stream stream);
-    /// Serves one request; true when the connection may carry another.
-    bool serve_request(tcp_stream& stream, boost::beast::flat_buffer& buffer);
     void reply_status(std::string_view target, caller_answer& answer);
     void proxy(tcp_stream& stream, protocol::request_head head,
                caller_request& request, caller_answer& answer);
--- a/include/oriolegrade/transport/gateway/gateway.hpp
+++ b/include/oriolegrade/transport/gateway/gateway.hpp
@@ -7,6 +7,7 @@
 #include <oriolegrade/transport/fiber_scheduler.hpp>
 #include <oriolegrade/transport/gateway/dispatch_server.hpp>
 #include <oriolegrade/transport/gateway/gateway_worker.hpp>
+#include <oriolegrade/transport/gateway/host_call.hpp>
 #include <oriolegrade/transport/gateway/member_directory.hpp>
 #include <oriolegrade/transport/gateway/peer_source.hpp>
 #include <oriolegrade/transport/gateway/registry_follower.hpp>
@@ -14,13 +15,12 @@
 #include <oriolegrade/transport/gateway/rules_follower.hpp>
 #include <oriolegrade/transport/http_server.hpp>
 #include <oriolegrade/transport/stop_signal.hpp>
+#include <oriolegrade/transport/worker_thread.hpp>
 
-#include <boost/fiber/future/promise.hpp>
 #include <boost/fiber/operations.hpp>
 
 #include <memory>
 #include <random>
-#include <thread>
 #include <vector>
 
 namespace oriolegrade::transport {
@@ -45,58 +45,27 @@
     return text_answer(ready ? 200 : 503, "");
 }
 
+/// A worker with its way to the control thread.
 template <gateway_dialect Dialect>
-class gateway_thread
+class placed_worker
 {
 public:
-    gateway_thread(gateway_shared& shared, boost::asio::io_context& control,
-                   dispatch_router& router, std::atomic<std::uint64_t>& numbers)
-    {
-        auto listening = listening_.get_future();
-        std::thread([this, &shared, &control, &router, &numbers] {
-            run(shared, control, router, numbers);
-        }).detach();
-        listening.get();
-    }
+    placed_worker(boost::asio::io_context& ioc, gateway_shared& shared,
+                  boost::asio::io_context& control, dispatch_router& router,
+                  std::atomic<std::uint64_t>& numbers)
+        : places_(ioc, control, router, numbers)
+        , worker_(ioc, shared, places_)
+    {}
 
-    /// Stops taking connections; those that wait in the backlog are taken.
     void close_listener()
     {
-        auto closed = closed_.get_future();
-        stop_listening_.set_value();
-        closed.wait();
+        worker_.close_listener();
+        worker_.close_idle();
     }
 
 private:
-    void run(gateway_shared& shared, boost::asio::io_context& control,
-             dispatch_router& router, std::atomic<std::uint64_t>& numbers)
-    {
-        run_fibers([&](boost::asio::io_context& ioc) {
-            placement_client places(ioc, control, router, numbers);
-            std::unique_ptr<gateway_worker<Dialect, placement_client>> worker;
-            try {
-                worker =
-                    std::make_unique<gateway_worker<Dialect, placement_client>>(
-                        ioc, shared, places);
-            } catch (...) {
-                listening_.set_exception(std::current_exception());
-                return;
-            }
-            listening_.set_value();
-            stop_listening_.get_future().wait();
-            worker->close_listener();
-            worker->close_idle();
-            closed_.set_value();
-            process_end_.get_future().wait();
-        });
-    }
-
-    boost::fibers::promise<void> listening_;
-    boost::fibers::promise<void> stop_listening_;
-    boost::fibers::promise<void> closed_;
-    /// Never set: connections of the thread are served until the process
-    /// ends.
-    boost::fibers::promise<void> process_end_;
+    placement_client places_;
+    gateway_worker<Dialect, placement_client> worker_;
 };
 
 /// Wires the parts of one process. Lives on the control thread until the
@@ -129,8 +98,11 @@
     void start()
     {
         for (unsigned n = 0; n < shared_.options.threads; ++n) {
-            workers_.push_back(std::make_unique<gateway_thread<Dialect>>(
-                shared_, ioc_, router_, numbers_));
+            workers_.push_back(std::make_unique<thread_type>(
+                [this](boost::asio::io_context& ioc) {
+                    return std::make_unique<placed_worker<Dialect>>(
+                        ioc, shared_, ioc_, router_, numbers_);
+                }));
         }
         spawn_fiber([this] { rules_.run(); });
         spawn_fiber([this] { rules_.run_peers(); });
@@ -172,6 +144,9 @@
     }
 
 private:
+    using relayed = relayed_source<Source, peer_source>;
+    using thread_type = worker_thread<placed_worker<Dialect>>;
+
     static bool is_seed(const gateway_options& options)
     {
         const auto& seeds = options.seeds;
@@ -315,17 +290,13 @@
                                                  std::uint64_t version)
     {
         const auto peer = peer_named(host);
-        if (peer.port == 0) {
-            return std::nullopt;
-        }
-        stream_client client(ioc_, peer, {}, gateway_stream_limits());
         constexpr std::chrono::milliseconds limit{500};
-        const auto reply =
-            client.call(fleet_view_path, {}, std::to_string(version), limit);
-        if (!reply || reply.value().status != 200) {
+        const auto body = call_host(ioc_, peer, fleet_view_path,
+                                    std::to_string(version), limit);
+        if (!body) {
             return std::nullopt;
         }
-        auto told = protocol::decode_fleet_view(reply.value().body);
+        auto told = protocol::decode_fleet_view(*body);
         if (!told) {
             event(log_level::error, "fleet_view_malformed")
                 .with("peer", to_string(peer))
@@ -337,8 +308,6 @@
 
     boost::asio::io_context& ioc_;
     gateway_shared shared_;
-    using relayed = relayed_source<Source, peer_source>;
-
     Source& source_;
     peer_source peer_source_;
     relayed relayed_;
@@ -351,7 +320,7 @@
     http_server ready_;
     std::atomic<std::uint64_t> numbers_{1};
     std::mt19937_64 random_{std::random_device()()};
-    std::vector<std::unique_ptr<gateway_thread<Dialect>>> workers_;
+    std::vector<std::unique_ptr<thread_type>> workers_;
 };
 
 } // namespace oriolegrade::transport
--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -3,9 +3,8 @@
 #ifndef ORIOLEGRADE_TRANSPORT_GATEWAY_GATEWAY_WORKER_HPP
 #define ORIOLEGRADE_TRANSPORT_GATEWAY_GATEWAY_WORKER_HPP
 
-#include <oriolegrade/transport/caller_stream.hpp>
+#include <oriolegrade/transport/caller_session.hpp>
 #include <oriolegrade/transport/disconnect_watch.hpp>
-#include <oriolegrade/transport/entry_shared.hpp>
 #include <oriolegrade/transport/gateway/dispatched_choice.hpp>
 #include <oriolegrade/transport/gateway/gateway_shared.hpp>
 #include <oriolegrade/transport/gateway/request_log.hpp>
@@ -120,48 +119,19 @@
 
     void serve(tcp_stream stream)
     {
-        boost::beast::flat_buffer buffer;
-        while (serve_request(stream, buffer)) {
-        }
-        error_code ec;
-        stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send,
-                                 ec);
-    }
-
-    /// True when the connection may carry another request.
-    bool serve_request(tcp_stream& stream, boost::beast::flat_buffer& buffer)
-    {
-        const auto limits = io_limits();
-        caller_request request(stream, buffer, limits);
-        error_code ec;
-        idle_.insert(&stream);
-        request.wait_for_request(ec);
-        idle_.erase(&stream);
-        if (ec) {
-            return false;
-        }
-        const count_guard guard(shared_.requests_in_flight);
-        auto head = request.read_head(ec);
-        if (ec) {
-            if (const auto reason = reply_for(ec)) {
-                caller_answer answer(stream, limits, 11, false, false);
-                send_reply(answer, *reason);
-            }
-            return false;
-        }
-        const bool keep = request.keep_alive() && !shared_.stopping;
-        caller_answer answer(stream, limits, request.version(),
-                             request.is_head(), keep);
-        proxy(stream, head, request, answer);
-        if (!answer.finished()) {
-            // A reset shows the caller that the answer is incomplete even
-            // when it has no length.
-            stream.socket().set_option(
-                boost::asio::socket_base::linger(true, 0), ec);
-            stream.close();
-            return false;
-        }
-        return keep && request.done();
+        serve_caller(stream, [&](boost::beast::flat_buffer& buffer) {
+            return serve_caller_request(
+                stream, buffer, io_limits(), shared_,
+                [&](caller_request& request, error_code& ec) {
+                    idle_.insert(&stream);
+                    request.wait_for_request(ec);
+                    idle_.erase(&stream);
+                },
+                [&](const protocol::request_head& head, caller_request& request,
+                    caller_answer& answer) {
+                    proxy(stream, head, request, answer);
+                });
+        });
     }
 
     void proxy(tcp_stream& stream, const protocol::request_head& head,
--- a/src/programs/oriole-entry/main.cpp
+++ b/src/programs/oriole-entry/main.cpp
@@ -1,6 +1,7 @@
 // Request path of a host: starts the worker threads, follows the agent's
 // feed and stops gracefully.
 
+#include "../common/fiber_program.hpp"
 #include "../common/settings_file.hpp"
 
 #include <oriolegrade/protocol/settings.hpp>
@@ -120,21 +121,6 @@
     stop(settings, ioc, server, once);
 }
 
-int run(const protocol::entry_settings& settings)
-{
-    int status = 0;
-    transport::run_fibers([&](boost::asio::io_context& ioc) {
-        try {
-            serve(settings, ioc);
-        } catch (const boost::system::system_error& error) {
-            transport::event(log_level::error, "start_failed")
-                .with("error", error.what());
-            status = 1;
-        }
-    });
-    return status;
-}
-
 } // namespace
 
 int main(int argc, char** argv)
@@ -152,5 +138,6 @@
         return 0;
     }
     transport::start_event_log("oriole-entry", settings->log_level);
-    return run(*settings);
+    return programs::run_program(
+        [&settings](boost::asio::io_context& ioc) { serve(*settings, ioc); });
 }
--- a/src/transport/entry_worker.cpp
+++ b/src/transport/entry_worker.cpp
@@ -2,6 +2,7 @@
 
 #include <oriolegrade/transport/entry_worker.hpp>
 
+#include <oriolegrade/transport/caller_session.hpp>
 #include <oriolegrade/transport/disconnect_watch.hpp>
 #include <oriolegrade/transport/reply.hpp>
 
@@ -94,44 +95,17 @@
 void entry_worker::serve(tcp_stream stream)
 {
     const count_guard guard(shared_.caller_connections);
-    boost::beast::flat_buffer buffer;
-    while (serve_request(stream, buffer)) {
-    }
-    error_code ec;
-    stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
-}
-
-bool entry_worker::serve_request(tcp_stream& stream,
-                                 boost::beast::flat_buffer& buffer)
-{
-    caller_request request(stream, buffer, limits_);
-    error_code ec;
-    request.wait_for_request(ec);
-    if (ec) {
-        return false;
-    }
-    const count_guard guard(shared_.requests_in_flight);
-    auto head = request.read_head(ec);
-    if (ec) {
-        if (const auto reason = reply_for(ec)) {
-            caller_answer answer(stream, limits_, 11, false, false);
-            send_reply(answer, *reason);
-        }
-        return false;
-    }
-    const bool keep = request.keep_alive() && !shared_.stopping;
-    caller_answer answer(stream, limits_, request.version(), request.is_head(),
-                         keep);
-    proxy(stream, std::move(head), request, answer);
-    if (!answer.finished()) {
-        // A reset shows the caller that the answer is incomplete even when
-        // it has no length.
-        stream.socket().set_option(boost::asio::socket_base::linger(true, 0),
-                                   ec);
-        stream.close();
-        return false;
-    }
-    return keep && request.done();
+    serve_caller(stream, [&](boost::beast::flat_buffer& buffer) {
+        return serve_caller_request(
+            stream, buffer, limits_, shared_,
+            [](caller_request& request, error_code& ec) {
+                request.wait_for_request(ec);
+            },
+            [&](protocol::request_head head, caller_request& request,
+                caller_answer& answer) {
+                proxy(stream, std::move(head), request, answer);
+            });
+    });
 }
 
 void entry_worker::reply_status(std::string_view target, caller_answer& answer)
--- a/src/transport/gateway/peer_source.cpp
+++ b/src/transport/gateway/peer_source.cpp
@@ -5,7 +5,7 @@
 #include <oriolegrade/protocol/source_messages.hpp>
 #include <oriolegrade/transport/event_log.hpp>
 #include <oriolegrade/transport/gateway/dispatch_link.hpp>
-#include <oriolegrade/transport/stream_client.hpp>
+#include <oriolegrade/transport/gateway/host_call.hpp>
 
 #include <chrono>
 
@@ -53,17 +53,14 @@
 std::optional<state::source_reply>
 peer_source::ask(const state::source_request& request)
 {
-    if (peer_.port == 0) {
-        return std::nullopt;
-    }
     const auto peer = peer_;
-    stream_client client(ioc_, peer, {}, gateway_stream_limits());
-    const auto reply = client.call(
-        source_path, {}, protocol::encode_source_request(request), call_limit);
-    if (!reply || reply.value().status != 200) {
+    const auto body =
+        call_host(ioc_, peer, source_path,
+                  protocol::encode_source_request(request), call_limit);
+    if (!body) {
         return std::nullopt;
     }
-    auto told = protocol::decode_source_reply(reply.value().body);
+    auto told = protocol::decode_source_reply(*body);
     if (!told) {
         event(log_level::error, "source_reply_malformed")
             .with("peer", to_string(peer))
