--- a/include/oriolegrade/coordination/dispatch_queue.hpp
+++ b/include/oriolegrade/coordination/dispatch_queue.hpp
@@ -19,6 +19,7 @@
 #ifndef ORIOLEGRADE_COORDINATION_DISPATCH_QUEUE_HPP
 #define ORIOLEGRADE_COORDINATION_DISPATCH_QUEUE_HPP
 
+#include <oriolegrade/coordination/dispatch_summary.hpp>
 #include <oriolegrade/coordination/recent_share.hpp>
 #include <oriolegrade/coordination/route_latency.hpp>
 #include <oriolegrade/coordination/upstream_track.hpp>
@@ -106,6 +107,8 @@
     /// Changes of standings since the last call, for the log.
     std::vector<standing_change> take_changes(state::time_point now);
 
+    dispatch_summary summary(state::time_point now) const;
+
     std::size_t waiting() const
     {
         return line_.size();
@@ -249,6 +252,8 @@
     route_latency all_routes_;
     /// Requests of which the marked ones were not served.
     recent_share unserved_;
+    /// Sends that were cancelled; for the summary.
+    recent_share cancelled_;
     /// Usual time until an upstream answers with a fault.
     route_latency faults_;
 };
--- a/include/oriolegrade/coordination/recent_share.hpp
+++ b/include/oriolegrade/coordination/recent_share.hpp
@@ -28,11 +28,17 @@
     bool exceeds(double share, std::uint32_t fewest,
                  state::time_point now) const
     {
-        const auto last = number_of(now);
-        const auto first = last - bucket_count + 1;
-        const auto events = buckets_.sum(&counts::events, first, last);
-        const auto marked = buckets_.sum(&counts::marked, first, last);
-        return events >= fewest && marked > share * events;
+        const auto all = events(now);
+        return all >= fewest && marked(now) > share * all;
+    }
+
+    std::uint32_t events(state::time_point now) const
+    {
+        return sum(&counts::events, now);
+    }
+    std::uint32_t marked(state::time_point now) const
+    {
+        return sum(&counts::marked, now);
     }
 
 private:
@@ -45,6 +51,13 @@
     static constexpr state::duration bucket_time =
         std::chrono::milliseconds(250);
 
+    std::uint32_t sum(std::uint32_t counts::*counter,
+                      state::time_point now) const
+    {
+        const auto last = number_of(now);
+        return buckets_.sum(counter, last - bucket_count + 1, last);
+    }
+
     static std::int64_t number_of(state::time_point now)
     {
         return now.time_since_epoch() / bucket_time;
--- a/include/oriolegrade/transport/gateway/dispatch_service.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_service.hpp
@@ -91,6 +91,8 @@
         const std::vector<coordination::dispatch_queue::answer>& answers);
     void settle(const std::string& service, coordination::dispatch_queue& queue,
                 time_point now);
+    /// Logs what the busy queues believe, once in summary_interval.
+    void log_summaries(time_point now);
     bool is_busy() const;
 
     const coordination::window_budget_options budget_;
@@ -101,6 +103,7 @@
     std::unordered_map<ticket, asked> asked_;
     ticket next_ = 1;
     std::uint64_t revision_ = 0;
+    time_point summary_due_{};
     fiber_signal busy_;
 };
 
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -107,6 +107,35 @@
     return out;
 }
 
+dispatch_summary dispatch_queue::summary(state::time_point now) const
+{
+    dispatch_summary out;
+    for (const auto& [id, track] : upstreams_) {
+        if (track.spec().state != state::registration_state::ready) {
+            continue;
+        }
+        ++out.ready;
+        const auto standing = track.standing(now);
+        out.held += standing == upstream_standing::held ? 1 : 0;
+        out.on_trial += standing == upstream_standing::on_trial ? 1 : 0;
+        if (now - track.last_failure() < sound_after) {
+            continue;
+        }
+        ++out.sound;
+        if (now - track.last_begin() >= floor_window) {
+            ++out.sound_idle;
+            out.blocked_by_trial += track.has_room(now) ? 0 : 1;
+        }
+    }
+    out.requests = unserved_.events(now);
+    out.unserved = unserved_.marked(now);
+    out.cancelled = cancelled_.marked(now);
+    out.in_line = line_.size();
+    out.in_flight = flights_.size();
+    out.budget_used = budget_.used(now);
+    return out;
+}
+
 const upstream_track* dispatch_queue::find(const std::string& upstream) const
 {
     const auto it = upstreams_.find(upstream);
@@ -303,6 +332,9 @@
                                     const state::send_report& report,
                                     state::time_point now)
 {
+    if (report.result == state::send_result::cancelled) {
+        cancelled_.mark(now);
+    }
     const bool bad = report.result != state::send_result::answered &&
                      report.result != state::send_result::cancelled;
     // A repeat may still serve what a repeatable first send did not, unless
--- a/src/transport/gateway/dispatch_service.cpp
+++ b/src/transport/gateway/dispatch_service.cpp
@@ -16,6 +16,9 @@
 
 /// Interval at which waiting requests and stalls are looked at.
 constexpr std::chrono::milliseconds settle_interval{25};
+/// Interval of the lines that tell what a dispatcher believes. The users' rule
+/// on capacity in use looks at stretches of two seconds.
+constexpr std::chrono::milliseconds summary_interval{1000};
 constexpr double percent = 100;
 /// Parts of the fleet's budget of extra sends that the first choice for a
 /// service and any other host use up. The part per request adds up over hosts,
@@ -201,6 +204,36 @@
     }
 }
 
+void dispatch_service::log_summaries(time_point now)
+{
+    if (now < summary_due_) {
+        return;
+    }
+    summary_due_ = now + summary_interval;
+    for (const auto& [service, queue] : queues_) {
+        const auto it = queue.summary(now);
+        if (it.requests + it.unserved + it.in_line == 0) {
+            continue;
+        }
+        event(log_level::info, "dispatch_state")
+            .with("service", service)
+            .with("primary", is_primary(service) ? "yes" : "no")
+            .with("ready", it.ready)
+            .with("held", it.held)
+            .with("on_trial", it.on_trial)
+            .with("sound", it.sound)
+            .with("sound_idle", it.sound_idle)
+            .with("blocked_by_trial", it.blocked_by_trial)
+            .with("requests", it.requests)
+            .with("unserved", it.unserved)
+            .with("cancelled", it.cancelled)
+            .with("in_line", it.in_line)
+            .with("in_flight", it.in_flight)
+            .with("budget_percent",
+                  static_cast<std::int64_t>(it.budget_used * percent));
+    }
+}
+
 bool dispatch_service::is_busy() const
 {
     return std::any_of(queues_.begin(), queues_.end(), [](const auto& it) {
@@ -217,6 +250,7 @@
         for (auto& it : queues_) {
             settle(it.first, it.second, now);
         }
+        log_summaries(now);
     }
 }
 
