--- /dev/null
+++ b/test/coordination/dispatch_floor_test.cpp
@@ -0,0 +1,214 @@
+// Guards against sound upstreams that stay idle while a good part of a
+// service's requests is not served: the incident of docs/incidents/floor.md.
+
+#include "fakes/queue_fixture.hpp"
+
+#include <oriolegrade/coordination/dispatch_queue.hpp>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+
+namespace {
+
+using namespace oriolegrade;
+using namespace std::chrono_literals;
+using state::send_result;
+using test::start;
+
+/// The users' bound: in any two seconds with more than a tenth of the requests
+/// not served, at least seven tenths of the sound upstreams get some. One that
+/// failed is sound again after two seconds.
+constexpr state::duration window = 2s;
+constexpr double floor_share = 0.7;
+
+class dispatch_floor : public test::queue_fixture
+{
+protected:
+    /// How a request ends at an upstream; nothing when it is never reported.
+    using fate = std::function<std::optional<send_result>(
+        const std::string& upstream, int number)>;
+
+    /// Sends requests that must not repeat and judges each two seconds.
+    /// @param pause between two requests
+    void play(state::duration length, state::duration pause, const fate& how)
+    {
+        const auto end = now + length;
+        for (; now < end; now += pause) {
+            queue.settle(now);
+            play_request(how);
+            judge();
+        }
+    }
+
+    /// Fails each of the first `n` upstreams twice, as in the middle of a fault
+    /// of some seconds that ends then.
+    void suspect(std::size_t n)
+    {
+        for (int round = 0; round < 2; ++round) {
+            for (std::size_t i = 0; i < n; ++i) {
+                auto direct = request();
+                for (const auto& it : list) {
+                    if (it.id != list[i].id) {
+                        direct.tried.push_back(it.id);
+                    }
+                }
+                // Near its deadline a request takes any upstream.
+                direct.time_left = 300ms;
+                ASSERT_EQ(ask(direct), list[i].id);
+                now += 1ms;
+                end(last, send_result::server_error, 1ms);
+                failed_at[list[i].id] = now;
+            }
+            now += 500ms;
+        }
+    }
+
+    int judged = 0;
+    /// Least share of the sound upstreams that got a request in a window that
+    /// was judged.
+    double least_in_use = 1.0;
+
+private:
+    struct ended
+    {
+        state::time_point at;
+        bool served;
+    };
+
+    void play_request(const fate& how)
+    {
+        const auto upstream = ask(request());
+        if (upstream.empty()) {
+            requests.push_back({now, false});
+            return;
+        }
+        begun_at[upstream] = now;
+        const auto result = how(upstream, ++number);
+        requests.push_back({now, result == send_result::answered});
+        if (!result) {
+            return;
+        }
+        end(last, *result, 20ms);
+        if (*result == send_result::server_error) {
+            failed_at[upstream] = now;
+        }
+    }
+
+    void judge()
+    {
+        while (requests.front().at <= now - window) {
+            requests.pop_front();
+        }
+        const auto unserved =
+            std::count_if(requests.begin(), requests.end(),
+                          [](const ended& it) { return !it.served; });
+        const auto all = static_cast<std::ptrdiff_t>(requests.size());
+        if (now - start < 2 * window || unserved * 10 <= all ||
+            unserved * 2 >= all) {
+            return;
+        }
+        std::size_t sound = 0;
+        std::size_t in_use = 0;
+        for (const auto& it : list) {
+            // Sound in the whole window.
+            if (failed_at.contains(it.id) &&
+                now - failed_at[it.id] < window + coordination::sound_after) {
+                continue;
+            }
+            ++sound;
+            in_use += now - begun_at[it.id] < window ? 1 : 0;
+        }
+        if (sound > 0 && in_use > 0) {
+            ++judged;
+            least_in_use =
+                std::min(least_in_use, static_cast<double>(in_use) /
+                                           static_cast<double>(sound));
+        }
+    }
+
+    int number = 0;
+    std::deque<ended> requests;
+    std::map<std::string, state::time_point> begun_at;
+    std::map<std::string, state::time_point> failed_at;
+};
+
+// Hosts are killed in series: their requests end with them, and nobody reports
+// that they were not served.
+TEST_F(dispatch_floor, lost_hosts_leave_sound_upstreams_idle)
+{
+    set_upstreams(20);
+    suspect(10);
+    play(12s, 10ms, [](const std::string&, int n) {
+        return n % 5 == 0 ? send_result::cancelled : send_result::answered;
+    });
+    EXPECT_GT(judged, 0);
+    EXPECT_GE(least_in_use, floor_share);
+}
+
+// Hosts freeze: their requests are reported long after the caller's deadline,
+// if at all.
+TEST_F(dispatch_floor, silent_hosts_leave_sound_upstreams_idle)
+{
+    set_upstreams(40);
+    suspect(20);
+    play(6s, 20ms, [](const std::string&, int n) {
+        return n % 6 == 0 ? std::nullopt : std::optional(send_result::answered);
+    });
+    EXPECT_GT(judged, 0);
+    EXPECT_GE(least_in_use, floor_share);
+}
+
+// Servers refuse requests unrun, and the entry gives up after its attempts
+// without another question.
+TEST_F(dispatch_floor, shed_requests_leave_sound_upstreams_idle)
+{
+    set_upstreams(20);
+    suspect(9);
+    play(12s, 40ms, [](const std::string&, int n) {
+        return n % 7 == 0 ? send_result::refused : send_result::answered;
+    });
+    EXPECT_GT(judged, 0);
+    EXPECT_GE(least_in_use, floor_share);
+}
+
+// Most of a service is under a fault, so that a tenth of all upstreams is most
+// of the sound ones.
+TEST_F(dispatch_floor, the_share_that_may_rest_is_most_of_a_few_sound_upstreams)
+{
+    set_upstreams(30);
+    const std::set<std::string> sound{list[0].id, list[1].id, list[2].id,
+                                      list[3].id};
+    suspect(4);
+    play(20s, 10ms, [&](const std::string& upstream, int n) {
+        const bool faulty = !sound.contains(upstream) && n % 4 == 0;
+        return faulty ? send_result::server_error : send_result::answered;
+    });
+    EXPECT_GT(judged, 0);
+    EXPECT_GE(least_in_use, floor_share);
+}
+
+// One request at a time on trial: one that hangs must not keep the next away
+// until its deadline.
+TEST_F(dispatch_floor, a_hanging_trial_keeps_an_upstream_idle)
+{
+    set_upstreams(10);
+    suspect(4);
+    std::set<std::string> hung;
+    play(12s, 10ms,
+         [&](const std::string& upstream, int n) -> std::optional<send_result> {
+             // The first request at each suspected upstream hangs.
+             if (upstream < "dc1-4" && hung.insert(upstream).second) {
+                 return std::nullopt;
+             }
+             return n % 7 == 0 ? send_result::expired : send_result::answered;
+         });
+    EXPECT_GT(judged, 0);
+    EXPECT_GE(least_in_use, floor_share);
+}
+
+} // namespace
