Keep sound upstreams in use by what is presumably not served

Callers of a service were not served while sound upstreams got nothing: the floor was in force only while the dispatcher itself counted more than 5% of 20 requests as not served. It did not count requests that end with their host, callers that the balancer still sends to a lost host, requests that are never reported or not yet, and refused sends after which the host gives up.

unserved_estimate counts whatever is not known to be well, before its end when it is overdue. Upstreams may rest longer only for an error that they answered themselves, since a lost answer may be the fault of the host that waited.

Ruled out by tests that pass on the old code: the share that may rest as most of few sound upstreams, and a hanging trial.

--- a/include/oriolegrade/coordination/dispatch_queue.hpp
+++ b/include/oriolegrade/coordination/dispatch_queue.hpp
@@ -13,8 +13,8 @@
 //  - Requests that must not repeat before servers that fail for seconds: a
 //    suspected server is tried when its slots are needed, not because time has
 //    passed.
-//  - Many failures in a service: the floor. Most servers get a request every
-//    two seconds, so that none that has recovered stays idle.
+//  - Many requests that are not served, or may not be: the floor. Every server
+//    that is sound again gets a request within two seconds.
 
 #ifndef ORIOLEGRADE_COORDINATION_DISPATCH_QUEUE_HPP
 #define ORIOLEGRADE_COORDINATION_DISPATCH_QUEUE_HPP
@@ -22,6 +22,7 @@
 #include <oriolegrade/coordination/dispatch_summary.hpp>
 #include <oriolegrade/coordination/recent_share.hpp>
 #include <oriolegrade/coordination/route_latency.hpp>
+#include <oriolegrade/coordination/unserved_estimate.hpp>
 #include <oriolegrade/coordination/upstream_track.hpp>
 #include <oriolegrade/coordination/window_budget.hpp>
 #include <oriolegrade/state/dispatch_type.hpp>
@@ -92,6 +93,9 @@
     void report(ticket number, const state::send_report& report,
                 state::time_point now);
 
+    /// Ends a request whose host is gone.
+    void lose(ticket number, state::time_point now);
+
     /// Work in flight that a host sent before this dispatcher took over.
     void adopt(const std::string& upstream, std::uint32_t count,
                state::time_point now);
@@ -148,6 +152,13 @@
         bool open_trial = false;
         state::send_kind kind = state::send_kind::first;
         bool repeatable = false;
+        /// Counted as not served, for its age.
+        bool overdue = false;
+
+        judged_send as_judged() const
+        {
+            return {kind, repeatable, overdue};
+        }
     };
 
     /// The upstreams with a free slot, looked up once for many requests: a
@@ -159,19 +170,19 @@
         std::vector<upstream_track*> usable;
         /// Held, for requests that have nothing to lose.
         std::vector<upstream_track*> held;
-        /// Those that the floor demands a request for, the longest rest first.
-        std::vector<upstream_track*> resting;
+        /// Those that the floor demands a request for, the longest due first.
+        std::vector<upstream_track*> due;
         /// Suspected upstreams are to be tried without need.
         bool few_in_service = false;
 
         bool is_full() const
         {
-            return usable.empty() && held.empty() && resting.empty();
+            return usable.empty() && held.empty() && due.empty();
         }
     };
 
     survey look_around(state::time_point now);
-    void find_resting(survey& found, std::size_t ready, state::time_point now);
+    void find_due(survey& found, std::size_t ready, state::time_point now);
     upstream_track* choose(const waiter& it, survey& found,
                            state::time_point now);
     /// Cost of the standing of an upstream.
@@ -181,9 +192,6 @@
     /// Takes out of a survey what a request that was placed has used up.
     static void forget_full(survey& found, upstream_track& track,
                             state::time_point now);
-    /// Counts a request that ends without an answer worth having.
-    void count_unserved(const flight& it, const state::send_report& report,
-                        state::time_point now);
     bool is_last_chance(const waiter& it, state::time_point now) const;
     bool can_be_in_time(const waiter& it, state::time_point now) const;
     /// Takes from the budget of extra sends when the request needs it.
@@ -250,8 +258,7 @@
     std::map<std::uint32_t, std::size_t> line_ranks_;
     std::unordered_map<std::string, route_latency> latencies_;
     route_latency all_routes_;
-    /// Requests of which the marked ones were not served.
-    recent_share unserved_;
+    unserved_estimate unserved_;
     /// Sends that were cancelled; for the summary.
     recent_share cancelled_;
     /// Usual time until an upstream answers with a fault.
--- a/include/oriolegrade/coordination/recent_share.hpp
+++ b/include/oriolegrade/coordination/recent_share.hpp
@@ -23,13 +23,13 @@
         ++buckets_.at(number_of(now)).marked;
     }
 
-    /// True when at least `fewest` events happened and more than `share` of
-    /// them were marked.
+    /// True when at least `fewest` events, and more than `share` of all, were
+    /// marked.
     bool exceeds(double share, std::uint32_t fewest,
                  state::time_point now) const
     {
-        const auto all = events(now);
-        return all >= fewest && marked(now) > share * all;
+        const auto n = marked(now);
+        return n >= fewest && n > share * events(now);
     }
 
     std::uint32_t events(state::time_point now) const
--- a/include/oriolegrade/coordination/upstream_track.hpp
+++ b/include/oriolegrade/coordination/upstream_track.hpp
@@ -4,11 +4,13 @@
 #ifndef ORIOLEGRADE_COORDINATION_UPSTREAM_TRACK_HPP
 #define ORIOLEGRADE_COORDINATION_UPSTREAM_TRACK_HPP
 
+#include <oriolegrade/coordination/dispatch_summary.hpp>
 #include <oriolegrade/state/dispatch_type.hpp>
 #include <oriolegrade/state/enum_names.hpp>
 #include <oriolegrade/state/registered_upstream.hpp>
 #include <oriolegrade/state/time_type.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <map>
@@ -148,6 +150,13 @@
     {
         return last_begin_;
     }
+    /// Since when it has been sound and without a new request. An error that
+    /// it answered itself is proof that it was not sound; a lost or late
+    /// answer may be the fault of the host that waited for it.
+    state::time_point idle_since() const
+    {
+        return std::max(last_begin_, last_error_ + sound_after);
+    }
 
 private:
     /// @param began when the request that failed was sent
@@ -180,6 +189,8 @@
     /// Of the present series of failures.
     state::time_point first_failure_{};
     state::time_point last_failure_{};
+    /// Of the latest answer that told a fault of the upstream.
+    state::time_point last_error_{};
     double slowness_ = 1.0;
     state::time_point slowness_at_{};
     /// Hosts whose connects failed, with the time until which they keep off.
--- a/include/oriolegrade/transport/gateway/dispatch_service.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_service.hpp
@@ -59,6 +59,8 @@
     ticket ask_locally(const state::place_request& request,
                        reply_callback done);
     void report(ticket number, const state::send_report& report);
+    /// Ends a request whose host is gone.
+    void lose(ticket number);
     void adopt(const protocol::adopted_work& work);
 
     /// The register was read or the rules changed.
@@ -84,6 +86,10 @@
     void refresh_queue(const std::string& service,
                        coordination::dispatch_queue& queue, time_point now);
     void submit(ticket number, time_point now);
+    /// Ends a request and fills the place that it leaves.
+    /// @param end called with the queue that knows the ticket
+    template <class End>
+    void finish(ticket number, End end);
     /// Answers after the view was refreshed, or gives up for its age.
     void resume(ticket number);
     void answer(ticket number, const reply& what);
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -38,13 +38,16 @@
 /// must not repeat try a suspected one only when all others are full. Below
 /// it, a failure of one of those in service would meet too many requests.
 constexpr double fewest_in_service_share = 0.5;
-/// The floor: while more than this share of a service's requests is not
-/// served, more than the rest share of its upstreams must not be without a
-/// request for 2 s. The users' bound is a tenth and three tenths, of sound
-/// upstreams only, and those that rest may all be sound.
+/// The floor: while more than this share of a service's requests is presumably
+/// not served, no sound upstream may be without a request for floor_window. The
+/// users' bound is a tenth; half of it leaves room for what the estimate
+/// misses.
 constexpr double floor_unserved_share = 0.05;
-constexpr double floor_rest_share = 0.1;
-constexpr std::uint32_t floor_fewest_requests = 20;
+/// Most of the upstreams that may rest for an error of their own, which is
+/// below the three tenths that the users' bound leaves.
+constexpr double floor_rest_share = 0.2;
+/// Time without a request after which one is due: floor_window less what a
+/// first send may take to come and to arrive.
 constexpr state::duration floor_rest_time = std::chrono::milliseconds(1400);
 /// Part of the slots of upstreams out of service that is expected back in
 /// time for a waiting request.
@@ -127,8 +130,8 @@
             out.blocked_by_trial += track.has_room(now) ? 0 : 1;
         }
     }
-    out.requests = unserved_.events(now);
-    out.unserved = unserved_.marked(now);
+    out.requests = unserved_.requests(now);
+    out.unserved = unserved_.unserved(now);
     out.cancelled = cancelled_.marked(now);
     out.in_line = line_.size();
     out.in_flight = flights_.size();
@@ -221,33 +224,33 @@
         out.usable.insert(out.usable.end(), out.held.begin(), out.held.end());
         out.held.clear();
     }
-    if (unserved_.exceeds(floor_unserved_share, floor_fewest_requests, now)) {
-        find_resting(out, ready, now);
+    if (unserved_.exceeds(floor_unserved_share, now)) {
+        find_due(out, ready, now);
     }
     return out;
 }
 
-void dispatch_queue::find_resting(survey& found, std::size_t ready,
-                                  state::time_point now)
+void dispatch_queue::find_due(survey& found, std::size_t ready,
+                              state::time_point now)
 {
-    const auto may_rest =
-        static_cast<std::size_t>(static_cast<double>(ready) * floor_rest_share);
-    auto& resting = found.resting;
+    auto& due = found.due;
     for (auto& [id, track] : upstreams_) {
         if (track.spec().state == state::registration_state::ready &&
             now - track.last_begin() >= floor_rest_time) {
-            resting.push_back(&track);
+            due.push_back(&track);
         }
     }
-    if (resting.size() <= may_rest) {
-        resting.clear();
-        return;
-    }
-    std::sort(resting.begin(), resting.end(),
+    std::sort(due.begin(), due.end(),
               [](const upstream_track* a, const upstream_track* b) {
-                  return a->last_begin() < b->last_begin();
+                  return a->idle_since() < b->idle_since();
               });
-    resting.resize(resting.size() - may_rest);
+    const auto may_rest =
+        static_cast<std::size_t>(static_cast<double>(ready) * floor_rest_share);
+    for (std::size_t n = 0; n < may_rest && !due.empty() &&
+                            now - due.back()->idle_since() < floor_rest_time;
+         ++n) {
+        due.pop_back();
+    }
 }
 
 double dispatch_queue::tier(const upstream_track& track, bool canary,
@@ -280,9 +283,9 @@
 {
     if (it.request.kind == send_kind::first) {
         const auto due = std::find_if(
-            found.resting.begin(), found.resting.end(),
+            found.due.begin(), found.due.end(),
             [&](const auto* track) { return may_use(*track, it, now); });
-        if (due != found.resting.end()) {
+        if (due != found.due.end()) {
             return *due;
         }
     }
@@ -321,33 +324,13 @@
 void dispatch_queue::forget_full(survey& found, upstream_track& track,
                                  state::time_point now)
 {
-    std::erase(found.resting, &track);
+    std::erase(found.due, &track);
     if (!track.has_room(now)) {
         std::erase(found.usable, &track);
         std::erase(found.held, &track);
     }
 }
 
-void dispatch_queue::count_unserved(const flight& it,
-                                    const state::send_report& report,
-                                    state::time_point now)
-{
-    if (report.result == state::send_result::cancelled) {
-        cancelled_.mark(now);
-    }
-    const bool bad = report.result != state::send_result::answered &&
-                     report.result != state::send_result::cancelled;
-    // A repeat may still serve what a repeatable first send did not, unless
-    // the time is over.
-    const bool last = it.repeatable
-                          ? it.kind == send_kind::repeat ||
-                                report.result == state::send_result::expired
-                          : report.result != state::send_result::refused;
-    if (bad && last) {
-        unserved_.mark(now);
-    }
-}
-
 bool dispatch_queue::is_last_chance(const waiter& it,
                                     state::time_point now) const
 {
@@ -396,7 +379,7 @@
     }
     if (it.request.kind == send_kind::first) {
         budget_.add_request(now);
-        unserved_.add_event(now);
+        unserved_.placed(now);
     }
     return out;
 }
@@ -452,13 +435,7 @@
                                const state::place_request& request,
                                state::time_point now)
 {
-    if (request.kind == send_kind::first) {
-        unserved_.add_event(now);
-    }
-    // A refused hedge leaves the send beside it.
-    if (request.kind != send_kind::hedge) {
-        unserved_.mark(now);
-    }
+    unserved_.turned_away(request.kind, now);
     return refuse(reason, number, request.rank, now);
 }
 
@@ -546,7 +523,10 @@
     const auto flight = std::move(found->second);
     flights_.erase(found);
     const auto usual = usual_latency(flight.route);
-    count_unserved(flight, report, now);
+    unserved_.ended(flight.as_judged(), report.result, now);
+    if (report.result == state::send_result::cancelled) {
+        cancelled_.mark(now);
+    }
     learn_latency(flight.route, report);
     if (report.result == state::send_result::server_error) {
         faults_.add(report.took);
@@ -562,6 +542,16 @@
     }
 }
 
+void dispatch_queue::lose(ticket number, state::time_point now)
+{
+    unserved_.lost_with_host(usual_latency(), now);
+    const auto found = flights_.find(number);
+    if (found != flights_.end()) {
+        found->second.overdue = true;
+    }
+    report(number, {state::send_result::cancelled, {}, {}}, now);
+}
+
 void dispatch_queue::adopt(const std::string& upstream, std::uint32_t count,
                            state::time_point now)
 {
@@ -589,6 +579,7 @@
         const bool silent = track->second.last_success() < flight.began;
         if (age >= scaled(usual, silent ? silent_stall_factor : stall_factor)) {
             flight.stalled = true;
+            flight.overdue = unserved_.overdue(flight.as_judged(), now);
             track->second.stalled(flight.began,
                                   static_cast<double>(age.count()) /
                                       static_cast<double>(usual.count()),
--- a/src/coordination/upstream_track.cpp
+++ b/src/coordination/upstream_track.cpp
@@ -116,6 +116,9 @@
         succeed(how.began, how.relative, now);
         break;
     case state::send_result::server_error:
+        last_error_ = now;
+        fail(how.began, now);
+        break;
     case state::send_result::lost:
     case state::send_result::misdirected:
         fail(how.began, now);
--- a/src/transport/gateway/dispatch_server.cpp
+++ b/src/transport/gateway/dispatch_server.cpp
@@ -125,7 +125,7 @@
         ended = true;
         changed.notify();
         for (const auto& [number, ticket] : std::exchange(tickets, {})) {
-            service.report(ticket, {state::send_result::cancelled, {}, {}});
+            service.lose(ticket);
         }
     }
 };
--- a/src/transport/gateway/dispatch_service.cpp
+++ b/src/transport/gateway/dispatch_service.cpp
@@ -153,7 +153,8 @@
     done(what);
 }
 
-void dispatch_service::report(ticket number, const state::send_report& report)
+template <class End>
+void dispatch_service::finish(ticket number, End end)
 {
     const auto it = asked_.find(number);
     if (it == asked_.end()) {
@@ -167,10 +168,24 @@
     }
     const auto now = clock::now();
     auto& queue = queue_of(request.service, now);
-    queue.report(number, report, now);
+    end(queue, now);
     answer_all(queue.fill(now));
 }
 
+void dispatch_service::report(ticket number, const state::send_report& report)
+{
+    finish(number, [&](coordination::dispatch_queue& queue, time_point now) {
+        queue.report(number, report, now);
+    });
+}
+
+void dispatch_service::lose(ticket number)
+{
+    finish(number, [&](coordination::dispatch_queue& queue, time_point now) {
+        queue.lose(number, now);
+    });
+}
+
 void dispatch_service::adopt(const protocol::adopted_work& work)
 {
     const auto now = clock::now();
--- a/test/coordination/dispatch_floor_test.cpp
+++ b/test/coordination/dispatch_floor_test.cpp
@@ -11,6 +11,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace {
@@ -150,6 +151,43 @@
     EXPECT_GE(least_in_use, floor_share);
 }
 
+// A host that is gone takes its callers along until the balancer notices: what
+// it had in progress is a small part of what is not served.
+TEST_F(dispatch_floor, callers_of_a_lost_host_are_not_counted)
+{
+    set_upstreams(20);
+    suspect(10);
+    const auto healthy = [](const std::string&, int) {
+        return send_result::answered;
+    };
+    play(3s, 10ms, healthy);
+    // Three requests in progress, of 200 in two seconds.
+    for (int n = 0; n < 3; ++n) {
+        ask(request());
+        queue.lose(last, now);
+    }
+    play(1900ms, 10ms, healthy);
+    std::size_t idle = 0;
+    for (const auto& it : list) {
+        idle += now - queue.find(it.id)->last_begin() >= window ? 1 : 0;
+    }
+    EXPECT_LE(static_cast<double>(idle),
+              (1.0 - floor_share) * static_cast<double>(list.size()));
+}
+
+// A service with few requests: two that fail of twelve in two seconds are
+// above the bound of a tenth.
+TEST_F(dispatch_floor, few_requests_leave_sound_upstreams_idle)
+{
+    set_upstreams(6);
+    suspect(3);
+    play(20s, 160ms, [](const std::string&, int n) {
+        return n % 5 == 0 ? send_result::expired : send_result::answered;
+    });
+    EXPECT_GT(judged, 0);
+    EXPECT_GE(least_in_use, floor_share);
+}
+
 // Hosts freeze: their requests are reported long after the caller's deadline,
 // if at all.
 TEST_F(dispatch_floor, silent_hosts_leave_sound_upstreams_idle)
