Bound what an upstream sends without end

Callers waited to their deadline, and beyond it, when an upstream sent bytes that are no answer and never ended. Four ways were open, each found by a test that failed: interim answers without end (504 at the deadline instead of an answer from another upstream), the body of an answer to another request (no answer in 5 s), a trickling body after a refusal (400 ms and then 503 instead of a repeat), and an answer that is passed on while every read finds bytes, which outlived the time limit because the stream's timer is not looked at then (open after 2 s with a limit of 400 ms).

Interim answers are counted, unwanted bodies are read for 50 ms or 64 KiB, and the time limit is looked at between reads. Endless heads, fields, trailers, chunk extensions and unsound bodies were bounded before; their tests passed. 69 tests of platform_test pass.

--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -15,6 +15,8 @@
 
 #include <boost/beast/core/error.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <concepts>
 #include <optional>
 #include <string>
@@ -26,6 +28,9 @@
 /// this size is known to be whole before the caller sees any of it, and the
 /// upstream's connection is free before a slow caller reads it.
 inline constexpr std::size_t hold_back_bytes = 64 * 1024;
+/// Time for the rest of an answer that nobody gets. A new connection costs a
+/// few milliseconds; a request that could go elsewhere must not wait longer.
+inline constexpr std::chrono::milliseconds read_past_limit{50};
 
 /// Chooses upstreams for one request and learns how attempts ended.
 template <class Choice>
@@ -283,7 +288,9 @@
             return lost();
         }
         if (Dialect::is_unrun(*answer_head_)) {
-            pool_.release(drained(std::move(connection)));
+            if (read_past(*connection)) {
+                pool_.release(std::move(connection));
+            }
             return state::attempt_result::shed;
         }
         if (!Dialect::is_sound(*answer_head_)) {
@@ -299,12 +306,11 @@
     {
         constexpr int most_strays = 2;
         for (int n = 0; !Dialect::belongs(head, *answer_head_); ++n) {
-            error_code ec;
-            while (!ec && connection.read_body(buffer_, ec) > 0) {
-            }
-            if (ec || n == most_strays || !connection.expect_another()) {
+            if (n == most_strays || !read_past(connection) ||
+                !connection.expect_another()) {
                 return false;
             }
+            error_code ec;
             answer_head_ = connection.read_head(ec);
             if (ec) {
                 return false;
@@ -344,18 +350,21 @@
         return head;
     }
 
-    connection_ptr drained(connection_ptr connection)
+    /// Reads past an answer that nobody gets.
+    /// @return false when it does not end soon; it may have no end
+    bool read_past(upstream_connection& connection)
     {
+        connection.expires_at(std::min<state::time_point>(
+            deadline_, std::chrono::steady_clock::now() + read_past_limit));
         error_code ec;
         std::size_t total = 0;
-        while (!ec && total < hold_back_bytes) {
-            const auto n = connection->read_body(buffer_, ec);
-            if (n == 0) {
-                break;
-            }
+        std::size_t n = 0;
+        do {
+            n = connection.read_body(buffer_, ec);
             total += n;
-        }
-        return connection;
+        } while (!ec && n > 0 && total < hold_back_bytes);
+        connection.expires_at(deadline_);
+        return !ec && n == 0;
     }
 
     /// Reads the answer and passes it on.
@@ -456,6 +465,10 @@
             if (n == 0) {
                 return state::attempt_result::answered;
             }
+            // The stream's timer is not looked at while reads find bytes.
+            if (past_deadline()) {
+                return state::attempt_result::expired;
+            }
             passed_on += n;
             if (passed_on > route_.max_response_bytes) {
                 return state::attempt_result::lost;
--- a/include/oriolegrade/transport/upstream_connection.hpp
+++ b/include/oriolegrade/transport/upstream_connection.hpp
@@ -38,7 +38,7 @@
     /// Sends what is left of the request.
     void finish_body(error_code& ec);
 
-    /// Reads the head of the final answer; interim answers are skipped.
+    /// Reads the head of the final answer; a few interim answers are skipped.
     protocol::answer_head read_head(error_code& ec);
     /// Reads answer bytes; 0 without an error at the end of the answer. An
     /// answer that ends short of its length gives an error.
@@ -48,6 +48,9 @@
     /// request. False when the connection carries no more answers.
     bool expect_another();
 
+    /// Changes the deadline of the operations that follow.
+    void expires_at(state::time_point deadline);
+
     /// True when a byte of the current request may have reached the upstream.
     bool request_sent() const;
 
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -22,6 +22,9 @@
 
 constexpr std::size_t read_buffer_bytes = 8 * 1024;
 constexpr std::uint32_t max_answer_head_bytes = 32 * 1024;
+/// Interim answers before the final one. One or two are usual; an upstream in
+/// trouble may send them without end.
+constexpr int max_interim_answers = 8;
 
 bool is_framing(http::field field)
 {
@@ -150,7 +153,7 @@
 protocol::answer_head upstream_connection::read_head(error_code& ec)
 {
     auto& x = *exchange_;
-    for (;;) {
+    for (int interim = 0;; ++interim) {
         http::async_read_header(stream_, x.buffer, *x.parser, fiber_yield(ec));
         if (ec) {
             return {};
@@ -160,6 +163,10 @@
         if (status_class != http::status_class::informational) {
             break;
         }
+        if (interim == max_interim_answers) {
+            ec = http::error::bad_status;
+            return {};
+        }
         x.start_parser();
     }
     protocol::answer_head head;
@@ -214,6 +221,11 @@
     return true;
 }
 
+void upstream_connection::expires_at(state::time_point deadline)
+{
+    stream_.expires_at(deadline);
+}
+
 bool upstream_connection::request_sent() const
 {
     return exchange_ && exchange_->sent;
--- a/test/fakes/request_path.hpp
+++ b/test/fakes/request_path.hpp
@@ -16,6 +16,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <gtest/gtest.h>
 
+#include <array>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -90,6 +91,20 @@
         return receive();
     }
 
+    /// Reads and drops what comes; true when the peer closes within the limit.
+    bool closes_within(std::chrono::milliseconds limit)
+    {
+        std::array<char, 64 * 1024> bytes{};
+        const auto until = std::chrono::steady_clock::now() + limit;
+        stream_.expires_at(until);
+        transport::error_code ec;
+        while (!ec && std::chrono::steady_clock::now() < until) {
+            stream_.async_read_some(asio::buffer(bytes),
+                                    transport::fiber_yield(ec));
+        }
+        return ec && ec != boost::beast::error::timeout;
+    }
+
     void close()
     {
         stream_.close();
--- a/test/fakes/scripted_upstream.hpp
+++ b/test/fakes/scripted_upstream.hpp
@@ -1,5 +1,5 @@
 // Fake upstream that answers each request with the next step of a script:
-// raw bytes, pauses and ends of the connection.
+// raw bytes, pauses, endless bytes and ends of the connection.
 
 #ifndef ORIOLEGRADE_TEST_FAKES_SCRIPTED_UPSTREAM_HPP
 #define ORIOLEGRADE_TEST_FAKES_SCRIPTED_UPSTREAM_HPP
@@ -33,6 +33,9 @@
     std::string bytes;
     std::chrono::milliseconds delay{0};
     after_answer after = after_answer::keep_open;
+    /// Sent again and again after `bytes`, until the peer closes.
+    std::string endless = {};
+    std::chrono::milliseconds endless_pause{1};
 };
 
 class scripted_upstream
@@ -58,6 +61,8 @@
     /// Requests that were read completely.
     int runs = 0;
     int connections = 0;
+    /// Connections on which endless bytes are being sent.
+    int endless = 0;
     /// Of those requests, in the order of their arrival.
     std::vector<std::string> targets;
     /// Head and body of the last request.
@@ -96,6 +101,14 @@
             }
             boost::asio::async_write(stream, boost::asio::buffer(step.bytes),
                                      transport::fiber_yield(ec));
+            endless += step.endless.empty() ? 0 : 1;
+            while (!step.endless.empty() && !ec) {
+                boost::asio::async_write(stream,
+                                         boost::asio::buffer(step.endless),
+                                         transport::fiber_yield(ec));
+                boost::this_fiber::sleep_for(step.endless_pause);
+            }
+            endless -= step.endless.empty() ? 0 : 1;
             if (ec || step.after == after_answer::close) {
                 return;
             }
--- a/test/platform/gateway_worker_test.cpp
+++ b/test/platform/gateway_worker_test.cpp
@@ -70,7 +70,9 @@
         rules->version = 1;
         rules->routes = {
             make_route("/read/", state::request_class::idempotent),
-            make_route("/book/", state::request_class::non_idempotent)};
+            make_route("/book/", state::request_class::non_idempotent),
+            make_route("/film/", state::request_class::idempotent)};
+        rules->routes.back().spec.max_response_bytes = std::uint64_t{1} << 40U;
         shared.rules.publish(std::make_shared<state::route_index>(rules));
         shared.configured = true;
     }
@@ -315,4 +317,132 @@
     EXPECT_EQ(b.book().result_int(), 503U);
 }
 
+/// An upstream in trouble: what it sends first, and what never ends.
+struct endless_answer
+{
+    const char* name;
+    std::string bytes;
+    std::string endless;
+};
+
+const std::string stamped = "HTTP/1.1 200 OK\r\nServer-Stamp: x\r\n";
+const std::string a_kilobyte(1024, 'x');
+const std::string a_chunk = "400\r\n" + a_kilobyte + "\r\n";
+
+const std::vector<endless_answer> endless_answers{
+    {"garbage_head", "", a_kilobyte},
+    {"head_field", stamped + "X-Filler: ", a_kilobyte},
+    {"head_fields", stamped, "X-Filler: x\r\n"},
+    {"interim_answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"unsound_body", "HTTP/1.1 200 OK\r\nRequest-Id: q\r\n\r\n", a_kilobyte},
+    {"stray_body",
+     stamped + "Request-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n",
+     a_chunk},
+    {"stray_body_without_length", stamped + "Request-Id: other\r\n\r\n",
+     a_kilobyte},
+    {"refusal_body",
+     "HTTP/1.1 503 Busy\r\nRequest-Id: q\r\nNot-Executed: 1\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n",
+     a_chunk},
+    {"chunk_extension",
+     stamped + "Request-Id: q\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+     a_kilobyte},
+    {"trailer",
+     stamped + "Request-Id: q\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+     "X-Filler: x\r\n"},
+};
+
+class endless_bytes : public ::testing::TestWithParam<endless_answer>
+{
+protected:
+    /// A read whose first upstream sends endless bytes is served by the
+    /// second, and the connection to the first one is closed.
+    void expect_other_upstream(std::chrono::milliseconds pause)
+    {
+        auto& b = make_bench();
+        b.place_at(b.first, "u1");
+        b.place_at(b.second, "u2");
+        test::upstream_step step{GetParam().bytes};
+        step.endless = GetParam().endless;
+        step.endless_pause = pause;
+        b.first.add(step);
+        b.second.add({answer("good")});
+        const auto got = b.read();
+        EXPECT_EQ(got.result_int(), 200U);
+        EXPECT_EQ(got.body(), "good");
+        boost::this_fiber::sleep_for(20ms);
+        EXPECT_EQ(b.first.endless, 0);
+    }
+};
+
+// Bytes that are no answer and never end must not use up the time in which
+// another upstream can answer.
+TEST_P(endless_bytes, another_upstream_answers)
+{
+    expect_other_upstream(0ms);
+}
+
+INSTANTIATE_TEST_SUITE_P(gateway_worker, endless_bytes,
+                         ::testing::ValuesIn(endless_answers),
+                         [](const auto& it) {
+                             return std::string(it.param.name);
+                         });
+
+// A refusal whose body trickles without end: the refusal is known, and the
+// request must not wait for the rest.
+TEST(gateway_worker, an_endless_trickle_after_a_refusal_costs_no_time)
+{
+    auto& b = make_bench();
+    b.place_at(b.first, "u1");
+    b.place_at(b.second, "u2");
+    test::upstream_step step{
+        "HTTP/1.1 503 Busy\r\nRequest-Id: q\r\nNot-Executed: 1\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"};
+    step.endless = "1\r\nx\r\n";
+    step.endless_pause = 10ms;
+    b.first.add(step);
+    b.second.add({answer("good")});
+    const auto began = std::chrono::steady_clock::now();
+    EXPECT_EQ(b.book().body(), "good");
+    EXPECT_LT(std::chrono::steady_clock::now() - began, 200ms);
+}
+
+// An answer that has begun and never ends is cut at the longest answer; it
+// must not look complete, and the upstream's connection is closed.
+TEST(gateway_worker, an_endless_answer_is_cut)
+{
+    auto& b = make_bench();
+    b.place_at(b.first, "u1");
+    test::upstream_step step{
+        stamped + "Request-Id: q\r\nTransfer-Encoding: chunked\r\n\r\n"};
+    step.endless = a_chunk;
+    step.endless_pause = 0ms;
+    b.first.add(step);
+    fake_caller caller(b.ioc, b.worker.address());
+    caller.send("GET /read/1 HTTP/1.1\r\nHost: x\r\nRequest-Id: q\r\n\r\n");
+    transport::error_code ec;
+    caller.receive(ec);
+    EXPECT_TRUE(ec);
+    boost::this_fiber::sleep_for(20ms);
+    EXPECT_EQ(b.first.endless, 0);
+}
+
+// The longest answer may be far off: the time limit of the route ends one that
+// never ends, also while every read finds bytes.
+TEST(gateway_worker, an_endless_answer_ends_with_its_time)
+{
+    auto& b = make_bench();
+    b.place_at(b.first, "u1");
+    test::upstream_step step{
+        stamped + "Request-Id: q\r\nTransfer-Encoding: chunked\r\n\r\n"};
+    step.endless = a_chunk;
+    step.endless_pause = 0ms;
+    b.first.add(step);
+    fake_caller caller(b.ioc, b.worker.address());
+    caller.send("GET /film/1 HTTP/1.1\r\nHost: x\r\nRequest-Id: q\r\n\r\n");
+    EXPECT_TRUE(caller.closes_within(2s));
+    boost::this_fiber::sleep_for(20ms);
+    EXPECT_EQ(b.first.endless, 0);
+}
+
 } // namespace
