Keep each host to its part of the budget of extra sends

Each dispatcher counted for itself: a successor began with a whole budget, and a host that placed for itself had a slack of its own.

Extra sends belong to requests that one host took, so the host counts both and keeps to its part of the ratio and of the slack; the parts add up to the fleet's budget whoever places. The dispatcher's count stays for the order of repeats, trials and hedges.

Ruled out: a slack that grows with the time in the role.

--- a/include/oriolegrade/coordination/dispatch_queue.hpp
+++ b/include/oriolegrade/coordination/dispatch_queue.hpp
@@ -76,8 +76,8 @@
     {
         options_.max_connections = n;
     }
-    /// Part of the budget of extra sends that this queue may use up: less
-    /// while another dispatcher places the service's requests.
+    /// Part of the budget of extra sends that this queue may use up. Hosts
+    /// bound what all dispatchers together allow (host_budget).
     void set_budget_share(double share)
     {
         budget_share_ = share;
@@ -246,7 +246,7 @@
                        const state::send_report& report);
 
     dispatch_options options_;
-    double budget_share_ = 0.8;
+    double budget_share_ = 0.9;
     window_budget budget_;
     std::map<std::string, upstream_track> upstreams_;
     /// Standings that take_changes() told last.
--- /dev/null
+++ b/include/oriolegrade/coordination/host_budget.hpp
@@ -0,0 +1,49 @@
+// One host's part of the fleet's budget of extra sends, for all services.
+//
+// Every extra send belongs to a request that a host took, so the host counts
+// both. The parts of all hosts add up to the fleet's budget whoever places the
+// requests: dispatchers come and go, and none knows what others allowed.
+
+#ifndef ORIOLEGRADE_COORDINATION_HOST_BUDGET_HPP
+#define ORIOLEGRADE_COORDINATION_HOST_BUDGET_HPP
+
+#include <oriolegrade/coordination/window_budget.hpp>
+#include <oriolegrade/state/dispatch_type.hpp>
+#include <oriolegrade/state/time_type.hpp>
+
+#include <cstddef>
+#include <string>
+#include <unordered_map>
+
+namespace oriolegrade::coordination {
+
+class host_budget
+{
+public:
+    /// @param fleet budget of all hosts together, for each service
+    explicit host_budget(const window_budget_options& fleet);
+
+    /// @param hosts of the fleet, this one too; 1 while no other is known, and
+    ///        then there is no slack
+    void set_hosts(std::size_t hosts);
+
+    /// Counts a first send, or takes the right to an extra one.
+    /// @return false when an extra send would exceed this host's part
+    bool admit(const std::string& service, state::send_kind kind,
+               state::time_point now);
+
+    /// An extra send that was admitted was not placed.
+    void give_back(const std::string& service, state::time_point admitted_at,
+                   state::time_point now);
+
+private:
+    window_budget& budget_of(const std::string& service);
+
+    window_budget_options part_;
+    double fleet_slack_;
+    std::unordered_map<std::string, window_budget> budgets_;
+};
+
+} // namespace oriolegrade::coordination
+
+#endif
--- a/include/oriolegrade/coordination/window_budget.hpp
+++ b/include/oriolegrade/coordination/window_budget.hpp
@@ -26,6 +26,11 @@
 public:
     explicit window_budget(const window_budget_options& options = {});
 
+    void set_slack(double slack)
+    {
+        options_.slack = slack;
+    }
+
     /// Counts a first send.
     void add_request(state::time_point now);
 
@@ -33,6 +38,10 @@
     /// @param share part of the whole budget that the caller may use up
     bool try_take(double share, state::time_point now);
 
+    /// Takes back an extra send that was not made.
+    /// @param taken_at time of the successful try_take()
+    void give_back(state::time_point taken_at, state::time_point now);
+
     /// Part of the budget that is used up; above 1 when requests have fallen.
     double used(state::time_point now) const;
 
--- a/include/oriolegrade/transport/gateway/dispatch_router.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_router.hpp
@@ -5,6 +5,7 @@
 #define ORIOLEGRADE_TRANSPORT_GATEWAY_DISPATCH_ROUTER_HPP
 
 #include <oriolegrade/coordination/dispatcher_ranking.hpp>
+#include <oriolegrade/coordination/host_budget.hpp>
 #include <oriolegrade/transport/gateway/dispatch_link.hpp>
 #include <oriolegrade/transport/gateway/dispatch_service.hpp>
 #include <oriolegrade/transport/gateway/gateway_shared.hpp>
@@ -74,6 +75,7 @@
     {
         state::place_request request;
         answer_callback done;
+        time_point asked_at{};
         stage at = stage::asked;
         /// Host asked last; empty for this host's own dispatcher.
         std::string host = {};
@@ -115,6 +117,8 @@
     void take_answer(const std::string& host, const protocol::rules_notice& it);
     void take_reply(std::uint64_t number, const dispatch_service::reply& what);
     void take_refusal(std::uint64_t number, const state::turn_away& away);
+    /// Returns the right to an extra send that got no place.
+    void return_budget(const request_state& it);
     void link_lost(const std::string& host);
     /// Services whose dispatchers this host keeps streams to, best first.
     std::vector<std::string>
@@ -127,6 +131,7 @@
     gateway_shared& shared_;
     dispatch_service& own_;
     coordination::dispatcher_ranking ranking_;
+    coordination::host_budget budget_;
     std::unordered_map<std::uint64_t, request_state> requests_;
     std::map<std::string, peer> peers_;
     /// In the order of their ends: every wait has the same length.
--- /dev/null
+++ b/src/coordination/host_budget.cpp
@@ -0,0 +1,53 @@
+// Parts of the budget of extra sends.
+
+#include <oriolegrade/coordination/host_budget.hpp>
+
+namespace oriolegrade::coordination {
+
+namespace {
+
+/// The rest is for hosts that start again within a window: they have forgotten
+/// what they sent.
+constexpr double used_share = 0.9;
+
+} // namespace
+
+host_budget::host_budget(const window_budget_options& fleet)
+    : part_(fleet)
+    , fleet_slack_(fleet.slack)
+{
+    part_.slack = 0;
+}
+
+void host_budget::set_hosts(std::size_t hosts)
+{
+    part_.slack = hosts > 1 ? fleet_slack_ / static_cast<double>(hosts) : 0;
+    for (auto& [service, budget] : budgets_) {
+        budget.set_slack(part_.slack);
+    }
+}
+
+bool host_budget::admit(const std::string& service, state::send_kind kind,
+                        state::time_point now)
+{
+    auto& budget = budget_of(service);
+    if (kind == state::send_kind::first) {
+        budget.add_request(now);
+        return true;
+    }
+    return budget.try_take(used_share, now);
+}
+
+void host_budget::give_back(const std::string& service,
+                            state::time_point admitted_at,
+                            state::time_point now)
+{
+    budget_of(service).give_back(admitted_at, now);
+}
+
+window_budget& host_budget::budget_of(const std::string& service)
+{
+    return budgets_.try_emplace(service, part_).first->second;
+}
+
+} // namespace oriolegrade::coordination
--- a/src/coordination/unserved_estimate.cpp
+++ b/src/coordination/unserved_estimate.cpp
@@ -28,7 +28,6 @@
         return false;
     case send_result::refused:
         // The host may be out of attempts, and does not say so.
-        return true;
     case send_result::expired:
         return true;
     case send_result::cancelled:
--- a/src/coordination/window_budget.cpp
+++ b/src/coordination/window_budget.cpp
@@ -40,6 +40,17 @@
     return true;
 }
 
+void window_budget::give_back(state::time_point taken_at, state::time_point now)
+{
+    const auto number = number_of(taken_at);
+    // An older bucket no longer counts.
+    if (number_of(now) - number > buckets_per_window) {
+        return;
+    }
+    auto& it = buckets_.at(number);
+    it.extras -= it.extras > 0 ? 1 : 0;
+}
+
 double window_budget::used(state::time_point now) const
 {
     const auto number = number_of(now);
--- a/src/transport/gateway/dispatch_router.cpp
+++ b/src/transport/gateway/dispatch_router.cpp
@@ -36,6 +36,7 @@
     : ioc_(ioc)
     , shared_(shared)
     , own_(own)
+    , budget_(shared.options.budget)
 {
     ranking_.set_members({shared.options.self});
 }
@@ -58,6 +59,7 @@
     const std::vector<state::host_member>& members)
 {
     ranking_.set_members(members);
+    budget_.set_hosts(members.size());
     links_due_ = true;
     members_changed_.notify();
 }
@@ -72,8 +74,12 @@
                           const state::place_request& request,
                           answer_callback done)
 {
+    const auto now = clock::now();
+    if (!budget_.admit(request.service, request.kind, now)) {
+        return done(state::turn_away{state::turn_away_reason::budget, {}});
+    }
     auto& it =
-        requests_.emplace(number, request_state{request, std::move(done)})
+        requests_.emplace(number, request_state{request, std::move(done), now})
             .first->second;
     it.request.host = shared_.options.self.name;
     it.request.data_centre = shared_.options.self.data_centre;
@@ -290,6 +296,7 @@
                            away.reason == state::turn_away_reason::leaving;
     if (!elsewhere || (it.host.empty() && it.request.accept_stale)) {
         const auto done = std::move(it.done);
+        return_budget(it);
         requests_.erase(number);
         return done(away);
     }
@@ -316,6 +323,9 @@
     if (found == requests_.end()) {
         return;
     }
+    if (found->second.at != stage::placed) {
+        return_budget(found->second);
+    }
     const auto host = std::move(found->second.host);
     const auto ticket = found->second.ticket;
     requests_.erase(found);
@@ -331,6 +341,13 @@
     }
 }
 
+void dispatch_router::return_budget(const request_state& it)
+{
+    if (it.request.kind != state::send_kind::first) {
+        budget_.give_back(it.request.service, it.asked_at, clock::now());
+    }
+}
+
 void dispatch_router::link_lost(const std::string& host)
 {
     ranking_.failed(host, clock::now());
--- a/src/transport/gateway/dispatch_service.cpp
+++ b/src/transport/gateway/dispatch_service.cpp
@@ -20,27 +20,12 @@
 /// on capacity in use looks at stretches of two seconds.
 constexpr std::chrono::milliseconds summary_interval{1000};
 constexpr double percent = 100;
-/// Parts of the fleet's budget of extra sends that the first choice for a
-/// service and any other host use up. The part per request adds up over hosts,
-/// whoever counts a request.
-constexpr double primary_share = 0.9;
-constexpr double other_share = 0.04;
-/// Two hosts may take themselves for the first choice for a while, so one
-/// takes at most half of what does not depend on requests.
-constexpr double slack_part = 0.5;
-
-coordination::window_budget_options
-own_part(coordination::window_budget_options budget)
-{
-    budget.slack *= slack_part;
-    return budget;
-}
 
 } // namespace
 
 dispatch_service::dispatch_service(
     const coordination::window_budget_options& budget, register_view view)
-    : budget_(own_part(budget))
+    : budget_(budget)
     , view_(std::move(view))
     , rules_(std::make_shared<const state::route_index>(
           std::make_shared<const state::traffic_rules>()))
@@ -127,8 +112,6 @@
 {
     auto& it = asked_.at(number);
     auto& queue = queue_of(it.request.service, now);
-    queue.set_budget_share(is_primary(it.request.service) ? primary_share
-                                                          : other_share);
     it.queued = true;
     const auto request = it.request;
     if (const auto what = queue.ask(number, request, now)) {
--- a/test/coordination/window_budget_test.cpp
+++ b/test/coordination/window_budget_test.cpp
@@ -1,12 +1,14 @@
 // Guards against more extra sends in some window than the ratio and the slack
 // allow.
 
+#include <oriolegrade/coordination/host_budget.hpp>
 #include <oriolegrade/coordination/window_budget.hpp>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 #include <deque>
+#include <vector>
 
 namespace {
 
@@ -75,4 +77,63 @@
     }
 }
 
+TEST(window_budget, an_extra_send_that_was_not_made_is_given_back)
+{
+    coordination::window_budget budget({0.0, 1, 10s});
+    ASSERT_TRUE(budget.try_take(1.0, start));
+    budget.give_back(start, start + 1s);
+    EXPECT_TRUE(budget.try_take(1.0, start + 1s));
+    EXPECT_FALSE(budget.try_take(1.0, start + 1s));
+    // Long after its window it gives nothing.
+    budget.give_back(start, start + 30s);
+    EXPECT_TRUE(budget.try_take(1.0, start + 30s));
+    EXPECT_FALSE(budget.try_take(1.0, start + 30s));
+}
+
+// A shed storm while dispatchers follow each other: 1,575 extra sends where
+// 1,503 were allowed. The parts of all hosts keep the fleet's bound, some of
+// which start again and have forgotten what they sent.
+TEST(host_budget, parts_of_all_hosts_exceed_the_budget_of_the_fleet)
+{
+    constexpr std::size_t hosts = 159;
+    constexpr std::size_t restarted = 20;
+    constexpr coordination::window_budget_options fleet{0.2, 277, 10s};
+    std::vector<coordination::host_budget> parts(
+        hosts, coordination::host_budget(fleet));
+    for (auto& it : parts) {
+        it.set_hosts(hosts);
+    }
+    std::deque<state::time_point> requests;
+    std::deque<state::time_point> extras;
+    const auto recent = [&](auto& list, state::time_point now) {
+        while (!list.empty() && now - list.front() > fleet.window) {
+            list.pop_front();
+        }
+        return static_cast<double>(list.size());
+    };
+    auto now = start;
+    for (int n = 0; n < 30'000; ++n) {
+        now += 2ms;
+        auto& host = parts[static_cast<std::size_t>(n) * 31 % hosts];
+        host.admit("s", state::send_kind::first, now);
+        requests.push_back(now);
+        // All servers refuse from 12 s on: every request is repeated.
+        const bool storm = now - start > 12s;
+        for (int k = 0; k < 2 && storm; ++k) {
+            if (host.admit("s", state::send_kind::repeat, now)) {
+                extras.push_back(now);
+            }
+        }
+        if (n == 7000) {
+            for (std::size_t i = 0; i < restarted; ++i) {
+                parts[i] = coordination::host_budget(fleet);
+                parts[i].set_hosts(hosts);
+            }
+        }
+        const double allowed =
+            fleet.ratio * recent(requests, now) + fleet.slack;
+        ASSERT_LE(recent(extras, now), allowed) << "at request " << n;
+    }
+}
+
 } // namespace
--- a/test/platform/dispatch_test.cpp
+++ b/test/platform/dispatch_test.cpp
@@ -87,11 +87,12 @@
     using answer_ptr = std::shared_ptr<std::optional<state::place_answer>>;
 
     /// Asks for a place; the answer arrives later.
-    answer_ptr ask()
+    answer_ptr ask(state::send_kind kind = state::send_kind::first)
     {
         state::place_request request;
         request.service = "s";
         request.route = "r";
+        request.kind = kind;
         request.time_left = 5s;
         request.target_left = 1s;
         const auto answer =
@@ -102,9 +103,10 @@
     }
 
     /// Asks for a place and waits for the answer.
-    std::optional<state::place_answer> place()
+    std::optional<state::place_answer>
+    place(state::send_kind kind = state::send_kind::first)
     {
-        const auto answer = ask();
+        const auto answer = ask(kind);
         const auto until = std::chrono::steady_clock::now() + 1s;
         while (!*answer && std::chrono::steady_clock::now() < until) {
             boost::this_fiber::sleep_for(1ms);
@@ -309,4 +311,29 @@
     EXPECT_EQ(upstream_of(f.entry().place()), "u-first");
 }
 
+// A rolling stop while all servers refuse: dispatchers follow each other, and
+// each allowed a whole budget because none knew what the others had.
+TEST(dispatch, successive_dispatchers_allow_a_host_more_than_its_part)
+{
+    auto& f = make_fleet(24200);
+    auto& host = f.entry();
+    const auto repeats = [&host] {
+        int placed = 0;
+        while (upstream_of(host.place(state::send_kind::repeat)) != "") {
+            ++placed;
+            host.router.report(host.last,
+                               {state::send_result::answered, 10ms, {}});
+        }
+        return placed;
+    };
+    int sum = repeats();
+    f.first().shared.stopping = true;
+    sum += repeats();
+    f.second().shared.stopping = true;
+    sum += repeats();
+    const auto& budget = host.shared.options.budget;
+    EXPECT_GT(sum, 0);
+    EXPECT_LE(sum, budget.slack / static_cast<double>(f.hosts.size()));
+}
+
 } // namespace
