--- a/include/oriolegrade/coordination/dispatch_summary.hpp
+++ b/include/oriolegrade/coordination/dispatch_summary.hpp
@@ -3,19 +3,11 @@
 #ifndef ORIOLEGRADE_COORDINATION_DISPATCH_SUMMARY_HPP
 #define ORIOLEGRADE_COORDINATION_DISPATCH_SUMMARY_HPP
 
-#include <oriolegrade/state/time_type.hpp>
-
 #include <cstddef>
 #include <cstdint>
 
 namespace oriolegrade::coordination {
 
-/// An upstream is sound again this long after a failure of its own (source:
-/// the users' rule on the capacity in use).
-inline constexpr state::duration sound_after = std::chrono::seconds(2);
-/// The users' rule looks at stretches of this length.
-inline constexpr state::duration floor_window = std::chrono::seconds(2);
-
 struct dispatch_summary
 {
     /// Upstreams of the register that take work.
--- a/include/oriolegrade/coordination/upstream_track.hpp
+++ b/include/oriolegrade/coordination/upstream_track.hpp
@@ -4,7 +4,6 @@
 #ifndef ORIOLEGRADE_COORDINATION_UPSTREAM_TRACK_HPP
 #define ORIOLEGRADE_COORDINATION_UPSTREAM_TRACK_HPP
 
-#include <oriolegrade/coordination/dispatch_summary.hpp>
 #include <oriolegrade/state/dispatch_type.hpp>
 #include <oriolegrade/state/enum_names.hpp>
 #include <oriolegrade/state/registered_upstream.hpp>
@@ -47,6 +46,11 @@
     std::chrono::milliseconds(1000);
 /// A host that failed to connect does not try again for this long.
 inline constexpr state::duration unreachable_time = std::chrono::seconds(3);
+/// An upstream is sound again this long after a failure of its own, and gets
+/// work in each stretch of the other length (the users' rule on capacity in
+/// use).
+inline constexpr state::duration sound_after = std::chrono::seconds(2);
+inline constexpr state::duration floor_window = std::chrono::seconds(2);
 /// Hosts that cannot connect, with no answer to any other host meanwhile,
 /// before the upstream counts as failed for all.
 inline constexpr std::size_t unreachable_hosts = 3;
