Spread the return of callers whose request got no further send

A host that refuses a repeat for its part of the budget gave no time to return, so callers were told 50 ms, all the same, in a shed storm: back at once and together, into the same full slots. They hear 300 ms to 600 ms now, spread by the same rule as the dispatcher's refusals.

--- a/include/oriolegrade/coordination/host_budget.hpp
+++ b/include/oriolegrade/coordination/host_budget.hpp
@@ -12,6 +12,7 @@
 #include <oriolegrade/state/time_type.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <unordered_map>
 
@@ -32,6 +33,9 @@
     bool admit(const std::string& service, state::send_kind kind,
                state::time_point now);
 
+    /// Answer to a request whose extra send was not admitted.
+    static state::turn_away refuse(std::uint64_t number);
+
     /// An extra send that was admitted was not placed.
     void give_back(const std::string& service, state::time_point admitted_at,
                    state::time_point now);
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -2,6 +2,8 @@
 
 #include <oriolegrade/coordination/dispatch_queue.hpp>
 
+#include <oriolegrade/coordination/return_time.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -443,13 +445,9 @@
                                         std::uint32_t rank,
                                         state::time_point now) const
 {
-    // Callers that were refused together come back one after the other.
-    constexpr std::uint64_t spread_steps = 16;
     const auto wait =
         std::max<state::duration>(expected_wait(rank, now), usual_latency());
-    const auto spread = static_cast<double>(number % spread_steps) /
-                        static_cast<double>(spread_steps);
-    return {reason, scaled(wait, 1.0 + spread)};
+    return {reason, spread_return(wait, number)};
 }
 
 bool dispatch_queue::is_hopeless(const waiter& it, state::duration wait,
--- a/src/coordination/host_budget.cpp
+++ b/src/coordination/host_budget.cpp
@@ -2,6 +2,8 @@
 
 #include <oriolegrade/coordination/host_budget.hpp>
 
+#include <oriolegrade/coordination/return_time.hpp>
+
 namespace oriolegrade::coordination {
 
 namespace {
@@ -9,6 +11,9 @@
 /// The rest is for hosts that start again within a window: they have forgotten
 /// what they sent.
 constexpr double used_share = 0.9;
+/// The caller may come back when the slots of the service have turned over: the
+/// users' services take 100 ms to 400 ms.
+constexpr state::duration shortest_return = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -38,6 +43,12 @@
     return budget.try_take(used_share, now);
 }
 
+state::turn_away host_budget::refuse(std::uint64_t number)
+{
+    return {state::turn_away_reason::budget,
+            spread_return(shortest_return, number)};
+}
+
 void host_budget::give_back(const std::string& service,
                             state::time_point admitted_at,
                             state::time_point now)
--- a/src/transport/gateway/dispatch_router.cpp
+++ b/src/transport/gateway/dispatch_router.cpp
@@ -76,7 +76,7 @@
 {
     const auto now = clock::now();
     if (!budget_.admit(request.service, request.kind, now)) {
-        return done(state::turn_away{state::turn_away_reason::budget, {}});
+        return done(coordination::host_budget::refuse(number));
     }
     auto& it =
         requests_.emplace(number, request_state{request, std::move(done), now})
--- a/test/coordination/window_budget_test.cpp
+++ b/test/coordination/window_budget_test.cpp
@@ -8,6 +8,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <deque>
+#include <set>
 #include <vector>
 
 namespace {
@@ -136,4 +137,18 @@
     }
 }
 
+// Hosts of a service that sheds refuse many callers at once: they must not
+// all come back at once and into the same full slots.
+TEST(host_budget, refused_callers_return_together)
+{
+    std::set<state::duration> times;
+    for (std::uint64_t n = 0; n < 16; ++n) {
+        const auto away = coordination::host_budget::refuse(n);
+        EXPECT_EQ(away.reason, state::turn_away_reason::budget);
+        EXPECT_GE(away.retry_after, 300ms);
+        times.insert(away.retry_after);
+    }
+    EXPECT_EQ(times.size(), 16U);
+}
+
 } // namespace
