Bound the rest of sound upstreams in calm times too

At most a quarter of the sound upstreams rests in calm times now. The test failed before with 9 of 20 idle where 6 are allowed.

--- a/include/oriolegrade/coordination/upstream_track.hpp
+++ b/include/oriolegrade/coordination/upstream_track.hpp
@@ -154,12 +154,22 @@
     {
         return last_begin_;
     }
+    /// It answered no error of its own for sound_after.
+    bool is_sound(state::time_point now) const
+    {
+        return now - last_error_ >= sound_after;
+    }
+    /// Since when it has got no request, as far as this dispatcher knows.
+    state::time_point rests_since() const
+    {
+        return std::max(last_begin_, known_since_);
+    }
     /// Since when it has been sound and without a new request. An error that
     /// it answered itself is proof that it was not sound; a lost or late
     /// answer may be the fault of the host that waited for it.
     state::time_point idle_since() const
     {
-        return std::max(last_begin_, last_error_ + sound_after);
+        return std::max(rests_since(), last_error_ + sound_after);
     }
 
 private:
@@ -181,6 +191,7 @@
     std::uint32_t foreign_ = 0;
     state::time_point foreign_until_{};
     state::time_point warm_at_{};
+    state::time_point known_since_{};
     state::time_point last_begin_{};
     /// Failures since the server was in service; 0 means in service.
     std::uint32_t strikes_ = 0;
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -48,6 +48,10 @@
 /// Most of the upstreams that may rest for an error of their own, which is
 /// below the three tenths that the users' bound leaves.
 constexpr double floor_rest_share = 0.2;
+/// Most of the sound upstreams that may rest in calm times. Below the three
+/// tenths too: hosts may be lost all at once, and then no dispatcher is left
+/// that could put upstreams to use.
+constexpr double calm_rest_share = 0.25;
 /// Time without a request after which one is due: floor_window less what a
 /// first send may take to come and to arrive.
 constexpr state::duration floor_rest_time = std::chrono::milliseconds(1400);
@@ -226,33 +230,42 @@
         out.usable.insert(out.usable.end(), out.held.begin(), out.held.end());
         out.held.clear();
     }
-    if (unserved_.exceeds(floor_unserved_share, now)) {
-        find_due(out, ready, now);
-    }
+    find_due(out, ready, now);
     return out;
 }
 
 void dispatch_queue::find_due(survey& found, std::size_t ready,
                               state::time_point now)
 {
+    const auto part = [](std::size_t of, double share) {
+        return static_cast<std::size_t>(static_cast<double>(of) * share);
+    };
     auto& due = found.due;
+    std::size_t sound = 0;
+    std::size_t after_error = 0;
     for (auto& [id, track] : upstreams_) {
-        if (track.spec().state == state::registration_state::ready &&
-            now - track.last_begin() >= floor_rest_time) {
+        if (track.spec().state != state::registration_state::ready) {
+            continue;
+        }
+        sound += track.is_sound(now) ? 1 : 0;
+        if (now - track.rests_since() >= floor_rest_time) {
             due.push_back(&track);
+            after_error += now - track.idle_since() < floor_rest_time ? 1 : 0;
         }
     }
+    const bool calm = !unserved_.exceeds(floor_unserved_share, now);
+    const auto may_rest =
+        calm ? after_error + part(sound, calm_rest_share)
+             : std::min(after_error, part(ready, floor_rest_share));
+    if (due.size() <= may_rest) {
+        due.clear();
+        return;
+    }
     std::sort(due.begin(), due.end(),
               [](const upstream_track* a, const upstream_track* b) {
                   return a->idle_since() < b->idle_since();
               });
-    const auto may_rest =
-        static_cast<std::size_t>(static_cast<double>(ready) * floor_rest_share);
-    for (std::size_t n = 0; n < may_rest && !due.empty() &&
-                            now - due.back()->idle_since() < floor_rest_time;
-         ++n) {
-        due.pop_back();
-    }
+    due.resize(due.size() - may_rest);
 }
 
 double dispatch_queue::tier(const upstream_track& track, bool canary,
--- a/src/coordination/upstream_track.cpp
+++ b/src/coordination/upstream_track.cpp
@@ -27,6 +27,7 @@
                                state::time_point now)
     : spec_(spec)
     , warm_at_(now + spec.warmup_left)
+    , known_since_(now)
 {}
 
 void upstream_track::update(const state::registered_upstream& spec,
--- a/test/coordination/dispatch_floor_test.cpp
+++ b/test/coordination/dispatch_floor_test.cpp
@@ -70,6 +70,7 @@
     }
 
     int judged = 0;
+    std::size_t most_idle = 0;
     /// Least share of the sound upstreams that got a request in a window that
     /// was judged.
     double least_in_use = 1.0;
@@ -188,6 +189,26 @@
     EXPECT_GE(least_in_use, floor_share);
 }
 
+// All hosts are lost at once, and the dispatcher with them: nothing can react,
+// so no more upstreams may rest in calm times than the bound leaves.
+TEST_F(dispatch_floor,
+       upstreams_that_rest_in_calm_are_idle_when_all_hosts_are_lost)
+{
+    set_upstreams(20);
+    suspect(9);
+    play(12s, 10ms, [this](const std::string&, int) {
+        std::size_t idle = 0;
+        for (const auto& it : list) {
+            const auto& track = *queue.find(it.id);
+            idle += now - track.idle_since() >= window ? 1 : 0;
+        }
+        most_idle = std::max(most_idle, now - start > 4s ? idle : 0);
+        return send_result::answered;
+    });
+    EXPECT_LE(static_cast<double>(most_idle),
+              (1.0 - floor_share) * static_cast<double>(list.size()));
+}
+
 // Hosts freeze: their requests are reported long after the caller's deadline,
 // if at all.
 TEST_F(dispatch_floor, silent_hosts_leave_sound_upstreams_idle)
