--- a/include/oriolegrade/coordination/dispatcher_ranking.hpp
+++ b/include/oriolegrade/coordination/dispatcher_ranking.hpp
@@ -38,6 +38,10 @@
                                                std::size_t most,
                                                state::time_point now);
 
+    /// Position in the order for the service, distrusted members counted; the
+    /// number of members for a name that is not among them.
+    std::size_t position(const std::string& service, const std::string& member);
+
     void failed(const std::string& member, state::time_point now);
     void answered(const std::string& member);
 
--- a/include/oriolegrade/transport/gateway/dispatch_router.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_router.hpp
@@ -6,6 +6,7 @@
 
 #include <oriolegrade/coordination/dispatcher_ranking.hpp>
 #include <oriolegrade/coordination/host_budget.hpp>
+#include <oriolegrade/coordination/placement_tally.hpp>
 #include <oriolegrade/transport/gateway/dispatch_link.hpp>
 #include <oriolegrade/transport/gateway/dispatch_service.hpp>
 #include <oriolegrade/transport/gateway/gateway_shared.hpp>
@@ -126,12 +127,17 @@
     peer& peer_at(const state::host_member& host);
     protocol::entry_hello hello_for(const std::string& host) const;
     void note_late(const wait& it);
+    coordination::placer placer_of(const request_state& it);
+    /// Logs who placed this host's requests, unless that was always the first
+    /// dispatcher.
+    void log_placements();
 
     boost::asio::io_context& ioc_;
     gateway_shared& shared_;
     dispatch_service& own_;
     coordination::dispatcher_ranking ranking_;
     coordination::host_budget budget_;
+    coordination::placement_tally tally_;
     std::unordered_map<std::uint64_t, request_state> requests_;
     std::map<std::string, peer> peers_;
     /// In the order of their ends: every wait has the same length.
--- a/src/coordination/dispatcher_ranking.cpp
+++ b/src/coordination/dispatcher_ranking.cpp
@@ -87,6 +87,16 @@
     return out;
 }
 
+std::size_t dispatcher_ranking::position(const std::string& service,
+                                         const std::string& member)
+{
+    const auto& order = order_of(service);
+    const auto it =
+        std::find_if(order.begin(), order.end(),
+                     [&](std::size_t n) { return members_[n].name == member; });
+    return static_cast<std::size_t>(it - order.begin());
+}
+
 void dispatcher_ranking::failed(const std::string& member,
                                 state::time_point now)
 {
--- a/src/transport/gateway/dispatch_router.cpp
+++ b/src/transport/gateway/dispatch_router.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 using clock = std::chrono::steady_clock;
+using coordination::pass_over;
+using coordination::placer;
 
 /// Time for the first word of a dispatcher. A round trip takes some 3 ms, and
 /// a host with a small share of a core may pause for some 50 ms.
@@ -247,6 +249,7 @@
         members_changed_.wait_until(clock::now() + link_check_interval,
                                     [this] { return links_due_; });
         links_due_ = false;
+        log_placements();
         const auto rules = shared_.rules.read();
         const auto now = clock::now();
         std::size_t links = 0;
@@ -284,6 +287,7 @@
         const auto& place = std::get<state::place>(what);
         it.at = stage::placed;
         it.upstream = place.upstream;
+        tally_.placed(it.request.service, placer_of(it));
         it.done(place);
     }
 }
@@ -306,9 +310,12 @@
         it.refused_by.push_back(shared_.options.self.name);
         return advance(number);
     }
+    const auto& service = it.request.service;
     if (away.reason == state::turn_away_reason::leaving) {
+        tally_.passed_over(service, pass_over::leaving);
         ranking_.failed(it.host, now);
     } else {
+        tally_.passed_over(service, pass_over::stale);
         peers_.at(it.host).stale_until = now + stale_pause;
         note_stale(it, it.host);
     }
@@ -359,7 +366,9 @@
         }
     }
     for (const auto number : unplaced) {
-        requests_.at(number).refused_by.push_back(host);
+        auto& it = requests_.at(number);
+        tally_.passed_over(it.request.service, pass_over::lost);
+        it.refused_by.push_back(host);
         advance(number);
     }
 }
@@ -380,10 +389,43 @@
         // The connection may be dead while new ones work.
         peer.link->reset();
     }
+    tally_.passed_over(found->second.request.service, pass_over::late);
     found->second.refused_by.push_back(it.host);
     advance(it.number);
 }
 
+placer dispatch_router::placer_of(const request_state& it)
+{
+    const bool own = it.host.empty();
+    switch (ranking_.position(it.request.service,
+                              own ? shared_.options.self.name : it.host)) {
+    case 0:
+        return placer::first;
+    case 1:
+        return placer::second;
+    default:
+        return own ? placer::own : placer::later;
+    }
+}
+
+void dispatch_router::log_placements()
+{
+    for (const auto& [service, counts] : tally_.take()) {
+        if (counts.is_plain()) {
+            continue;
+        }
+        event line(log_level::info, "placements");
+        line.with("service", service);
+        const auto add = [&line](const auto& names, const auto& values) {
+            for (std::size_t n = 0; n < names.size(); ++n) {
+                line.with(names[n], values[n]);
+            }
+        };
+        add(state::enum_names<placer>::value, counts.placed);
+        add(state::enum_names<pass_over>::value, counts.passed_over);
+    }
+}
+
 void dispatch_router::run()
 {
     for (;;) {
--- a/test/coordination/dispatcher_ranking_test.cpp
+++ b/test/coordination/dispatcher_ranking_test.cpp
@@ -54,6 +54,18 @@
     EXPECT_EQ(after.at(1), before.at(2));
 }
 
+// Logs name a dispatcher by its place in the order that all hosts share.
+TEST(dispatcher_ranking, distrust_does_not_change_a_position)
+{
+    dispatcher_ranking ranking;
+    ranking.set_members(members(5));
+    const auto order = ranking.candidates("s", 5, start);
+    ranking.failed(order.at(0).name, start);
+    EXPECT_EQ(ranking.position("s", order.at(0).name), 0U);
+    EXPECT_EQ(ranking.position("s", order.at(3).name), 3U);
+    EXPECT_EQ(ranking.position("s", "unknown"), 5U);
+}
+
 TEST(dispatcher_ranking, a_silent_member_is_passed_over_for_longer_each_time)
 {
     dispatcher_ranking ranking;
