--- a/test/coordination/dispatch_floor_test.cpp
+++ b/test/coordination/dispatch_floor_test.cpp
@@ -40,7 +40,11 @@
     {
         const auto end = now + length;
         for (; now < end; now += pause) {
-            queue.settle(now);
+            for (const auto& it : queue.settle(now)) {
+                if (const auto* place = std::get_if<state::place>(&it.what)) {
+                    send(it.number, place->upstream, how);
+                }
+            }
             play_request(how);
             judge();
         }
@@ -89,16 +93,24 @@
             requests.push_back({now, false});
             return;
         }
+        const auto result = send(last, upstream, how);
+        requests.push_back({now, result == send_result::answered});
+    }
+
+    std::optional<send_result> send(coordination::dispatch_queue::ticket ticket,
+                                    const std::string& upstream,
+                                    const fate& how)
+    {
         begun_at[upstream] = now;
         const auto result = how(upstream, ++number);
-        requests.push_back({now, result == send_result::answered});
         if (!result) {
-            return;
+            return result;
         }
-        end(last, *result, 20ms);
+        end(ticket, *result, 20ms);
         if (*result == send_result::server_error) {
             failed_at[upstream] = now;
         }
+        return result;
     }
 
     void judge()
@@ -222,6 +234,28 @@
     EXPECT_GE(least_in_use, floor_share);
 }
 
+// Hosts fall silent with requests in progress, and the slots of these count as
+// taken until the hosts are back or their streams time out.
+TEST_F(dispatch_floor, slots_of_silent_hosts_keep_sound_upstreams_idle)
+{
+    set_upstreams(14);
+    const auto healthy = [](const std::string&, int) {
+        return send_result::answered;
+    };
+    play(3s, 10ms, healthy);
+    for (std::uint32_t n = 0; n < 13 * test::slots; ++n) {
+        auto frozen = request();
+        frozen.host = "frozen";
+        ASSERT_NE(ask(frozen), "");
+    }
+    play(window + window / 2, 10ms, healthy);
+    const auto idle = std::count_if(list.begin(), list.end(), [&](auto& it) {
+        return now - queue.find(it.id)->last_begin() >= window;
+    });
+    EXPECT_LE(static_cast<double>(idle),
+              (1.0 - floor_share) * static_cast<double>(list.size()));
+}
+
 // Servers refuse requests unrun, and the entry gives up after its attempts
 // without another question.
 TEST_F(dispatch_floor, shed_requests_leave_sound_upstreams_idle)
--- /dev/null
+++ b/test/fakes/placing_hosts.hpp
@@ -0,0 +1,265 @@
+// Hosts with a dispatch queue each before the same upstreams, in virtual time.
+// No host sees the requests of another one, so one host stands for a service
+// with a dispatcher and several for hosts that place for themselves.
+
+#ifndef ORIOLEGRADE_TEST_FAKES_PLACING_HOSTS_HPP
+#define ORIOLEGRADE_TEST_FAKES_PLACING_HOSTS_HPP
+
+#include <oriolegrade/coordination/dispatch_queue.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace oriolegrade::test {
+
+/// Faults of upstreams that fail some of their requests for a while.
+struct upstream_noise
+{
+    /// Upstreams that have an episode in each period.
+    double share = 0;
+    state::duration period = std::chrono::seconds(12);
+    state::duration length = std::chrono::seconds(5);
+    double fails = 0.75;
+};
+
+class placing_hosts
+{
+public:
+    static constexpr std::uint32_t slots = 3;
+    /// Requests that wait behind the slots; the next one is refused unrun.
+    static constexpr std::uint32_t backlog = 3;
+    static constexpr state::duration work = std::chrono::milliseconds(250);
+    static constexpr state::duration error_time = std::chrono::milliseconds(3);
+    /// Upstreams and hosts are spread over this many data centres.
+    static constexpr std::size_t data_centres = 4;
+    /// The users' rule on capacity in use looks at stretches of two seconds,
+    /// and an upstream is sound again two seconds after an error.
+    static constexpr state::duration window = std::chrono::seconds(2);
+    static constexpr state::duration sound_after = std::chrono::seconds(2);
+
+    struct outcome
+    {
+        std::size_t requests = 0;
+        /// Refused unrun by an upstream.
+        std::size_t shed = 0;
+        /// Least share of the upstreams that were sound in a whole window and
+        /// got a request in it.
+        double least_used = 1.0;
+
+        double shed_share() const
+        {
+            return static_cast<double>(shed) / static_cast<double>(requests);
+        }
+    };
+
+    placing_hosts(std::size_t hosts, std::size_t upstreams)
+    {
+        for (std::size_t n = 0; n < hosts; ++n) {
+            queues_.emplace_back(options_of(n));
+        }
+        join(upstreams);
+    }
+
+    /// Adds upstreams, which all hosts learn of at once.
+    void join(std::size_t n)
+    {
+        for (; n > 0; --n) {
+            state::registered_upstream it;
+            const auto number = list_.size();
+            it.id = "upstream-" + std::to_string(number);
+            it.service = "s";
+            it.data_centre = data_centre_of(number);
+            it.slots = slots;
+            it.address = {0x7f000001,
+                          static_cast<std::uint16_t>(1000 + number)};
+            list_.push_back(it);
+            facts_[it.id] = {now_, {}, {}, 0};
+        }
+        for (auto& it : queues_) {
+            it.set_upstreams(list_, now_);
+        }
+    }
+
+    void set_noise(const upstream_noise& noise)
+    {
+        noise_ = noise;
+    }
+
+    /// Lets callers ask random hosts.
+    /// @param rate requests per second, of all hosts together
+    outcome play(double rate, state::duration length)
+    {
+        outcome out;
+        std::exponential_distribution<double> pause(rate);
+        std::uniform_int_distribution<std::size_t> any_host(0,
+                                                            queues_.size() - 1);
+        const auto end = now_ + length;
+        auto settled = now_;
+        while (now_ < end) {
+            now_ += std::chrono::duration_cast<state::duration>(
+                std::chrono::duration<double>(pause(random_)));
+            finish_due();
+            if (now_ - settled >= std::chrono::milliseconds(25)) {
+                settled = now_;
+                settle(out);
+                judge(out);
+            }
+            const auto host = any_host(random_);
+            ++out.requests;
+            const auto number = ++last_;
+            if (const auto what =
+                    queues_[host].ask(number, request_of(host), now_)) {
+                take(host, number, *what, out);
+            }
+        }
+        return out;
+    }
+
+private:
+    struct upstream_facts
+    {
+        state::time_point joined;
+        state::time_point last_arrival;
+        state::time_point last_error;
+        std::uint32_t running = 0;
+    };
+    struct send
+    {
+        std::size_t host;
+        std::uint64_t number;
+        std::string upstream;
+        state::send_result result;
+        state::duration took;
+    };
+
+    static std::string data_centre_of(std::size_t n)
+    {
+        return "dc" + std::to_string(n % data_centres);
+    }
+    static std::string name_of(std::size_t host)
+    {
+        return "host-" + std::to_string(host);
+    }
+    static coordination::dispatch_options options_of(std::size_t)
+    {
+        return {};
+    }
+
+    state::place_request request_of(std::size_t host) const
+    {
+        state::place_request out;
+        out.service = "s";
+        out.route = "r";
+        out.time_left = std::chrono::milliseconds(2500);
+        out.target_left = std::chrono::milliseconds(1000);
+        out.host = name_of(host);
+        out.data_centre = data_centre_of(host);
+        return out;
+    }
+
+    void settle(outcome& out)
+    {
+        for (std::size_t n = 0; n < queues_.size(); ++n) {
+            for (const auto& it : queues_[n].settle(now_)) {
+                take(n, it.number, it.what, out);
+            }
+        }
+    }
+
+    /// An upstream has its episode in a period at a time of its own.
+    bool is_faulty(const std::string& upstream) const
+    {
+        const auto period = now_.time_since_epoch() / noise_.period;
+        std::seed_seq seed(upstream.begin(), upstream.end());
+        std::mt19937 own(seed);
+        own.discard(static_cast<unsigned long long>(period) * 4);
+        std::uniform_real_distribution<double> uniform;
+        if (uniform(own) >= noise_.share) {
+            return false;
+        }
+        const auto room =
+            std::chrono::duration<double>(noise_.period - noise_.length);
+        const auto at =
+            std::chrono::duration_cast<state::duration>(room * uniform(own));
+        const auto into = now_.time_since_epoch() % noise_.period;
+        return into >= at && into < at + noise_.length;
+    }
+
+    /// Sends a request that was placed.
+    void take(std::size_t host, std::uint64_t number,
+              const state::place_answer& what, outcome& out)
+    {
+        const auto* place = std::get_if<state::place>(&what);
+        if (place == nullptr) {
+            return;
+        }
+        auto& it = facts_.at(place->upstream);
+        it.last_arrival = now_;
+        auto result = state::send_result::answered;
+        auto took = error_time;
+        std::uniform_real_distribution<double> uniform;
+        if (it.running >= slots + backlog) {
+            ++out.shed;
+            result = state::send_result::refused;
+        } else if (is_faulty(place->upstream) &&
+                   uniform(random_) < noise_.fails) {
+            result = state::send_result::server_error;
+            it.last_error = now_;
+        } else {
+            took = work * (1 + it.running / slots);
+            ++it.running;
+        }
+        ends_.emplace(now_ + took,
+                      send{host, number, place->upstream, result, took});
+    }
+
+    void finish_due()
+    {
+        while (!ends_.empty() && ends_.begin()->first <= now_) {
+            const auto [at, it] = *ends_.begin();
+            ends_.erase(ends_.begin());
+            if (it.result == state::send_result::answered) {
+                --facts_.at(it.upstream).running;
+            }
+            queues_[it.host].report(it.number, {it.result, it.took, {}}, at);
+        }
+    }
+
+    void judge(outcome& out) const
+    {
+        std::size_t sound = 0;
+        std::size_t used = 0;
+        for (const auto& [id, it] : facts_) {
+            if (now_ - it.joined < window ||
+                now_ - it.last_error < window + sound_after) {
+                continue;
+            }
+            ++sound;
+            used += now_ - it.last_arrival < window ? 1 : 0;
+        }
+        if (sound > 0) {
+            out.least_used =
+                std::min(out.least_used, static_cast<double>(used) /
+                                             static_cast<double>(sound));
+        }
+    }
+
+    state::time_point now_{std::chrono::seconds(100)};
+    std::mt19937 random_{7};
+    std::uint64_t last_ = 0;
+    upstream_noise noise_;
+    std::vector<state::registered_upstream> list_;
+    std::map<std::string, upstream_facts> facts_;
+    std::vector<coordination::dispatch_queue> queues_;
+    std::multimap<state::time_point, send> ends_;
+};
+
+} // namespace oriolegrade::test
+
+#endif
--- a/test/platform/dispatch_test.cpp
+++ b/test/platform/dispatch_test.cpp
@@ -6,6 +6,7 @@
 #include <oriolegrade/transport/gateway/dispatch_router.hpp>
 #include <oriolegrade/transport/gateway/dispatch_server.hpp>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/fiber/operations.hpp>
 #include <gtest/gtest.h>
 
@@ -136,14 +137,14 @@
     return std::get<state::place>(*answer).upstream;
 }
 
-/// Two dispatchers and an entry; the entry is last in the order for "s".
+/// Dispatchers and an entry; the entry is last in the order for "s".
 class fleet
 {
 public:
-    explicit fleet(std::uint16_t base)
+    fleet(std::uint16_t base, std::uint16_t size)
     {
         std::vector<state::host_member> members;
-        for (std::uint16_t n = 0; n < 3; ++n) {
+        for (std::uint16_t n = 0; n < size; ++n) {
             hosts.push_back(std::make_unique<fake_host>(
                 test::fiber_context(), "host-" + std::to_string(n),
                 static_cast<std::uint16_t>(base + n)));
@@ -152,7 +153,7 @@
         coordination::dispatcher_ranking ranking;
         ranking.set_members(members);
         const auto order =
-            ranking.candidates("s", 3, std::chrono::steady_clock::now());
+            ranking.candidates("s", size, std::chrono::steady_clock::now());
         for (const auto& it : order) {
             ranked.push_back(
                 hosts.at(static_cast<std::size_t>(it.name.back() - '0')).get());
@@ -163,6 +164,9 @@
         first().own.add("u-first");
         second().own.add("u-second");
         entry().own.add("u-own");
+        if (size > 3) {
+            third().own.add("u-third");
+        }
     }
 
     fake_host& first()
@@ -174,19 +178,48 @@
         return *ranked.at(1);
     }
     fake_host& entry()
+    {
+        return *ranked.back();
+    }
+    /// Its place in the order is 2.
+    fake_host& third()
     {
         return *ranked.at(2);
     }
 
+    std::vector<state::host_member> members() const
+    {
+        std::vector<state::host_member> out;
+        for (const auto& it : hosts) {
+            out.push_back(it->shared.options.self);
+        }
+        return out;
+    }
+
     std::vector<std::unique_ptr<fake_host>> hosts;
     std::vector<fake_host*> ranked;
 };
 
+/// Gives a member an address that takes connections and never answers.
+void silence(std::vector<state::host_member>& members, const std::string& name)
+{
+    static std::vector<std::unique_ptr<boost::asio::ip::tcp::acceptor>> silent;
+    using boost::asio::ip::tcp;
+    silent.push_back(std::make_unique<tcp::acceptor>(
+        test::fiber_context(),
+        tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)));
+    for (auto& it : members) {
+        if (it.name == name) {
+            it.control = {loopback, silent.back()->local_endpoint().port()};
+        }
+    }
+}
+
 /// Kept until the process ends: fibers that wait on sockets refer to it.
-fleet& make_fleet(std::uint16_t base)
+fleet& make_fleet(std::uint16_t base, std::uint16_t size = 3)
 {
     static std::vector<std::unique_ptr<fleet>> fleets;
-    fleets.push_back(std::make_unique<fleet>(base));
+    fleets.push_back(std::make_unique<fleet>(base, size));
     return *fleets.back();
 }
 
@@ -277,6 +310,36 @@
     EXPECT_LT(std::chrono::steady_clock::now() - began, 60ms);
 }
 
+// The first two dispatchers stop, freeze or are cut off from the store in the
+// same second, and every host of the fleet places alone although others are in
+// reach.
+TEST(dispatch, two_stopping_dispatchers_spread_the_decision_over_all_hosts)
+{
+    auto& f = make_fleet(24210, 5);
+    f.first().shared.stopping = true;
+    f.second().shared.stopping = true;
+    EXPECT_EQ(upstream_of(f.entry().place()), "u-third");
+}
+
+TEST(dispatch, two_old_views_spread_the_decision_over_all_hosts)
+{
+    auto& f = make_fleet(24220, 5);
+    f.first().own.age = 5s;
+    f.second().own.age = 5s;
+    EXPECT_EQ(upstream_of(f.entry().place()), "u-third");
+}
+
+TEST(dispatch, two_silent_dispatchers_spread_the_decision_over_all_hosts)
+{
+    auto& f = make_fleet(24230, 5);
+    auto members = f.members();
+    for (const auto* host : {&f.first(), &f.second()}) {
+        silence(members, host->shared.options.self.name);
+    }
+    f.entry().router.set_members(members);
+    EXPECT_EQ(upstream_of(f.entry().place()), "u-third");
+}
+
 TEST(dispatch, dispatchers_tell_their_rules)
 {
     auto& f = make_fleet(24170);
