Free the slots of requests that have stalled

Hosts that froze or lost power kept sound upstreams idle: a dispatcher counted their requests in progress as occupancy until the host's stream timed out, seconds later.

Ruled out: hosts that place alone (none at that second) and the allowance of the floor (the upstreams were due; they had no room).

A request that has stalled gives its slot back. Where the host is silent, the upstream is free in truth. Where the upstream hangs, the stall has put it out of service, so that it takes one trial at a time, and Server-Load corrects the count with the next answer.

--- a/include/oriolegrade/coordination/upstream_track.hpp
+++ b/include/oriolegrade/coordination/upstream_track.hpp
@@ -75,6 +75,8 @@
     double relative = 1.0;
     /// It was a trial that nothing has vouched for.
     bool open_trial = false;
+    /// stalled() was called for it.
+    bool stalled = false;
 };
 
 class upstream_track
@@ -139,7 +141,9 @@
     /// @param how what is known about the send beside its report
     void end(const std::string& host, const state::send_report& report,
              const send_facts& how, state::time_point now);
-    /// A request in flight takes much longer than usual.
+    /// A request in flight takes much longer than usual. Its slot counts as
+    /// free from now on: a host that falls silent never reports the end, and
+    /// where the upstream hangs, its standing keeps further requests away.
     void stalled(state::time_point began, double relative,
                  state::time_point now);
     /// Work in flight that another dispatcher placed.
@@ -184,6 +188,7 @@
     void note_unreachable(const std::string& host, state::time_point now);
 
     state::registered_upstream spec_;
+    /// Requests sent there, without those that have stalled.
     std::uint32_t in_flight_ = 0;
     /// Trials in progress that nothing has vouched for; at most one.
     std::uint32_t open_trials_ = 0;
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -547,8 +547,9 @@
         const auto relative =
             static_cast<double>(report.took.count()) /
             static_cast<double>(std::max<std::int64_t>(usual.count(), 1));
-        track->second.end(flight.host, report,
-                          {flight.began, relative, flight.open_trial}, now);
+        track->second.end(
+            flight.host, report,
+            {flight.began, relative, flight.open_trial, flight.stalled}, now);
         limit_holds(now);
     }
 }
--- a/src/coordination/upstream_track.cpp
+++ b/src/coordination/upstream_track.cpp
@@ -104,7 +104,9 @@
                          const state::send_report& report,
                          const send_facts& how, state::time_point now)
 {
-    in_flight_ -= std::min(in_flight_, 1U);
+    if (!how.stalled) {
+        in_flight_ -= std::min(in_flight_, 1U);
+    }
     if (how.open_trial) {
         open_trials_ -= std::min(open_trials_, 1U);
     }
@@ -148,6 +150,7 @@
 void upstream_track::stalled(state::time_point began, double relative,
                              state::time_point now)
 {
+    in_flight_ -= std::min(in_flight_, 1U);
     slowness_ = std::max(slowness(now), relative);
     slowness_at_ = now;
     fail(began, now);
