Give each host an order of its own among upstreams that look alike

Hosts that place requests for themselves sent them all to the same few upstreams: ties ended by the order of the map, and the floor sorted by the time since which a queue knows an upstream, which is equal for all in a queue that has just begun. With 159 hosts 15% of 133 sound upstreams were in use and 62% of the sends were refused, with nothing wrong at any upstream.

The class is independent deciders that start from the same knowledge and make the same choice at the same moment. Each host orders what looks alike by a hash of the upstream's id with a seed of its own, for the choice and for the floor.

--- a/include/oriolegrade/coordination/dispatch_queue.hpp
+++ b/include/oriolegrade/coordination/dispatch_queue.hpp
@@ -41,6 +41,10 @@
     window_budget_options budget;
     /// Connections that an upstream accepts from all hosts together.
     std::uint32_t max_connections = 1;
+    /// Orders upstreams that look alike; differs between hosts. Queues that
+    /// begin at the same moment know the same, and without it all would choose
+    /// the same upstreams.
+    std::uint64_t seed = 0;
 };
 
 /// An upstream whose standing changed, with what decided it.
--- a/include/oriolegrade/coordination/upstream_track.hpp
+++ b/include/oriolegrade/coordination/upstream_track.hpp
@@ -82,7 +82,8 @@
 class upstream_track
 {
 public:
-    upstream_track(const state::registered_upstream& spec,
+    /// @param order place among upstreams that look alike
+    upstream_track(const state::registered_upstream& spec, std::uint64_t order,
                    state::time_point now);
 
     /// Takes a newer entry; a new incarnation starts without a past.
@@ -93,6 +94,11 @@
         return spec_;
     }
 
+    std::uint64_t order() const
+    {
+        return order_;
+    }
+
     upstream_standing standing(state::time_point now) const;
     /// Failures since it was in service.
     std::uint32_t failures() const
@@ -188,6 +194,7 @@
     void note_unreachable(const std::string& host, state::time_point now);
 
     state::registered_upstream spec_;
+    std::uint64_t order_;
     /// Requests sent there, without those that have stalled.
     std::uint32_t in_flight_ = 0;
     /// Trials in progress that nothing has vouched for; at most one.
--- a/include/oriolegrade/transport/gateway/dispatch_service.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_service.hpp
@@ -46,7 +46,8 @@
         std::variant<state::place, state::turn_away, protocol::in_line>;
     using reply_callback = std::function<void(const reply&)>;
 
-    dispatch_service(const coordination::window_budget_options& budget,
+    /// @param options of the queues; the connections are those of the service
+    dispatch_service(const coordination::dispatch_options& options,
                      register_view view);
 
     /// Tells whether this host is the first choice for a service.
@@ -101,7 +102,7 @@
     void log_summaries(time_point now);
     bool is_busy() const;
 
-    const coordination::window_budget_options budget_;
+    const coordination::dispatch_options options_;
     register_view view_;
     std::shared_ptr<const state::route_index> rules_;
     std::map<std::string, coordination::dispatch_queue> queues_;
--- a/include/oriolegrade/transport/gateway/gateway.hpp
+++ b/include/oriolegrade/transport/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #ifndef ORIOLEGRADE_TRANSPORT_GATEWAY_GATEWAY_HPP
 #define ORIOLEGRADE_TRANSPORT_GATEWAY_GATEWAY_HPP
 
+#include <oriolegrade/coordination/host_seed.hpp>
 #include <oriolegrade/transport/fiber_scheduler.hpp>
 #include <oriolegrade/transport/gateway/dispatch_server.hpp>
 #include <oriolegrade/transport/gateway/gateway_worker.hpp>
@@ -84,7 +85,9 @@
         , registry_(relayed_)
         , rules_(shared_, relayed_)
         , members_(source, shared_.options.self, is_seed(shared_.options))
-        , service_(shared_.options.budget, view())
+        , service_({shared_.options.budget, 1,
+                    coordination::host_seed(shared_.options.self.name)},
+                   view())
         , router_(ioc, shared_, service_)
         , server_(ioc, shared_, service_)
         , ready_(ioc, shared_.options.ready_listen,
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -4,9 +4,13 @@
 
 #include <oriolegrade/coordination/return_time.hpp>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace oriolegrade::coordination {
 
@@ -76,6 +80,14 @@
         static_cast<double>(d.count()) * factor));
 }
 
+/// Order of upstreams that look alike: the one that waits longest for a request
+/// comes first.
+bool takes_turn_before(const upstream_track& a, const upstream_track& b)
+{
+    return std::pair(a.last_begin(), a.order()) <
+           std::pair(b.last_begin(), b.order());
+}
+
 } // namespace
 
 dispatch_queue::dispatch_queue(const dispatch_options& options)
@@ -90,7 +102,9 @@
     for (const auto& it : list) {
         auto found = upstreams_.find(it.id);
         if (found == upstreams_.end()) {
-            next.emplace(it.id, upstream_track(it, now));
+            const auto order =
+                XXH3_64bits_withSeed(it.id.data(), it.id.size(), options_.seed);
+            next.emplace(it.id, upstream_track(it, order, now));
         } else {
             found->second.update(it, now);
             next.insert(upstreams_.extract(found));
@@ -250,7 +264,7 @@
         sound += track.is_sound(now) ? 1 : 0;
         if (now - track.rests_since() >= floor_rest_time) {
             due.push_back(&track);
-            after_error += now - track.idle_since() < floor_rest_time ? 1 : 0;
+            after_error += track.is_sound(now - floor_rest_time) ? 0 : 1;
         }
     }
     const bool calm = !unserved_.exceeds(floor_unserved_share, now);
@@ -263,7 +277,8 @@
     }
     std::sort(due.begin(), due.end(),
               [](const upstream_track* a, const upstream_track* b) {
-                  return a->idle_since() < b->idle_since();
+                  return std::pair(a->idle_since(), a->order()) <
+                         std::pair(b->idle_since(), b->order());
               });
     due.resize(due.size() - may_rest);
 }
@@ -316,7 +331,7 @@
         const double sum = cost(track, it, now) +
                            tier(track, canary, found.few_in_service, now);
         if (sum < best_cost ||
-            (sum == best_cost && track.last_begin() < best->last_begin())) {
+            (sum == best_cost && takes_turn_before(track, *best))) {
             best = &track;
             best_cost = sum;
         }
--- a/src/coordination/upstream_track.cpp
+++ b/src/coordination/upstream_track.cpp
@@ -24,8 +24,9 @@
 } // namespace
 
 upstream_track::upstream_track(const state::registered_upstream& spec,
-                               state::time_point now)
+                               std::uint64_t order, state::time_point now)
     : spec_(spec)
+    , order_(order)
     , warm_at_(now + spec.warmup_left)
     , known_since_(now)
 {}
@@ -35,7 +36,7 @@
 {
     if (spec.born != spec_.born || spec.address != spec_.address) {
         const auto in_flight = in_flight_;
-        *this = upstream_track(spec, now);
+        *this = upstream_track(spec, order_, now);
         // Reports of the requests in flight are still to come.
         in_flight_ = in_flight;
         return;
--- a/src/transport/gateway/dispatch_service.cpp
+++ b/src/transport/gateway/dispatch_service.cpp
@@ -24,8 +24,8 @@
 } // namespace
 
 dispatch_service::dispatch_service(
-    const coordination::window_budget_options& budget, register_view view)
-    : budget_(budget)
+    const coordination::dispatch_options& options, register_view view)
+    : options_(options)
     , view_(std::move(view))
     , rules_(std::make_shared<const state::route_index>(
           std::make_shared<const state::traffic_rules>()))
@@ -34,8 +34,7 @@
 coordination::dispatch_queue&
 dispatch_service::queue_of(const std::string& service, time_point now)
 {
-    auto [it, added] = queues_.try_emplace(
-        service, coordination::dispatch_options{budget_, 1});
+    auto [it, added] = queues_.try_emplace(service, options_);
     if (added) {
         refresh_queue(service, it->second, now);
     }
--- a/test/coordination/idle_upstream_test.cpp
+++ b/test/coordination/idle_upstream_test.cpp
@@ -83,14 +83,18 @@
                                            pattern{1, 133, 521},
                                            pattern{1, 6, 14}));
 
-// Cold upstreams are the last choice while others have free slots.
+// New upstreams, which are cold at first, are the last choice while others have
+// free slots, and they come beside those that rest after errors.
 TEST(joining_upstreams, stay_idle_beside_warm_ones)
 {
-    placing_hosts hosts(1, 14);
-    hosts.play(40, 4s);
-    hosts.join(14);
-    const auto out = hosts.play(40, 6s);
-    EXPECT_GE(out.least_used, floor_share);
+    for (const auto& it : {pattern{1, 10, 141}, pattern{1, 100, 521}}) {
+        placing_hosts hosts(it.hosts, it.upstreams);
+        hosts.set_noise({0.3});
+        hosts.play(it.rate, 10s);
+        hosts.join(it.upstreams * 2 / 5);
+        const auto out = hosts.play(it.rate, 6s);
+        EXPECT_GE(out.least_used, floor_share) << it;
+    }
 }
 
 } // namespace
--- a/test/fakes/placing_hosts.hpp
+++ b/test/fakes/placing_hosts.hpp
@@ -6,6 +6,7 @@
 #define ORIOLEGRADE_TEST_FAKES_PLACING_HOSTS_HPP
 
 #include <oriolegrade/coordination/dispatch_queue.hpp>
+#include <oriolegrade/coordination/host_seed.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -35,6 +36,8 @@
     /// Requests that wait behind the slots; the next one is refused unrun.
     static constexpr std::uint32_t backlog = 3;
     static constexpr state::duration work = std::chrono::milliseconds(250);
+    /// Time during which a new upstream tells that it is cold.
+    static constexpr state::duration cold_time = std::chrono::seconds(3);
     static constexpr state::duration error_time = std::chrono::milliseconds(3);
     /// Upstreams and hosts are spread over this many data centres.
     static constexpr std::size_t data_centres = 4;
@@ -76,6 +79,7 @@
             it.service = "s";
             it.data_centre = data_centre_of(number);
             it.slots = slots;
+            it.warmup_left = now_ != start ? cold_time : state::duration{};
             it.address = {0x7f000001,
                           static_cast<std::uint16_t>(1000 + number)};
             list_.push_back(it);
@@ -146,9 +150,9 @@
     {
         return "host-" + std::to_string(host);
     }
-    static coordination::dispatch_options options_of(std::size_t)
+    static coordination::dispatch_options options_of(std::size_t host)
     {
-        return {};
+        return {{}, 1, coordination::host_seed(name_of(host))};
     }
 
     state::place_request request_of(std::size_t host) const
@@ -250,7 +254,9 @@
         }
     }
 
-    state::time_point now_{std::chrono::seconds(100)};
+    static constexpr state::time_point start{std::chrono::seconds(100)};
+
+    state::time_point now_ = start;
     std::mt19937 random_{7};
     std::uint64_t last_ = 0;
     upstream_noise noise_;
--- a/test/platform/dispatch_test.cpp
+++ b/test/platform/dispatch_test.cpp
@@ -63,7 +63,7 @@
     fake_host(boost::asio::io_context& ioc, const std::string& name,
               std::uint16_t port)
         : shared(options_of(name, port))
-        , service(shared.options.budget, own.view())
+        , service({shared.options.budget}, own.view())
         , router(ioc, shared, service)
         , server(ioc, shared, service)
     {
