Search on past two lost dispatchers; probe distrusted ones apart from requests

Two ways led there: a request that had passed over two dispatchers went to its own host, and each host learned of a silent dispatcher by two requests of its own, again whenever its distrust ended.

The decision moves out of the router into dispatcher_search: dispatchers in their order, at most six and a quarter of the request's time, then the own host, then the first old view. A dispatcher that owes an answer is skipped until it says something, so a silent one costs a host one wait. A distrusted one is trusted again only after it has answered a probe on a new stream. A stopping one stays passed over until its stream ends, whatever it says meanwhile.

dispatcher_ranking.a_silent_member_is_passed_over_for_longer_each_time demanded that requests go to a failed member again when its distrust ends, which is the fault. Its replacement demands the same times for the probe, and that the member is passed over until it answers.

--- a/include/oriolegrade/coordination/dispatcher_ranking.hpp
+++ b/include/oriolegrade/coordination/dispatcher_ranking.hpp
@@ -1,5 +1,9 @@
 // Which host dispatches a service. Every host computes the same order from
 // the same members; hosts that disagree cost waiting and nothing else.
+//
+// A member that failed is passed over until it has answered a probe. Requests
+// are no probes: with the first dispatchers dead, each would wait for them
+// again whenever their distrust ends.
 
 #ifndef ORIOLEGRADE_COORDINATION_DISPATCHER_RANKING_HPP
 #define ORIOLEGRADE_COORDINATION_DISPATCHER_RANKING_HPP
@@ -7,6 +11,9 @@
 #include <oriolegrade/state/host_member.hpp>
 #include <oriolegrade/state/time_type.hpp>
 
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -14,11 +21,14 @@
 
 namespace oriolegrade::coordination {
 
-/// A host that did not answer is not asked again for this long; doubles with
-/// each failure in a row.
+/// A host that did not answer is not probed for this long; doubles with each
+/// failure in a row.
 inline constexpr state::duration first_distrust =
     std::chrono::milliseconds(1000);
 inline constexpr state::duration longest_distrust = std::chrono::seconds(8);
+/// A probe that neither answered nor failed is repeated after this time, which
+/// is more than a connect and a first answer may take.
+inline constexpr state::duration probe_limit = std::chrono::seconds(2);
 
 class dispatcher_ranking
 {
@@ -32,7 +42,8 @@
     const state::host_member* find(const std::string& name) const;
 
     /// Members in their order for the service, best first, without those
-    /// that are distrusted now.
+    /// that are distrusted. Those that could be probed are noted for
+    /// take_probes().
     /// @param most members returned
     std::vector<state::host_member> candidates(const std::string& service,
                                                std::size_t most,
@@ -42,16 +53,48 @@
     /// number of members for a name that is not among them.
     std::size_t position(const std::string& service, const std::string& member);
 
+    /// First trusted member in the order for the service that suits, among the
+    /// first `most_considered`; null when there is none. Notes probes as
+    /// candidates() does.
+    template <class Predicate>
+    const state::host_member* first(const std::string& service,
+                                    state::time_point now, Predicate suits)
+    {
+        const auto& order = order_of(service);
+        const auto n = std::min(order.size(), most_considered);
+        for (std::size_t i = 0; i < n; ++i) {
+            const auto& it = members_[order[i]];
+            if (is_trusted(it.name, now) && suits(it)) {
+                return &it;
+            }
+        }
+        return nullptr;
+    }
+
     void failed(const std::string& member, state::time_point now);
     void answered(const std::string& member);
 
+    /// Members that were passed over and are to be probed now. Each is told
+    /// once, until failed() or answered() is called for it.
+    std::vector<std::string> take_probes(state::time_point now);
+
 private:
+    /// Dispatchers further back have too small a share of a core, where members
+    /// differ in it, or are as good as any, where they do not.
+    static constexpr std::size_t most_considered = 16;
+
     struct distrust
     {
         std::uint32_t failures = 0;
+        /// Not to be probed before.
         state::time_point until{};
+        bool probing = false;
+        /// Passed over since `until`.
+        bool wanted = false;
     };
 
+    /// Notes that the member could be probed when it is not trusted.
+    bool is_trusted(const std::string& member, state::time_point now);
     const std::vector<std::size_t>& order_of(const std::string& service);
 
     std::vector<state::host_member> members_;
--- a/include/oriolegrade/transport/gateway/dispatch_router.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_router.hpp
@@ -5,6 +5,7 @@
 #define ORIOLEGRADE_TRANSPORT_GATEWAY_DISPATCH_ROUTER_HPP
 
 #include <oriolegrade/coordination/dispatcher_ranking.hpp>
+#include <oriolegrade/coordination/dispatcher_search.hpp>
 #include <oriolegrade/coordination/host_budget.hpp>
 #include <oriolegrade/coordination/placement_tally.hpp>
 #include <oriolegrade/transport/gateway/dispatch_link.hpp>
@@ -76,26 +77,27 @@
     {
         state::place_request request;
         answer_callback done;
-        time_point asked_at{};
+        time_point asked_at;
+        coordination::dispatcher_search search;
         stage at = stage::asked;
         /// Host asked last; empty for this host's own dispatcher.
         std::string host = {};
         dispatch_service::ticket ticket = 0;
         /// Questions to this host's own dispatcher; the ticket is of the last.
         std::uint32_t own_attempts = 0;
-        std::vector<std::string> refused_by = {};
-        /// First of the dispatchers whose view was old.
-        std::string stale_host = {};
         /// Set when placed.
         std::string upstream = {};
     };
     struct peer
     {
         std::unique_ptr<dispatch_link> link;
-        /// Unanswered requests in a row.
-        std::uint32_t late = 0;
+        /// Since when it has owed an answer and said nothing; min() when it
+        /// owes none.
+        time_point silent_since = time_point::min();
         /// Its view of the register was old; not asked before this time.
         time_point stale_until{};
+        /// It is stopping: what it says is no reason to ask it again.
+        bool leaving = false;
     };
     struct wait
     {
@@ -104,9 +106,6 @@
         std::string host;
     };
 
-    static bool was_refused_by(const request_state& it,
-                               const std::string& host);
-    static void note_stale(request_state& it, const std::string& host);
     /// Asks the next dispatcher.
     void advance(std::uint64_t number);
     void ask_own(std::uint64_t number);
@@ -127,6 +126,10 @@
     peer& peer_at(const state::host_member& host);
     protocol::entry_hello hello_for(const std::string& host) const;
     void note_late(const wait& it);
+    coordination::dispatcher_state state_of(const std::string& host,
+                                            time_point now);
+    /// Asks distrusted dispatchers for a sign of life.
+    void send_probes();
     coordination::placer placer_of(const request_state& it);
     /// Logs who placed this host's requests, unless that was always the first
     /// dispatcher.
--- a/src/coordination/dispatcher_ranking.cpp
+++ b/src/coordination/dispatcher_ranking.cpp
@@ -79,8 +79,7 @@
         if (out.size() >= most) {
             break;
         }
-        const auto it = distrusted_.find(members_[n].name);
-        if (it == distrusted_.end() || it->second.until <= now) {
+        if (is_trusted(members_[n].name, now)) {
             out.push_back(members_[n]);
         }
     }
@@ -97,18 +96,29 @@
     return static_cast<std::size_t>(it - order.begin());
 }
 
+bool dispatcher_ranking::is_trusted(const std::string& member,
+                                    state::time_point now)
+{
+    const auto it = distrusted_.find(member);
+    if (it == distrusted_.end()) {
+        return true;
+    }
+    it->second.wanted = it->second.wanted || it->second.until <= now;
+    return false;
+}
+
 void dispatcher_ranking::failed(const std::string& member,
                                 state::time_point now)
 {
     auto& it = distrusted_[member];
-    if (now < it.until) {
+    if (now < it.until && !it.probing) {
         return;
     }
     constexpr std::uint32_t most_doublings = 3;
     const auto wait =
         first_distrust * (1U << std::min(it.failures, most_doublings));
-    ++it.failures;
-    it.until = now + std::min<state::duration>(wait, longest_distrust);
+    it = {it.failures + 1,
+          now + std::min<state::duration>(wait, longest_distrust)};
 }
 
 void dispatcher_ranking::answered(const std::string& member)
@@ -116,4 +126,16 @@
     distrusted_.erase(member);
 }
 
+std::vector<std::string> dispatcher_ranking::take_probes(state::time_point now)
+{
+    std::vector<std::string> out;
+    for (auto& [member, it] : distrusted_) {
+        if (it.wanted) {
+            out.push_back(member);
+            it = {it.failures, now + probe_limit, true};
+        }
+    }
+    return out;
+}
+
 } // namespace oriolegrade::coordination
--- a/src/transport/gateway/dispatch_router.cpp
+++ b/src/transport/gateway/dispatch_router.cpp
@@ -20,10 +20,9 @@
 /// Time for the first word of a dispatcher. A round trip takes some 3 ms, and
 /// a host with a small share of a core may pause for some 50 ms.
 constexpr std::chrono::milliseconds answer_limit{80};
-/// Dispatchers of other hosts that are asked for one request.
-constexpr std::size_t most_dispatchers = 2;
-/// Late answers in a row after which a dispatcher is not trusted.
-constexpr std::uint32_t most_late = 2;
+/// A dispatcher that owes an answer and has said nothing for this long is
+/// taken for lost, and its connection for dead.
+constexpr std::chrono::milliseconds silence_limit{250};
 /// A dispatcher with an old view of the register is left alone this long.
 constexpr std::chrono::milliseconds stale_pause{500};
 /// Streams to the first dispatchers are kept open also without requests, for
@@ -43,20 +42,6 @@
     ranking_.set_members({shared.options.self});
 }
 
-bool dispatch_router::was_refused_by(const request_state& it,
-                                     const std::string& host)
-{
-    return std::find(it.refused_by.begin(), it.refused_by.end(), host) !=
-           it.refused_by.end();
-}
-
-void dispatch_router::note_stale(request_state& it, const std::string& host)
-{
-    if (it.stale_host.empty()) {
-        it.stale_host = host;
-    }
-}
-
 void dispatch_router::set_members(
     const std::vector<state::host_member>& members)
 {
@@ -81,7 +66,10 @@
         return done(coordination::host_budget::refuse(number));
     }
     auto& it =
-        requests_.emplace(number, request_state{request, std::move(done), now})
+        requests_
+            .emplace(number, request_state{request, std::move(done), now,
+                                           coordination::dispatcher_search(
+                                               now, request.time_left)})
             .first->second;
     it.request.host = shared_.options.self.name;
     it.request.data_centre = shared_.options.self.data_centre;
@@ -92,49 +80,63 @@
 {
     auto& it = requests_.at(number);
     const auto now = clock::now();
-    const auto& self = shared_.options.self.name;
-    const auto hosts =
-        ranking_.candidates(it.request.service, most_dispatchers + 1, now);
-    for (const auto& host : hosts) {
-        if (was_refused_by(it, host.name)) {
-            continue;
-        }
-        if (it.refused_by.size() >= most_dispatchers || host.name == self) {
-            break;
+    const auto step = it.search.next(
+        ranking_, it.request.service, shared_.options.self.name, now,
+        [&](const std::string& host) { return state_of(host, now); });
+    it.request.accept_stale = step.accept_stale;
+    if (step.peer == nullptr) {
+        ask_own(number);
+    } else {
+        ask_peer(number, *step.peer);
+    }
+    send_probes();
+}
+
+coordination::dispatcher_state
+dispatch_router::state_of(const std::string& host, time_point now)
+{
+    using coordination::dispatcher_state;
+    const auto found = peers_.find(host);
+    if (found == peers_.end()) {
+        return dispatcher_state::usable;
+    }
+    auto& it = found->second;
+    if (it.silent_since != time_point::min()) {
+        if (now - it.silent_since >= silence_limit) {
+            event(log_level::info, "dispatcher_silent").with("host", host);
+            it.silent_since = time_point::min();
+            ranking_.failed(host, now);
+            // The connection may be dead while new ones work.
+            it.link->reset();
         }
-        const auto known = peers_.find(host.name);
-        if (known != peers_.end() && now < known->second.stale_until) {
-            note_stale(it, host.name);
+        return dispatcher_state::silent;
+    }
+    return now < it.stale_until ? dispatcher_state::stale
+                                : dispatcher_state::usable;
+}
+
+void dispatch_router::send_probes()
+{
+    const auto now = clock::now();
+    for (const auto& name : ranking_.take_probes(now)) {
+        const auto* host = ranking_.find(name);
+        if (host == nullptr) {
             continue;
         }
-        return ask_peer(number, host);
-    }
-    if (!was_refused_by(it, self)) {
-        return ask_own(number);
-    }
-    // This host's view is old too, so the store is out of reach for everyone:
-    // one dispatcher with an old view is better than many hosts on their own.
-    const auto* stale =
-        it.stale_host.empty() ? nullptr : ranking_.find(it.stale_host);
-    if (stale != nullptr && !it.request.accept_stale) {
-        it.request.accept_stale = true;
-        if (stale->name != self) {
-            return ask_peer(number, *stale);
+        auto& it = peer_at(*host);
+        if (it.link->is_open() && !it.leaving) {
+            ranking_.answered(name);
+            continue;
         }
+        // A dispatcher answers a new stream at once.
+        it.link->send(protocol::rules_notice{
+            shared_.rules.read()->rules().version, false});
     }
-    ask_own(number);
 }
 
 void dispatch_router::ask_own(std::uint64_t number)
 {
     auto& it = requests_.at(number);
-    const auto& self = shared_.options.self.name;
-    if (was_refused_by(it, self)) {
-        it.request.accept_stale = true;
-    }
-    if (!it.refused_by.empty()) {
-        shared_.metrics.count_fallback();
-    }
     it.host.clear();
     const auto attempt = ++it.own_attempts;
     const auto request = it.request;
@@ -197,8 +199,10 @@
                            const protocol::dispatcher_frame& frame)
 {
     auto& peer = peers_.at(host);
-    peer.late = 0;
-    ranking_.answered(host);
+    peer.silent_since = time_point::min();
+    if (!peer.leaving) {
+        ranking_.answered(host);
+    }
     std::visit([&](const auto& it) { take_answer(host, it); }, frame);
 }
 
@@ -268,6 +272,7 @@
                 break;
             }
         }
+        send_probes();
     }
 }
 
@@ -287,7 +292,11 @@
         const auto& place = std::get<state::place>(what);
         it.at = stage::placed;
         it.upstream = place.upstream;
-        tally_.placed(it.request.service, placer_of(it));
+        const auto by = placer_of(it);
+        tally_.placed(it.request.service, by);
+        if (by == placer::own) {
+            shared_.metrics.count_fallback();
+        }
         it.done(place);
     }
 }
@@ -306,20 +315,20 @@
     }
     const auto now = clock::now();
     if (it.host.empty()) {
-        note_stale(it, shared_.options.self.name);
-        it.refused_by.push_back(shared_.options.self.name);
+        it.search.note_stale(shared_.options.self.name);
         return advance(number);
     }
     const auto& service = it.request.service;
     if (away.reason == state::turn_away_reason::leaving) {
         tally_.passed_over(service, pass_over::leaving);
+        peers_.at(it.host).leaving = true;
         ranking_.failed(it.host, now);
     } else {
         tally_.passed_over(service, pass_over::stale);
         peers_.at(it.host).stale_until = now + stale_pause;
-        note_stale(it, it.host);
+        it.search.note_stale(it.host);
     }
-    it.refused_by.push_back(it.host);
+    it.search.pass_over(it.host);
     advance(number);
 }
 
@@ -357,6 +366,9 @@
 
 void dispatch_router::link_lost(const std::string& host)
 {
+    auto& peer = peers_.at(host);
+    peer.silent_since = time_point::min();
+    peer.leaving = false;
     ranking_.failed(host, clock::now());
     event(log_level::info, "dispatcher_lost").with("host", host);
     std::vector<std::uint64_t> unplaced;
@@ -368,7 +380,7 @@
     for (const auto number : unplaced) {
         auto& it = requests_.at(number);
         tally_.passed_over(it.request.service, pass_over::lost);
-        it.refused_by.push_back(host);
+        it.search.pass_over(host);
         advance(number);
     }
 }
@@ -381,16 +393,11 @@
         return;
     }
     auto& peer = peers_.at(it.host);
-    ++peer.late;
-    if (peer.late >= most_late) {
-        event(log_level::info, "dispatcher_silent").with("host", it.host);
-        peer.late = 0;
-        ranking_.failed(it.host, clock::now());
-        // The connection may be dead while new ones work.
-        peer.link->reset();
+    if (peer.silent_since == time_point::min()) {
+        peer.silent_since = clock::now() - answer_limit;
     }
     tally_.passed_over(found->second.request.service, pass_over::late);
-    found->second.refused_by.push_back(it.host);
+    found->second.search.pass_over(it.host);
     advance(it.number);
 }
 
--- a/test/coordination/dispatcher_ranking_test.cpp
+++ b/test/coordination/dispatcher_ranking_test.cpp
@@ -66,18 +66,46 @@
     EXPECT_EQ(ranking.position("s", "unknown"), 5U);
 }
 
-TEST(dispatcher_ranking, a_silent_member_is_passed_over_for_longer_each_time)
+// A failed member is probed after its distrust, which doubles, and is trusted
+// only after an answer: a request that tries it would wait in vain.
+TEST(dispatcher_ranking, a_silent_member_is_passed_over_until_it_answers)
 {
     dispatcher_ranking ranking;
     ranking.set_members(members(5));
     const auto first = ranking.candidates("s", 1, start).at(0);
+    const auto trusted = [&](state::time_point now) {
+        return ranking.candidates("s", 1, now).at(0) == first;
+    };
     ranking.failed(first.name, start);
-    EXPECT_NE(ranking.candidates("s", 1, start + 900ms).at(0), first);
-    EXPECT_EQ(ranking.candidates("s", 1, start + 1s).at(0), first);
+    EXPECT_FALSE(trusted(start + 900ms));
+    EXPECT_TRUE(ranking.take_probes(start + 900ms).empty());
+    EXPECT_FALSE(trusted(start + 1s));
+    EXPECT_EQ(ranking.take_probes(start + 1s),
+              std::vector<std::string>{first.name});
     ranking.failed(first.name, start + 1s);
-    EXPECT_NE(ranking.candidates("s", 1, start + 2900ms).at(0), first);
+    EXPECT_FALSE(trusted(start + 2900ms));
+    EXPECT_TRUE(ranking.take_probes(start + 2900ms).empty());
+    EXPECT_FALSE(trusted(start + 3s));
+    EXPECT_EQ(ranking.take_probes(start + 3s).size(), 1U);
     ranking.answered(first.name);
-    EXPECT_EQ(ranking.candidates("s", 1, start + 1s).at(0), first);
+    EXPECT_TRUE(trusted(start + 3s));
+}
+
+// Every request that passes a member over would send a probe.
+TEST(dispatcher_ranking, a_member_is_probed_once_at_a_time)
+{
+    dispatcher_ranking ranking;
+    ranking.set_members(members(5));
+    const auto first = ranking.candidates("s", 1, start).at(0);
+    ranking.failed(first.name, start);
+    for (int n = 0; n < 10; ++n) {
+        ranking.candidates("s", 1, start + 1s);
+        EXPECT_EQ(ranking.take_probes(start + 1s).size(), n == 0 ? 1U : 0U);
+    }
+    // The probe was lost with its connection, and nobody noticed.
+    ranking.candidates("s", 1, start + 1s + coordination::probe_limit);
+    EXPECT_EQ(
+        ranking.take_probes(start + 1s + coordination::probe_limit).size(), 1U);
 }
 
 TEST(dispatcher_ranking, a_larger_share_of_a_core_dispatches_more_services)
--- /dev/null
+++ b/test/coordination/dispatcher_search_test.cpp
@@ -0,0 +1,125 @@
+// Guards against fleets in which every host places alone although dispatchers
+// are in reach: the incident of docs/incidents/floor-recurrence.md.
+
+#include <oriolegrade/coordination/dispatcher_search.hpp>
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace oriolegrade;
+using namespace std::chrono_literals;
+using coordination::dispatcher_search;
+using coordination::dispatcher_state;
+
+constexpr state::time_point start{1000s};
+constexpr state::duration time_left = 1200ms;
+
+class dispatcher_search_rules : public ::testing::Test
+{
+protected:
+    dispatcher_search_rules()
+    {
+        std::vector<state::host_member> members;
+        for (std::uint32_t n = 0; n < 20; ++n) {
+            members.push_back(
+                {"host-" + std::to_string(n), "dc", {0x0a000001 + n, 80}, 150});
+        }
+        ranking.set_members(members);
+        order = ranking.candidates("s", 20, start);
+        self = order.back().name;
+    }
+
+    dispatcher_search::step next()
+    {
+        return search.next(
+            ranking, "s", self, now, [this](const std::string& host) {
+                const auto it = states.find(host);
+                return it == states.end() ? dispatcher_state::usable
+                                          : it->second;
+            });
+    }
+    /// Name of the dispatcher to ask; empty for the own host.
+    std::string next_name()
+    {
+        const auto step = next();
+        return step.peer == nullptr ? "" : step.peer->name;
+    }
+
+    coordination::dispatcher_ranking ranking;
+    std::vector<state::host_member> order;
+    std::string self;
+    std::map<std::string, dispatcher_state> states;
+    state::time_point now = start;
+    dispatcher_search search{start, time_left};
+};
+
+TEST_F(dispatcher_search_rules, stopping_dispatchers_are_followed_by_the_next)
+{
+    for (std::size_t n = 0; n < coordination::most_asked; ++n) {
+        ASSERT_EQ(next_name(), order.at(n).name);
+        search.pass_over(order.at(n).name);
+    }
+    EXPECT_EQ(next_name(), "");
+}
+
+// Each silent one costs a wait, and the request must still be served.
+TEST_F(dispatcher_search_rules, waits_end_while_time_is_left)
+{
+    std::size_t asked = 0;
+    for (auto name = next_name(); !name.empty(); name = next_name()) {
+        ++asked;
+        now += 80ms;
+        search.pass_over(name);
+    }
+    EXPECT_EQ(asked, 4U);
+    EXPECT_LT(now - start, time_left / 3);
+}
+
+TEST_F(dispatcher_search_rules, a_short_request_asks_one_dispatcher)
+{
+    search = dispatcher_search(start, 0ms);
+    EXPECT_EQ(next_name(), order.at(0).name);
+    search.pass_over(order.at(0).name);
+    EXPECT_EQ(next_name(), "");
+}
+
+TEST_F(dispatcher_search_rules, silent_dispatchers_cost_no_second_wait)
+{
+    states[order.at(0).name] = dispatcher_state::silent;
+    ranking.failed(order.at(1).name, now);
+    EXPECT_EQ(next_name(), order.at(2).name);
+}
+
+TEST_F(dispatcher_search_rules, the_own_host_takes_its_turn_in_the_order)
+{
+    self = order.at(1).name;
+    search.pass_over(order.at(0).name);
+    EXPECT_EQ(next_name(), "");
+}
+
+// With the store away for all, one dispatcher places on its old view, so that
+// slots are still counted in one place.
+TEST_F(dispatcher_search_rules, the_first_old_view_comes_after_the_own_host)
+{
+    for (const auto& it : order) {
+        states[it.name] = dispatcher_state::stale;
+    }
+    EXPECT_EQ(next_name(), "");
+    search.note_stale(self);
+    const auto step = next();
+    ASSERT_NE(step.peer, nullptr);
+    EXPECT_EQ(step.peer->name, order.at(0).name);
+    EXPECT_TRUE(step.accept_stale);
+    // It does not answer either.
+    search.pass_over(order.at(0).name);
+    const auto last = next();
+    EXPECT_EQ(last.peer, nullptr);
+    EXPECT_TRUE(last.accept_stale);
+}
+
+} // namespace
