Let fewer sound upstreams rest in calm times

When hosts lose power, the two seconds that the users' floor looks at have begun before any dispatcher can react, so the share in use in calm times decides. A quarter of the sound upstreams was allowed to rest beside those in the two seconds after an error.

--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -52,10 +52,14 @@
 /// Most of the upstreams that may rest for an error of their own, which is
 /// below the three tenths that the users' bound leaves.
 constexpr double floor_rest_share = 0.2;
-/// Most of the sound upstreams that may rest in calm times. Below the three
-/// tenths too: hosts may be lost all at once, and then no dispatcher is left
-/// that could put upstreams to use.
-constexpr double calm_rest_share = 0.25;
+/// Most of the sound upstreams that may rest in calm times: half of the three
+/// tenths. Hosts may be lost all at once, and then no dispatcher is left that
+/// could put upstreams to use; and places that lost hosts got count as use here
+/// although no request arrives.
+constexpr double calm_rest_share = 0.15;
+/// What the users' bound leaves. One upstream of a small service may rest in
+/// calm times when it is no more than this.
+constexpr double most_rest_share = 0.3;
 /// Time without a request after which one is due: floor_window less what a
 /// first send may take to come and to arrive.
 constexpr state::duration floor_rest_time = std::chrono::milliseconds(1400);
@@ -268,8 +272,11 @@
         }
     }
     const bool calm = !unserved_.exceeds(floor_unserved_share, now);
+    const auto calm_rest =
+        std::max(part(sound, calm_rest_share),
+                 std::min<std::size_t>(1, part(sound, most_rest_share)));
     const auto may_rest =
-        calm ? after_error + part(sound, calm_rest_share)
+        calm ? after_error + calm_rest
              : std::min(after_error, part(ready, floor_rest_share));
     if (due.size() <= may_rest) {
         due.clear();
--- a/test/coordination/idle_upstream_test.cpp
+++ b/test/coordination/idle_upstream_test.cpp
@@ -76,6 +76,19 @@
     EXPECT_GE(out.least_used, floor_share);
 }
 
+// The places that lost hosts get count as use at the dispatcher, so that what
+// may rest must leave room for them below the bound.
+TEST_P(dispatcher_placement, upstreams_rest_while_places_of_lost_hosts_count)
+{
+    const auto& it = GetParam();
+    placing_hosts hosts(it.hosts, it.upstreams);
+    hosts.set_noise({0.3});
+    hosts.play(it.rate, 20s);
+    hosts.set_lost_share(0.2);
+    const auto out = hosts.play(it.rate, 4s);
+    EXPECT_GE(out.least_used, floor_share);
+}
+
 INSTANTIATE_TEST_SUITE_P(load, dispatcher_placement,
                          ::testing::Values(pattern{1, 14, 141},
                                            pattern{1, 20, 64},
--- a/test/fakes/placing_hosts.hpp
+++ b/test/fakes/placing_hosts.hpp
@@ -95,6 +95,12 @@
         noise_ = noise;
     }
 
+    /// Hosts that are lost get places and send nothing.
+    void set_lost_share(double share)
+    {
+        lost_share_ = share;
+    }
+
     /// Lets callers ask random hosts.
     /// @param rate requests per second, of all hosts together
     outcome play(double rate, state::duration length)
@@ -203,11 +209,14 @@
         if (place == nullptr) {
             return;
         }
+        std::uniform_real_distribution<double> uniform;
+        if (uniform(random_) < lost_share_) {
+            return;
+        }
         auto& it = facts_.at(place->upstream);
         it.last_arrival = now_;
         auto result = state::send_result::answered;
         auto took = error_time;
-        std::uniform_real_distribution<double> uniform;
         if (it.running >= slots + backlog) {
             ++out.shed;
             result = state::send_result::refused;
@@ -260,6 +269,7 @@
     std::mt19937 random_{7};
     std::uint64_t last_ = 0;
     upstream_noise noise_;
+    double lost_share_ = 0;
     std::vector<state::registered_upstream> list_;
     std::map<std::string, upstream_facts> facts_;
     std::vector<coordination::dispatch_queue> queues_;
