Keep the list of upstreams readable beside odd entries

Report of other operators: one odd entry of another writer ended the machines that read the list, or they stopped following it. Here no process ended, but:

- a key that is not UTF-8 made a whole page of newest records unreadable, so a host that had no register yet got none;
- a key with a space, line end or & went unescaped into the next call's target;
- a page whose last entry could not be read was asked for again and again, up to 64 times, and then the part that had been read was taken for the whole list;
- an id with any bytes went into Expect-Instance and into protobuf texts, which a host that reads through another one cannot parse.

--- a/include/oriolegrade/state/registered_upstream.hpp
+++ b/include/oriolegrade/state/registered_upstream.hpp
@@ -28,6 +28,10 @@
     static constexpr std::array<std::string_view, 2> value{"ready", "draining"};
 };
 
+/// An upstream that claims more slots is not believed: the dispatcher would
+/// send it all requests. The users' have 3 or 4.
+inline constexpr std::uint32_t max_upstream_slots = 1U << 16U;
+
 struct registered_upstream
 {
     /// Unique among the upstreams that live at the same time. One may start
@@ -36,7 +40,7 @@
     std::string service;
     endpoint address;
     std::string data_centre;
-    /// Requests that it runs at the same time; at least 1.
+    /// Requests that it runs at the same time; 1 to max_upstream_slots.
     std::uint32_t slots = 1;
     registration_state state = registration_state::ready;
     /// Time that it stays slow after its start, when it wrote this.
--- a/src/protocol/source_messages.cpp
+++ b/src/protocol/source_messages.cpp
@@ -68,7 +68,8 @@
     out.warmup_left = milliseconds(it.warmup_left_ms());
     out.born = it.born();
     out.sequence = it.sequence();
-    check.require(out.slots > 0, "slots", "is zero");
+    check.require(out.slots > 0 && out.slots <= state::max_upstream_slots,
+                  "slots", "is out of range");
     return out;
 }
 
--- a/test/platform/fake_store.hpp
+++ b/test/platform/fake_store.hpp
@@ -92,7 +92,23 @@
             return {};
         }
         const auto begin = n + name.size() + 1;
-        return target.substr(begin, target.find('&', begin) - begin);
+        return unescaped(target.substr(begin, target.find('&', begin) - begin));
+    }
+
+    static std::string unescaped(const std::string& text)
+    {
+        constexpr int hexadecimal = 16;
+        std::string out;
+        for (std::size_t n = 0; n < text.size(); ++n) {
+            if (text[n] == '%' && n + 2 < text.size()) {
+                out += static_cast<char>(
+                    std::stoi(text.substr(n + 1, 2), nullptr, hexadecimal));
+                n += 2;
+            } else {
+                out += text[n];
+            }
+        }
+        return out;
     }
 
     transport::http_answer serve(const transport::http_request& request)
--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -13,6 +13,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace {
 
 using namespace oriolegrade;
@@ -86,6 +88,105 @@
     EXPECT_EQ(read.value().next_offset, 3U);
 }
 
+/// Entries that another writer left, by key.
+std::vector<std::pair<std::string, std::string>> odd_entries()
+{
+    const auto changed = [](const std::string& from, const std::string& to) {
+        auto text = entry(1);
+        text.replace(text.find(from), from.size(), to);
+        return text;
+    };
+    const std::string deep(5000, '[');
+    return {
+        {"i-deep", deep + std::string(5000, ']')},
+        {"i-cut", deep},
+        {"i-depth", changed("\"dc\"", deep + std::string(5000, ']'))},
+        {"i-large", changed("4", "4294967297")},
+        {"i-huge", changed("4", "18446744073709551616")},
+        {"i-exponent", changed("4", "1e999")},
+        {"i-many", changed("4", "4000000000")},
+        {"i-sequence", changed("\"sequence\": 1", "\"sequence\": 1e999")},
+        {"i-born", changed("\"born\": 1", "\"born\": 99999999999999999999")},
+        {"i-port", changed(":80", ":65536")},
+        {"i-zero", changed(":80", ":0")},
+        {"i-warm",
+         changed("\"state\"", "\"warmup_left\": \"nans\", \"state\"")},
+        {"i-text", "\xff\xfe"},
+        {"i key&after=\r\nX: y", entry(1)},
+        {"i-\xff\xfe", entry(1)},
+        {std::string("i-\0", 3), entry(1)},
+        {"", entry(1)},
+    };
+}
+
+void expect_only_sound(const state::source_result<state::registry_read>& read,
+                       const std::string& where)
+{
+    ASSERT_TRUE(read) << where;
+    std::set<std::string> written;
+    for (const auto& it : read.value().changes) {
+        if (it.kind == state::registry_change_kind::written) {
+            written.insert(it.id);
+        }
+    }
+    EXPECT_EQ(written, (std::set<std::string>{"h-sound", "z-sound"})) << where;
+}
+
+// One odd entry must neither end the process nor hide the others, wherever it
+// stands: in the history, on a page, or last on a page.
+TEST(store_source, an_odd_entry_hides_the_others)
+{
+    for (const auto& [key, value] : odd_entries()) {
+        for (const std::size_t page : {1U, 2U, 500U}) {
+            auto& b = make_bench<calls_bench>();
+            b.store.page = page;
+            b.store.put(servers, "h-sound", entry(1));
+            b.store.put(servers, key, value);
+            b.store.put(servers, "z-sound", entry(1));
+            expect_only_sound(b.source.read_upstreams(0), "history: " + key);
+            const auto calls = b.store.calls;
+            expect_only_sound(b.source.newest_upstreams(), "newest: " + key);
+            EXPECT_LE(b.store.calls - calls, 3) << key;
+        }
+    }
+}
+
+// Other writers may reach the directory of hosts too.
+TEST(store_source, an_odd_host_record_hides_the_others)
+{
+    auto& b = make_bench<calls_bench>();
+    const std::string topic = "keyed.oriole-hosts";
+    const std::string sound =
+        R"({"data_centre":"dc","control":"10.0.0.1:80","cpu_milli":150})";
+    const auto changed = [&](const std::string& from, const std::string& to) {
+        auto text = sound;
+        text.replace(text.find(from), from.size(), to);
+        return text;
+    };
+    b.store.put(topic, "a", changed("150", "4294967446"));
+    b.store.put(topic, "b", changed("150", "1e999"));
+    b.store.put(topic, "c", changed(":80", ":65536"));
+    b.store.put(topic, "d", changed("\"dc\"", std::string(5000, '[')));
+    b.store.put(topic, "e\r\n", sound);
+    b.store.put(topic, "f\xff", sound);
+    b.store.put(topic, "host", sound);
+    const auto hosts = b.source.hosts();
+    ASSERT_TRUE(hosts);
+    ASSERT_EQ(hosts.value().size(), 1U);
+    EXPECT_EQ(hosts.value()[0].name, "host");
+}
+
+// A reader that gives up on the pages must not take what it has for all.
+TEST(store_source, a_cut_list_is_no_list)
+{
+    auto& b = make_bench<calls_bench>();
+    b.store.page = 1;
+    for (int n = 0; n < 520; ++n) {
+        b.store.put(servers, "i-" + std::to_string(n), entry(1));
+    }
+    EXPECT_FALSE(b.source.newest_upstreams());
+}
+
 TEST(store_source, failures_are_told_apart)
 {
     auto& b = make_bench<calls_bench>();
