Believe a refusal only when it echoes the request's id

Report of other operators: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told not-run for a request that ran, or it ran at a second server. Here a copy with the earlier request's id was skipped, but a refusal without an id was taken for the answer to the request in progress: a booking that ran at the first upstream was sent to a second one.

Upstreams echo the id in every answer, so a refusal without it proves nothing and is skipped like any stray answer.

--- a/test/platform/dialect_test.cpp
+++ b/test/platform/dialect_test.cpp
@@ -41,6 +41,19 @@
     EXPECT_TRUE(dialect::belongs(request, answer(400)));
 }
 
+// A refusal without the id may be an earlier one, written twice.
+TEST(platform_dialect, a_refusal_without_an_id_does_not_belong)
+{
+    protocol::request_head request;
+    request.fields.add("Request-Id", "one");
+    EXPECT_FALSE(
+        dialect::belongs(request, answer(503, {{"Not-Executed", "1"}})));
+    EXPECT_FALSE(dialect::belongs(request, answer(421)));
+    EXPECT_TRUE(dialect::belongs(
+        request, answer(503, {{"Not-Executed", "1"}, {"Request-Id", "one"}})));
+    EXPECT_TRUE(dialect::belongs(protocol::request_head(), answer(421)));
+}
+
 TEST(platform_dialect, a_success_needs_its_signature_and_plain_body)
 {
     EXPECT_TRUE(dialect::is_sound(answer(200, {{"Server-Stamp", "x"}})));
