Ask for no second place after a booking was lost

A request that must not repeat and whose answer was lost asked its dispatcher for a place for a repeat before the decision that it must not be repeated. The caller waited in line for that place, up to the deadline, to hear a 502; the extra send was taken from the budget; and the dispatcher counted the place as use of an upstream to which nothing was sent, which the floor relies on.

The choice is asked only when nothing else forbids a retry.

--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -197,14 +197,17 @@
         facts.max_attempts = route_.max_attempts;
         facts.answer_started = answer_started_;
         facts.body_replayable = body_.replayable();
-        // Asked last: a choice that agrees has taken from the retry budget.
-        const bool more = result != state::attempt_result::answered &&
-                          attempts < coordination::attempt_limit(
-                                         result, route_.max_attempts) &&
-                          choice_.may_retry();
-        facts.budget_left = more;
-        facts.upstream_left = more;
-        return coordination::decide_next(facts);
+        facts.budget_left = true;
+        facts.upstream_left = true;
+        auto decision = coordination::decide_next(facts);
+        // Asked last, and only when nothing else forbids a retry: a choice that
+        // agrees has taken from the retry budget and holds a place.
+        if (decision.step == coordination::next_step::retry &&
+            !choice_.may_retry()) {
+            facts.upstream_left = false;
+            decision = coordination::decide_next(facts);
+        }
+        return decision;
     }
 
     /// Reason of a reply when no upstream is left after an attempt.
--- a/test/platform/gateway_worker_test.cpp
+++ b/test/platform/gateway_worker_test.cpp
@@ -177,6 +177,17 @@
     EXPECT_EQ(b.first.runs + b.second.runs, 1);
 }
 
+// The second place would stay unused, counts as use of its upstream, and the
+// caller would wait in line for it before hearing that the request is lost.
+TEST(gateway_worker, a_lost_booking_asks_for_a_second_place)
+{
+    auto& b = make_bench();
+    b.place_at(b.first, "u1");
+    b.first.add({"", 0ms, after_answer::close});
+    EXPECT_EQ(b.book().result_int(), 502U);
+    EXPECT_EQ(b.places.asked.size(), 1U);
+}
+
 TEST(gateway_worker, server_error_of_a_booking_is_final)
 {
     auto& b = make_bench();
@@ -270,6 +281,50 @@
     EXPECT_EQ(b.second.runs, 1);
 }
 
+/// What an upstream sends before the head that is cut.
+const std::vector<std::string>& before_cut_heads()
+{
+    static const std::vector<std::string> out{
+        "", "HTTP/1.1 100 Continue\r\n\r\n", answer("stray", "other")};
+    return out;
+}
+
+/// Heads of whole answers, with a length, in chunks, and without either.
+const std::vector<std::string>& whole_heads()
+{
+    static const std::string begin =
+        "HTTP/1.1 200 OK\r\nServer-Stamp: x\r\nRequest-Id: q\r\n";
+    static const std::vector<std::string> out{
+        begin + "Content-Length: 3\r\n\r\n",
+        begin + "Transfer-Encoding: chunked\r\n\r\n", begin + "\r\n",
+        "HTTP/1.1 204 None\r\nServer-Stamp: x\r\nRequest-Id: q\r\n\r\n"};
+    return out;
+}
+
+// An upstream stops in the middle of its answer's head and closes. Neither a
+// read nor a booking may get a success that looks whole.
+TEST(gateway_worker, a_head_cut_short_looks_whole)
+{
+    auto& b = make_bench();
+    for (const auto& before : before_cut_heads()) {
+        for (const auto& head : whole_heads()) {
+            for (std::size_t n = 0; n < head.size(); ++n) {
+                const auto cut = before + head.substr(0, n);
+                b.place_at(b.first, "u1");
+                b.first.add({cut, 0ms, after_answer::close});
+                ASSERT_EQ(b.book().result_int(), 502U) << cut;
+                b.place_at(b.first, "u1");
+                b.place_at(b.second, "u2");
+                b.first.add({cut, 0ms, after_answer::close});
+                b.second.add({answer("good")});
+                const auto got = b.read();
+                ASSERT_EQ(got.result_int(), 200U) << cut;
+                ASSERT_EQ(got.body(), "good") << cut;
+            }
+        }
+    }
+}
+
 TEST(gateway_worker, success_without_signature_is_not_passed_on)
 {
     auto& b = make_bench();
