Move the floor of a dispatcher into a file pair of its own

The floor takes the list that the survey has made anyway; its constants stand beside it. No change of behaviour: the tests of the queue, the floor and the placement models pass as before.

--- a/include/oriolegrade/coordination/dispatch_queue.hpp
+++ b/include/oriolegrade/coordination/dispatch_queue.hpp
@@ -186,7 +186,6 @@
     };
 
     survey look_around(state::time_point now);
-    void find_due(survey& found, std::size_t ready, state::time_point now);
     upstream_track* choose(const waiter& it, survey& found,
                            state::time_point now);
     /// Cost of the standing of an upstream.
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -3,6 +3,7 @@
 #include <oriolegrade/coordination/dispatch_queue.hpp>
 
 #include <oriolegrade/coordination/return_time.hpp>
+#include <oriolegrade/coordination/upstream_floor.hpp>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -44,25 +45,6 @@
 /// must not repeat try a suspected one only when all others are full. Below
 /// it, a failure of one of those in service would meet too many requests.
 constexpr double fewest_in_service_share = 0.5;
-/// The floor: while more than this share of a service's requests is presumably
-/// not served, no sound upstream may be without a request for floor_window. The
-/// users' bound is a tenth; half of it leaves room for what the estimate
-/// misses.
-constexpr double floor_unserved_share = 0.05;
-/// Most of the upstreams that may rest for an error of their own, which is
-/// below the three tenths that the users' bound leaves.
-constexpr double floor_rest_share = 0.2;
-/// Most of the sound upstreams that may rest in calm times: half of the three
-/// tenths. Hosts may be lost all at once, and then no dispatcher is left that
-/// could put upstreams to use; and places that lost hosts got count as use here
-/// although no request arrives.
-constexpr double calm_rest_share = 0.15;
-/// What the users' bound leaves. One upstream of a small service may rest in
-/// calm times when it is no more than this.
-constexpr double most_rest_share = 0.3;
-/// Time without a request after which one is due: floor_window less what a
-/// first send may take to come and to arrive.
-constexpr state::duration floor_rest_time = std::chrono::milliseconds(1400);
 /// Part of the slots of upstreams out of service that is expected back in
 /// time for a waiting request.
 constexpr double held_slot_share = 0.3;
@@ -224,14 +206,14 @@
 dispatch_queue::survey dispatch_queue::look_around(state::time_point now)
 {
     survey out;
-    std::size_t ready = 0;
+    std::vector<upstream_track*> ready;
     std::size_t held = 0;
     std::size_t in_service = 0;
     for (auto& [id, track] : upstreams_) {
         if (track.spec().state != state::registration_state::ready) {
             continue;
         }
-        ++ready;
+        ready.push_back(&track);
         const auto standing = track.standing(now);
         const bool is_held = standing == upstream_standing::held;
         held += is_held ? 1 : 0;
@@ -242,54 +224,18 @@
         (is_held && !track.quick_trial_due(now) ? out.held : out.usable)
             .push_back(&track);
     }
-    out.few_in_service = static_cast<double>(in_service) <
-                         fewest_in_service_share * static_cast<double>(ready);
-    if (held == ready) {
+    out.few_in_service =
+        static_cast<double>(in_service) <
+        fewest_in_service_share * static_cast<double>(ready.size());
+    if (held == ready.size()) {
         out.usable.insert(out.usable.end(), out.held.begin(), out.held.end());
         out.held.clear();
     }
-    find_due(out, ready, now);
+    out.due =
+        upstreams_due(ready, unserved_.exceeds(floor_unserved_share, now), now);
     return out;
 }
 
-void dispatch_queue::find_due(survey& found, std::size_t ready,
-                              state::time_point now)
-{
-    const auto part = [](std::size_t of, double share) {
-        return static_cast<std::size_t>(static_cast<double>(of) * share);
-    };
-    auto& due = found.due;
-    std::size_t sound = 0;
-    std::size_t after_error = 0;
-    for (auto& [id, track] : upstreams_) {
-        if (track.spec().state != state::registration_state::ready) {
-            continue;
-        }
-        sound += track.is_sound(now) ? 1 : 0;
-        if (now - track.rests_since() >= floor_rest_time) {
-            due.push_back(&track);
-            after_error += track.is_sound(now - floor_rest_time) ? 0 : 1;
-        }
-    }
-    const bool calm = !unserved_.exceeds(floor_unserved_share, now);
-    const auto calm_rest =
-        std::max(part(sound, calm_rest_share),
-                 std::min<std::size_t>(1, part(sound, most_rest_share)));
-    const auto may_rest =
-        calm ? after_error + calm_rest
-             : std::min(after_error, part(ready, floor_rest_share));
-    if (due.size() <= may_rest) {
-        due.clear();
-        return;
-    }
-    std::sort(due.begin(), due.end(),
-              [](const upstream_track* a, const upstream_track* b) {
-                  return std::pair(a->idle_since(), a->order()) <
-                         std::pair(b->idle_since(), b->order());
-              });
-    due.resize(due.size() - may_rest);
-}
-
 double dispatch_queue::tier(const upstream_track& track, bool canary,
                             bool few_in_service, state::time_point now)
 {
--- /dev/null
+++ b/src/coordination/upstream_floor.cpp
@@ -0,0 +1,70 @@
+// What may rest, and for how long.
+
+#include <oriolegrade/coordination/upstream_floor.hpp>
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+
+namespace oriolegrade::coordination {
+
+namespace {
+
+/// Most of the upstreams that may rest for an error of their own, which is
+/// below the three tenths that the users' bound leaves.
+constexpr double floor_rest_share = 0.2;
+/// Most of the sound upstreams that may rest in calm times: half of the three
+/// tenths. Hosts may be lost all at once, and then no dispatcher is left that
+/// could put upstreams to use; and places that lost hosts got count as use here
+/// although no request arrives.
+constexpr double calm_rest_share = 0.15;
+/// What the users' bound leaves. One upstream of a small service may rest in
+/// calm times when it is no more than this.
+constexpr double most_rest_share = 0.3;
+/// Time without a request after which one is due: floor_window less what a
+/// first send may take to come and to arrive.
+constexpr state::duration floor_rest_time = std::chrono::milliseconds(1400);
+
+std::size_t part_of(std::size_t n, double share)
+{
+    return static_cast<std::size_t>(static_cast<double>(n) * share);
+}
+
+bool is_due_before(const upstream_track* a, const upstream_track* b)
+{
+    return std::pair(a->idle_since(), a->order()) <
+           std::pair(b->idle_since(), b->order());
+}
+
+} // namespace
+
+std::vector<upstream_track*>
+upstreams_due(const std::vector<upstream_track*>& ready, bool in_force,
+              state::time_point now)
+{
+    std::vector<upstream_track*> due;
+    std::size_t sound = 0;
+    std::size_t after_error = 0;
+    for (auto* track : ready) {
+        sound += track->is_sound(now) ? 1 : 0;
+        if (now - track->rests_since() >= floor_rest_time) {
+            due.push_back(track);
+            after_error += track->is_sound(now - floor_rest_time) ? 0 : 1;
+        }
+    }
+    const auto calm_rest =
+        std::max(part_of(sound, calm_rest_share),
+                 std::min<std::size_t>(1, part_of(sound, most_rest_share)));
+    const auto may_rest =
+        in_force
+            ? std::min(after_error, part_of(ready.size(), floor_rest_share))
+            : after_error + calm_rest;
+    if (due.size() <= may_rest) {
+        return {};
+    }
+    std::sort(due.begin(), due.end(), is_due_before);
+    due.resize(due.size() - may_rest);
+    return due;
+}
+
+} // namespace oriolegrade::coordination
