Spread the return of callers that many hosts refuse at the same moment

The return of refused callers is spread by the number of the request, and numbers begin anew at each host and each dispatcher, so callers that many hosts refuse in one second, after a start of all or while hosts place alone, got the same Retry-After.

host_budget.callers_refused_by_many_hosts_return_together: one time for all of 160 hosts without the seed, at least 12 of 16 times with it.

--- a/include/oriolegrade/coordination/host_budget.hpp
+++ b/include/oriolegrade/coordination/host_budget.hpp
@@ -22,7 +22,8 @@
 {
 public:
     /// @param fleet budget of all hosts together, for each service
-    explicit host_budget(const window_budget_options& fleet);
+    /// @param seed of this host
+    host_budget(const window_budget_options& fleet, std::uint64_t seed);
 
     /// @param hosts of the fleet, this one too; 1 while no other is known, and
     ///        then there is no slack
@@ -34,7 +35,7 @@
                state::time_point now);
 
     /// Answer to a request whose extra send was not admitted.
-    static state::turn_away refuse(std::uint64_t number);
+    state::turn_away refuse(std::uint64_t number) const;
 
     /// An extra send that was admitted was not placed.
     void give_back(const std::string& service, state::time_point admitted_at,
@@ -45,6 +46,7 @@
 
     window_budget_options part_;
     double fleet_slack_;
+    std::uint64_t seed_;
     std::unordered_map<std::string, window_budget> budgets_;
 };
 
--- a/include/oriolegrade/coordination/return_time.hpp
+++ b/include/oriolegrade/coordination/return_time.hpp
@@ -11,11 +11,15 @@
 
 /// Spreads callers that were refused together over one more wait, so that they
 /// come back one after the other.
-/// @param number of the request
-inline state::duration spread_return(state::duration wait, std::uint64_t number)
+/// @param number of the request at its host
+/// @param seed of the host: numbers begin anew at each, and without it callers
+///        that all hosts refuse at the same moment would come back together
+inline state::duration spread_return(state::duration wait, std::uint64_t number,
+                                     std::uint64_t seed)
 {
     constexpr std::int64_t steps = 16;
-    return wait + wait * static_cast<std::int64_t>(number % steps) / steps;
+    const auto step = static_cast<std::int64_t>((number + seed) % steps);
+    return wait + wait * step / steps;
 }
 
 } // namespace oriolegrade::coordination
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -428,7 +428,7 @@
 {
     const auto wait =
         std::max<state::duration>(expected_wait(rank, now), usual_latency());
-    return {reason, spread_return(wait, number)};
+    return {reason, spread_return(wait, number, options_.seed)};
 }
 
 bool dispatch_queue::is_hopeless(const waiter& it, state::duration wait,
--- a/src/coordination/host_budget.cpp
+++ b/src/coordination/host_budget.cpp
@@ -17,9 +17,10 @@
 
 } // namespace
 
-host_budget::host_budget(const window_budget_options& fleet)
+host_budget::host_budget(const window_budget_options& fleet, std::uint64_t seed)
     : part_(fleet)
     , fleet_slack_(fleet.slack)
+    , seed_(seed)
 {
     part_.slack = 0;
 }
@@ -43,10 +44,10 @@
     return budget.try_take(used_share, now);
 }
 
-state::turn_away host_budget::refuse(std::uint64_t number)
+state::turn_away host_budget::refuse(std::uint64_t number) const
 {
     return {state::turn_away_reason::budget,
-            spread_return(shortest_return, number)};
+            spread_return(shortest_return, number, seed_)};
 }
 
 void host_budget::give_back(const std::string& service,
--- a/src/transport/gateway/dispatch_router.cpp
+++ b/src/transport/gateway/dispatch_router.cpp
@@ -2,6 +2,7 @@
 
 #include <oriolegrade/transport/gateway/dispatch_router.hpp>
 
+#include <oriolegrade/coordination/host_seed.hpp>
 #include <oriolegrade/coordination/reader_election.hpp>
 #include <oriolegrade/transport/event_log.hpp>
 
@@ -37,7 +38,8 @@
     : ioc_(ioc)
     , shared_(shared)
     , own_(own)
-    , budget_(shared.options.budget)
+    , budget_(shared.options.budget,
+              coordination::host_seed(shared.options.self.name))
 {
     ranking_.set_members({shared.options.self});
 }
@@ -63,7 +65,7 @@
 {
     const auto now = clock::now();
     if (!budget_.admit(request.service, request.kind, now)) {
-        return done(coordination::host_budget::refuse(number));
+        return done(budget_.refuse(number));
     }
     auto& it =
         requests_
--- a/test/coordination/window_budget_test.cpp
+++ b/test/coordination/window_budget_test.cpp
@@ -2,13 +2,16 @@
 // allow.
 
 #include <oriolegrade/coordination/host_budget.hpp>
+#include <oriolegrade/coordination/host_seed.hpp>
 #include <oriolegrade/coordination/window_budget.hpp>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 #include <deque>
+#include <map>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace {
@@ -100,7 +103,7 @@
     constexpr std::size_t restarted = 20;
     constexpr coordination::window_budget_options fleet{0.2, 277, 10s};
     std::vector<coordination::host_budget> parts(
-        hosts, coordination::host_budget(fleet));
+        hosts, coordination::host_budget(fleet, 0));
     for (auto& it : parts) {
         it.set_hosts(hosts);
     }
@@ -127,7 +130,7 @@
         }
         if (n == 7000) {
             for (std::size_t i = 0; i < restarted; ++i) {
-                parts[i] = coordination::host_budget(fleet);
+                parts[i] = coordination::host_budget(fleet, 0);
                 parts[i].set_hosts(hosts);
             }
         }
@@ -141,9 +144,10 @@
 // all come back at once and into the same full slots.
 TEST(host_budget, refused_callers_return_together)
 {
+    const coordination::host_budget budget({}, 0);
     std::set<state::duration> times;
     for (std::uint64_t n = 0; n < 16; ++n) {
-        const auto away = coordination::host_budget::refuse(n);
+        const auto away = budget.refuse(n);
         EXPECT_EQ(away.reason, state::turn_away_reason::budget);
         EXPECT_GE(away.retry_after, 300ms);
         times.insert(away.retry_after);
@@ -151,4 +155,20 @@
     EXPECT_EQ(times.size(), 16U);
 }
 
+// The numbers of requests begin anew at each host, so the first callers that
+// many hosts refuse in one second have the same number.
+TEST(host_budget, callers_refused_by_many_hosts_return_together)
+{
+    std::map<state::duration, int> times;
+    constexpr int hosts = 160;
+    for (int n = 0; n < hosts; ++n) {
+        const auto seed = coordination::host_seed("host-" + std::to_string(n));
+        ++times[coordination::host_budget({}, seed).refuse(1).retry_after];
+    }
+    EXPECT_GE(times.size(), 12U);
+    for (const auto& [time, count] : times) {
+        EXPECT_LE(count, hosts / 5);
+    }
+}
+
 } // namespace
