--- a/include/oriolegrade/coordination/dispatcher_ranking.hpp
+++ b/include/oriolegrade/coordination/dispatcher_ranking.hpp
@@ -79,8 +79,8 @@
     std::vector<std::string> take_probes(state::time_point now);
 
 private:
-    /// Dispatchers further back have too small a share of a core, where members
-    /// differ in it, or are as good as any, where they do not.
+    /// Members of the order that first() looks at. Where shares of a core
+    /// differ, those further back have too small a one to dispatch.
     static constexpr std::size_t most_considered = 16;
 
     struct distrust
--- a/include/oriolegrade/coordination/dispatcher_search.hpp
+++ b/include/oriolegrade/coordination/dispatcher_search.hpp
@@ -2,9 +2,8 @@
 // its own host, and a dispatcher with an old view when all views are old.
 //
 // Load pattern: dispatchers are lost in series, stop together, are slowed or
-// cut off from the store. A fleet whose hosts place alone counts no slots in
-// one place, so the own host comes after all dispatchers within reach, and not
-// after the second one that is passed over.
+// cut off from the store. A fleet whose hosts place alone counts slots nowhere,
+// so the own host comes after all dispatchers within reach.
 
 #ifndef ORIOLEGRADE_COORDINATION_DISPATCHER_SEARCH_HPP
 #define ORIOLEGRADE_COORDINATION_DISPATCHER_SEARCH_HPP
