Log why an upstream is held, how long a request waited, and the usual latency

Cause: not known at this point. upstream_standing told that an upstream was held, but not whether a server error, a lost connection, an age or a missing connection was the evidence, so false holds looked like true ones. A request line did not tell the wait for a place from the time at the upstream.

Change: failure_cause with a table of names, kept by upstream_tracker; cause on upstream_standing, usual_ms on dispatch_state, waited_ms on request. No decision changes.

--- a/include/oriolegrade/coordination/dispatch_queue.hpp
+++ b/include/oriolegrade/coordination/dispatch_queue.hpp
@@ -55,6 +55,8 @@
     upstream_standing after = upstream_standing::in_service;
     /// Failures since the upstream was last in service.
     std::uint32_t failures = 0;
+    /// Evidence of the last failure.
+    failure_cause cause = failure_cause::none;
     double slowness = 1.0;
 };
 
--- a/include/oriolegrade/coordination/dispatch_summary.hpp
+++ b/include/oriolegrade/coordination/dispatch_summary.hpp
@@ -3,6 +3,8 @@
 #ifndef ORIOLEGRADE_COORDINATION_DISPATCH_SUMMARY_HPP
 #define ORIOLEGRADE_COORDINATION_DISPATCH_SUMMARY_HPP
 
+#include <oriolegrade/state/time_type.hpp>
+
 #include <cstddef>
 #include <cstdint>
 
@@ -32,6 +34,8 @@
     std::size_t in_flight = 0;
     /// Share of the budget of extra sends in use.
     double budget_used = 0;
+    /// Latency against which requests in flight are compared.
+    state::duration usual_latency{};
 };
 
 } // namespace oriolegrade::coordination
--- a/include/oriolegrade/coordination/upstream_tracker.hpp
+++ b/include/oriolegrade/coordination/upstream_tracker.hpp
@@ -69,6 +69,23 @@
     held,
 };
 
+/// Evidence that made an upstream count as failed.
+enum class failure_cause : std::uint8_t
+{
+    none,
+    server_error,
+    /// The connection ended before a complete response.
+    lost,
+    /// The address belongs to another upstream.
+    misdirected,
+    /// No response before the deadline.
+    expired,
+    /// No response for much longer than usual; the request is still in flight.
+    stalled,
+    /// Several hosts could not connect.
+    unreachable,
+};
+
 /// What the dispatcher knows about a send that has ended.
 struct send_context
 {
@@ -118,6 +135,11 @@
     {
         return now >= quick_trial_at_;
     }
+    /// Evidence of the last failure.
+    failure_cause last_failure_cause() const
+    {
+        return last_failure_cause_;
+    }
     state::time_point held_since() const
     {
         return held_since_;
@@ -192,7 +214,8 @@
 
 private:
     /// @param began when the failed request was sent
-    void fail(state::time_point began, state::time_point now);
+    void fail(failure_cause cause, state::time_point began,
+              state::time_point now);
     void succeed(state::time_point began, double relative,
                  state::time_point now);
     /// Counts a success, or a confirmation, towards the end of a trial.
@@ -225,6 +248,7 @@
     /// First failure of the current series.
     state::time_point first_failure_{};
     state::time_point last_failure_{};
+    failure_cause last_failure_cause_ = failure_cause::none;
     /// Time of the latest server error.
     state::time_point last_error_{};
     double slowness_ = 1.0;
@@ -245,6 +269,14 @@
                                                            "on_trial", "held"};
 };
 
+template <>
+struct enum_names<coordination::failure_cause>
+{
+    static constexpr std::array<std::string_view, 7> value{
+        "none",    "server_error", "lost",       "misdirected",
+        "expired", "stalled",      "unreachable"};
+};
+
 } // namespace oriolegrade::state
 
 #endif
--- a/include/oriolegrade/transport/gateway/dispatched_choice.hpp
+++ b/include/oriolegrade/transport/gateway/dispatched_choice.hpp
@@ -38,6 +38,8 @@
     std::vector<state::send_result> results = {};
     /// The last turning away, when a place was refused.
     std::optional<state::place_refusal> refusal;
+    /// When the request got its first place.
+    std::optional<state::time_point> first_placed = {};
 };
 
 /// Reads what an answer tells about the upstream's load and identity.
@@ -84,6 +86,9 @@
         }
         const auto place = *std::exchange(place_, std::nullopt);
         sends_.tried.push_back(place.upstream);
+        if (!sends_.first_placed) {
+            sends_.first_placed = std::chrono::steady_clock::now();
+        }
         sent_ = true;
         if (arm_ && place.hedge_after) {
             arm_(*place.hedge_after);
--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -235,6 +235,7 @@
     {
         line.sends = sends.tried;
         line.results = sends.results;
+        line.first_placed = sends.first_placed;
         if (report.caller_error == boost::beast::http::error::body_limit &&
             !answer.started()) {
             return refuse(line, answer, state::reply_reason::too_large, {});
--- a/include/oriolegrade/transport/gateway/request_log.hpp
+++ b/include/oriolegrade/transport/gateway/request_log.hpp
@@ -7,6 +7,7 @@
 #include <oriolegrade/transport/gateway/gateway_metrics.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,6 +26,8 @@
     std::vector<std::string> sends = {};
     /// How the sends ended, in the order of their ends.
     std::vector<state::send_result> results = {};
+    /// When the request got its first place; empty when it got none.
+    std::optional<state::time_point> first_placed = {};
 
     state::duration age() const
     {
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -111,8 +111,9 @@
         const auto after = tracker.standing(now);
         auto& before = logged_standings_[id];
         if (before != after) {
-            out.push_back(
-                {id, before, after, tracker.failures(), tracker.slowness(now)});
+            out.push_back({id, before, after, tracker.failures(),
+                           tracker.last_failure_cause(),
+                           tracker.slowness(now)});
             before = after;
         }
     }
@@ -148,6 +149,7 @@
     out.in_line = waiting_.size();
     out.in_flight = active_sends_.size();
     out.budget_used = budget_.used(now);
+    out.usual_latency = usual_latency();
     return out;
 }
 
--- a/src/coordination/upstream_tracker.cpp
+++ b/src/coordination/upstream_tracker.cpp
@@ -122,17 +122,19 @@
         break;
     case state::send_result::server_error:
         last_error_ = now;
-        fail(how.began, now);
+        fail(failure_cause::server_error, how.began, now);
         break;
     case state::send_result::lost:
+        fail(failure_cause::lost, how.began, now);
+        break;
     case state::send_result::misdirected:
-        fail(how.began, now);
+        fail(failure_cause::misdirected, how.began, now);
         break;
     case state::send_result::expired:
         // A timeout far below the usual latency says nothing about the
         // upstream: a route may allow less time than its work takes.
         if (how.relative >= silent_stall_factor) {
-            fail(how.began, now);
+            fail(failure_cause::expired, how.began, now);
         }
         break;
     case state::send_result::unreachable:
@@ -157,7 +159,7 @@
     in_flight_ -= std::min(in_flight_, 1U);
     slowness_ = std::max(slowness(now), relative);
     slowness_at_ = now;
-    fail(began, now);
+    fail(failure_cause::stalled, began, now);
 }
 
 void upstream_tracker::adopt(std::uint32_t count, state::time_point now)
@@ -166,9 +168,11 @@
     external_load_until_ = now + external_load_time;
 }
 
-void upstream_tracker::fail(state::time_point began, state::time_point now)
+void upstream_tracker::fail(failure_cause cause, state::time_point began,
+                            state::time_point now)
 {
     last_failure_ = now;
+    last_failure_cause_ = cause;
     // Requests sent before the hold began count as the same failure.
     if (failure_count_ > 0 && began < held_since_) {
         return;
@@ -235,7 +239,7 @@
                    it.second - connect_retry_delay >= last_success_;
         });
     if (static_cast<std::size_t>(blocked) >= unreachable_hosts) {
-        fail(now, now);
+        fail(failure_cause::unreachable, now, now);
     }
 }
 
--- a/src/transport/gateway/dispatch_service.cpp
+++ b/src/transport/gateway/dispatch_service.cpp
@@ -195,6 +195,7 @@
             .with("before", state::name_of(it.before))
             .with("after", state::name_of(it.after))
             .with("failures", it.failures)
+            .with("cause", state::name_of(it.cause))
             .with("slowness_percent",
                   static_cast<std::int64_t>(it.slowness * percent))
             .with("in_line", queue.waiting())
@@ -227,6 +228,10 @@
             .with("cancelled", it.cancelled)
             .with("in_line", it.in_line)
             .with("in_flight", it.in_flight)
+            .with("usual_ms",
+                  std::chrono::duration_cast<std::chrono::milliseconds>(
+                      it.usual_latency)
+                      .count())
             .with("budget_percent",
                   static_cast<std::int64_t>(it.budget_used * percent));
     }
--- a/src/transport/gateway/request_log.cpp
+++ b/src/transport/gateway/request_log.cpp
@@ -18,6 +18,11 @@
 std::atomic<std::uint32_t> lines{0};
 std::atomic<std::uint64_t> left_out{0};
 
+std::int64_t milliseconds_of(state::duration d)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
 /// True when one more line fits into this second.
 bool take_line()
 {
@@ -54,13 +59,13 @@
         ends += ends.empty() ? "" : ",";
         ends += state::name_of(it);
     }
-    const auto ms =
-        std::chrono::duration_cast<std::chrono::milliseconds>(age()).count();
     event line(level, "request");
     line.with("id", request_id)
         .with("end", state::name_of(end))
         .with("reason", reason)
-        .with("ms", ms)
+        .with("ms", milliseconds_of(age()))
+        .with("waited_ms",
+              milliseconds_of(first_placed ? *first_placed - began : age()))
         .with("rules", rules_version)
         .with("route", route)
         .with("service", service)
