--- a/include/oriolegrade/coordination/upstream_tracker.hpp
+++ b/include/oriolegrade/coordination/upstream_tracker.hpp
@@ -198,6 +198,11 @@
     {
         return now - last_error_ >= sound_after;
     }
+    /// Time of the latest server error.
+    state::time_point last_error() const
+    {
+        return last_error_;
+    }
     /// Time of the last request known to this dispatcher, or when this
     /// dispatcher first knew the upstream.
     state::time_point unused_since() const
--- a/test/coordination/idle_upstream_test.cpp
+++ b/test/coordination/idle_upstream_test.cpp
@@ -5,10 +5,14 @@
 // and the two seconds that the users' capacity rule covers have begun by then.
 // The share in use is therefore checked at all times.
 
+#include "fakes/queue_fixture.hpp"
 #include "fakes/simulated_hosts.hpp"
 
 #include <gtest/gtest.h>
 
+#include <set>
+#include <string>
+
 namespace {
 
 using namespace oriolegrade;
@@ -93,6 +97,21 @@
     EXPECT_GE(out.min_used_share, floor_share);
 }
 
+// Guards against an allowance of idle upstreams that is counted from those with
+// recent errors and taken by others. Part of a service may have a fault that
+// its dispatcher does not see, such as a partition from a few hosts; the bound
+// then applies to the rest alone.
+TEST_P(dispatcher_placement, idle_upstreams_are_most_of_a_subset)
+{
+    const auto& it = GetParam();
+    simulated_hosts hosts(it.hosts, it.upstreams);
+    hosts.set_subsets(40, 0.5);
+    hosts.set_faults({0.3});
+    hosts.run(it.rate, 4s);
+    const auto out = hosts.run(it.rate, 60s);
+    EXPECT_GE(out.min_subset_share, floor_share);
+}
+
 INSTANTIATE_TEST_SUITE_P(load, dispatcher_placement,
                          ::testing::Values(pattern{1, 14, 141},
                                            pattern{1, 20, 64},
@@ -100,6 +119,54 @@
                                            pattern{1, 133, 521},
                                            pattern{1, 6, 14}));
 
+class known_upstreams : public test::queue_fixture
+{
+protected:
+    /// Sends a request from another data centre than "dc2", which makes the
+    /// upstreams there the last choice.
+    std::string use()
+    {
+        auto what = request();
+        what.upload = true;
+        const auto upstream = ask(what);
+        end(last);
+        now += 10ms;
+        return upstream;
+    }
+};
+
+// Guards against an idle time that starts when a dispatcher learns of an
+// upstream. The upstream was ready a second or more before that, and the rest
+// of the two seconds is too short for a first request.
+TEST_F(known_upstreams, a_new_one_waits_for_its_first_request)
+{
+    set_upstreams(13);
+    for (int n = 0; n < 50; ++n) {
+        use();
+    }
+    set_upstreams(7, "dc2");
+    std::set<std::string> used;
+    for (int n = 0; n < 7; ++n) {
+        used.insert(use());
+    }
+    for (std::size_t n = 13; n < list.size(); ++n) {
+        EXPECT_TRUE(used.contains(list[n].id)) << list[n].id;
+    }
+}
+
+// Guards against a dispatcher that takes over and does not know how long each
+// upstream has been idle already.
+TEST_F(known_upstreams, all_wait_again_after_a_change_of_dispatcher)
+{
+    set_upstreams(10);
+    set_upstreams(10, "dc2");
+    std::set<std::string> used;
+    for (std::size_t n = 0; n < list.size(); ++n) {
+        used.insert(use());
+    }
+    EXPECT_EQ(used.size(), list.size());
+}
+
 // Guards against new upstreams that stay idle: they are cold at first and the
 // last choice while others have free slots, and they add to those that are idle
 // after errors.
--- a/test/fakes/simulated_hosts.hpp
+++ b/test/fakes/simulated_hosts.hpp
@@ -57,6 +57,10 @@
         /// Smallest share, over all windows, of the healthy upstreams that
         /// received a request within the window.
         double min_used_share = 1.0;
+        /// The same for each subset of set_subsets(). An upstream belongs to it
+        /// from healthy_after its last error on, whether it got a request
+        /// since or not.
+        double min_subset_share = 1.0;
 
         double shed_share() const
         {
@@ -98,6 +102,23 @@
         faults_ = faults;
     }
 
+    /// Measures the use of random subsets of the upstreams, as if the others
+    /// had a fault that the dispatcher does not see.
+    /// @param share part of the upstreams that are in a subset
+    void set_subsets(std::size_t n, double share)
+    {
+        std::mt19937 generator(11);
+        std::uniform_real_distribution<double> uniform;
+        subsets_.assign(n, {});
+        for (auto& subset : subsets_) {
+            for (const auto& it : upstreams_) {
+                if (uniform(generator) < share) {
+                    subset.push_back(it.id);
+                }
+            }
+        }
+    }
+
     /// Sets the share of placements whose host fails before it sends the
     /// request.
     void set_lost_share(double share)
@@ -123,6 +144,7 @@
                 last_settle = now_;
                 poll(out);
                 measure_use(out);
+                measure_subsets(out);
             }
             const auto host = any_host(random_);
             ++out.requests;
@@ -267,6 +289,30 @@
         }
     }
 
+    void measure_subsets(outcome& out) const
+    {
+        // In a smaller subset one idle upstream is more than a tenth.
+        constexpr std::size_t min_healthy = 7;
+        for (const auto& subset : subsets_) {
+            std::size_t healthy = 0;
+            std::size_t used = 0;
+            for (const auto& id : subset) {
+                const auto& it = status_.at(id);
+                if (now_ - it.joined < window ||
+                    now_ - it.last_error < healthy_after) {
+                    continue;
+                }
+                ++healthy;
+                used += now_ - it.last_arrival < window ? 1 : 0;
+            }
+            if (healthy >= min_healthy) {
+                out.min_subset_share = std::min(
+                    out.min_subset_share,
+                    static_cast<double>(used) / static_cast<double>(healthy));
+            }
+        }
+    }
+
     static constexpr state::time_point start{std::chrono::seconds(100)};
 
     state::time_point now_ = start;
@@ -274,6 +320,7 @@
     std::uint64_t last_number_ = 0;
     upstream_faults faults_;
     double lost_share_ = 0;
+    std::vector<std::vector<std::string>> subsets_;
     std::vector<state::registered_upstream> upstreams_;
     std::map<std::string, upstream_status> status_;
     std::vector<coordination::dispatch_queue> queues_;
