Count an upstream without a request as idle from the start

Cause: idle time began when the dispatcher learned of an upstream. The upstream was ready 0.8 s to 1.5 s before, and a dispatcher that takes over does not know how long upstreams have been idle. Of the two seconds that the users allow too little was left.

Ruled out: a late view; all 47 entries were read before they were used.

Change: an upstream that got no request from this dispatcher counts as idle for long. The test of data centres uses each upstream once before it looks at costs, and checks the same order after that.

--- a/include/oriolegrade/coordination/upstream_tracker.hpp
+++ b/include/oriolegrade/coordination/upstream_tracker.hpp
@@ -203,18 +203,14 @@
     {
         return last_error_;
     }
-    /// Time of the last request known to this dispatcher, or when this
-    /// dispatcher first knew the upstream.
-    state::time_point unused_since() const
-    {
-        return std::max(last_begin_, known_since_);
-    }
     /// Start of the time during which it has been sound and without a new
     /// request. Only a server error shows that the upstream was not sound; a
-    /// lost or late response may be the fault of the host.
+    /// lost or late response may be the fault of the host. An upstream that got
+    /// no request from this dispatcher counts as idle for long: it may have
+    /// been ready, or without a request, before this dispatcher knew of it.
     state::time_point idle_since() const
     {
-        return std::max(unused_since(), last_error_ + sound_after);
+        return std::max(last_begin_, last_error_ + sound_after);
     }
 
 private:
@@ -239,7 +235,6 @@
     std::uint32_t external_load_ = 0;
     state::time_point external_load_until_{};
     state::time_point warm_at_{};
-    state::time_point known_since_{};
     state::time_point last_begin_{};
     /// Failures since the upstream was last in service; 0 while it is in
     /// service.
--- a/src/coordination/upstream_floor.cpp
+++ b/src/coordination/upstream_floor.cpp
@@ -49,7 +49,7 @@
     std::size_t after_error = 0;
     for (auto* tracker : ready) {
         sound += tracker->is_sound(now) ? 1 : 0;
-        if (now - tracker->unused_since() >= floor_idle_time) {
+        if (now - tracker->last_begin() >= floor_idle_time) {
             due.push_back(tracker);
             after_error += tracker->is_sound(now - floor_idle_time) ? 0 : 1;
         }
--- a/src/coordination/upstream_tracker.cpp
+++ b/src/coordination/upstream_tracker.cpp
@@ -28,7 +28,6 @@
     : spec_(spec)
     , order_(order)
     , warm_at_(now + spec.warmup_left)
-    , known_since_(now)
 {}
 
 void upstream_tracker::update(const state::registered_upstream& spec,
--- a/test/coordination/dispatch_queue_test.cpp
+++ b/test/coordination/dispatch_queue_test.cpp
@@ -59,6 +59,11 @@
 {
     set_upstreams(1, "dc2");
     set_upstreams(1, "dc1");
+    // The first request to each upstream is due whatever its cost.
+    for (std::size_t n = 0; n < list.size(); ++n) {
+        ask(request());
+        end(last);
+    }
     EXPECT_EQ(ask(request()), list[1].id);
     auto upload = request();
     upload.upload = true;
