Let only upstreams with failures of their own stay idle

What callers saw: 12 of 109 requests of photo-vault were not served while 5 of its 7 sound upstreams got nothing for two seconds.

Cause: upstreams_due counted the upstreams with an error in the last 3.4 s and let as many idle, whoever they were, up to a fifth of all while the floor was in force and without a limit otherwise. The users count an upstream as sound 2 s after its error, and not at all while it has a fault that the dispatcher does not see.

Ruled out: false holds (all 33 in a calm service followed server errors), late views, several dispatchers (one placed these services).

Change: idle time is allowed to upstreams with failures only.

--- a/include/oriolegrade/coordination/upstream_floor.hpp
+++ b/include/oriolegrade/coordination/upstream_floor.hpp
@@ -22,7 +22,7 @@
 /// Upstreams that must get a request, the longest idle first.
 /// @param ready upstreams of the service that accept requests
 /// @param in_force more than floor_unserved_share is presumed unserved;
-///        otherwise only the number of idle upstreams is limited
+///        otherwise some upstreams that failed may stay idle
 std::vector<upstream_tracker*>
 upstreams_due(const std::vector<upstream_tracker*>& ready, bool in_force,
               state::time_point now);
