Answer every request that a stopping host has read

Cause: a stopping host gave requests their whole time limit, up to 8 s, and ended with whatever was in progress. The dispatcher believed the limit and let them wait.

Ruled out: false holds as the reason of the long line. The service was short of slots: 12 to 15 of 21 upstreams were held for true server errors.

Change: coordination/drain_schedule. Requests are taken for half of the grace, and their deadline ends with 93% of it, also for dispatcher and upstream. At 75% those that wait for a place are refused unrun, with time left to try another host. At 93% what still runs is answered with 504, and the process ends when the answers are written, at 97% at the latest. Worker threads keep the requests in progress in a list and do this on their own thread.

--- a/include/oriolegrade/transport/gateway/dispatched_choice.hpp
+++ b/include/oriolegrade/transport/gateway/dispatched_choice.hpp
@@ -136,7 +136,7 @@
         return sends_.runs < sends_.route.spec.max_attempts;
     }
 
-    /// Ends the wait for a place.
+    /// Ends the wait for a place because the caller left.
     void cancel()
     {
         cancelled_ = true;
@@ -144,6 +144,14 @@
             waiting_->set(state::place_refusal{});
         }
     }
+    /// Ends the wait for a place because the host stops.
+    void stop_waiting()
+    {
+        if (waiting_) {
+            waiting_->set(
+                state::place_refusal{state::place_refusal_reason::leaving, {}});
+        }
+    }
 
 private:
     using clock = std::chrono::steady_clock;
--- a/include/oriolegrade/transport/gateway/gateway.hpp
+++ b/include/oriolegrade/transport/gateway/gateway.hpp
@@ -26,15 +26,6 @@
 
 namespace oriolegrade::transport {
 
-/// Part of the grace after which no new connections are taken and idle ones
-/// are closed: by then the balancer has missed two checks.
-inline constexpr double listen_part = 0.45;
-/// Part of the grace after which new requests are refused, so that those in
-/// progress can end.
-inline constexpr double accept_part = 0.55;
-/// Part of the grace at which the process ends at the latest.
-inline constexpr double drain_part = 0.93;
-
 /// Answers the balancer's readiness check and serves the metrics.
 inline http_answer ready_answer(const gateway_shared& shared,
                                 const http_request& request)
@@ -62,6 +53,7 @@
     {
         worker_.close_listener();
         worker_.close_idle();
+        worker_.drain();
     }
 
 private:
@@ -122,24 +114,19 @@
     void stop()
     {
         const auto began = std::chrono::steady_clock::now();
-        const auto at = [&](double part) {
-            return began + std::chrono::duration_cast<
-                               std::chrono::steady_clock::duration>(
-                               shared_.options.grace * part);
-        };
-        shared_.stopping = true;
+        shared_.begin_stop(began);
+        const coordination::drain_schedule drain(began, shared_.options.grace);
         event(log_level::info, "gateway_stopping")
             .with("in_flight", shared_.requests_in_flight.load());
         spawn_fiber([this] { members_.leave(); });
-        boost::this_fiber::sleep_until(at(listen_part));
+        boost::this_fiber::sleep_until(drain.listen_end());
         for (const auto& it : workers_) {
             it->close_listener();
         }
-        boost::this_fiber::sleep_until(at(accept_part));
-        shared_.refusing = true;
+        boost::this_fiber::sleep_until(drain.accept_end());
         constexpr std::chrono::milliseconds check_interval{20};
         while (shared_.requests_in_flight > 0 &&
-               std::chrono::steady_clock::now() < at(drain_part)) {
+               std::chrono::steady_clock::now() < drain.process_end()) {
             boost::this_fiber::sleep_for(check_interval);
         }
         event(log_level::info, "gateway_stopped")
--- a/include/oriolegrade/transport/gateway/gateway_shared.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_shared.hpp
@@ -3,6 +3,7 @@
 #ifndef ORIOLEGRADE_TRANSPORT_GATEWAY_GATEWAY_SHARED_HPP
 #define ORIOLEGRADE_TRANSPORT_GATEWAY_GATEWAY_SHARED_HPP
 
+#include <oriolegrade/coordination/drain_schedule.hpp>
 #include <oriolegrade/coordination/window_budget.hpp>
 #include <oriolegrade/state/host_member.hpp>
 #include <oriolegrade/state/rcu_cell.hpp>
@@ -12,6 +13,7 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace oriolegrade::transport {
@@ -49,10 +51,24 @@
     /// The process is stopping: not ready, and connections close after the
     /// answer in progress.
     std::atomic<bool> stopping{false};
-    /// Too little time is left for new requests.
-    std::atomic<bool> refusing{false};
+    /// When the stop began; read only when stopping.
+    std::atomic<state::time_point> stop_began{};
     std::atomic<std::int64_t> requests_in_flight{0};
     gateway_metrics metrics;
+
+    /// Schedule of the stop in progress; empty before.
+    std::optional<coordination::drain_schedule> drain() const
+    {
+        if (!stopping) {
+            return std::nullopt;
+        }
+        return coordination::drain_schedule(stop_began, options.grace);
+    }
+    void begin_stop(state::time_point now)
+    {
+        stop_began = now;
+        stopping = true;
+    }
 };
 
 } // namespace oriolegrade::transport
--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -19,6 +19,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <functional>
 #include <random>
 #include <set>
 
@@ -89,12 +90,59 @@
             it->close();
         }
     }
+    /// Answers the requests in progress by the end of the stop, whatever their
+    /// time limit. To be called once, during the stop.
+    void drain()
+    {
+        spawn_fiber([this] {
+            const auto schedule = shared_.drain();
+            boost::this_fiber::sleep_until(schedule->wait_end());
+            for (auto* it : active_) {
+                it->stop_waiting();
+            }
+            boost::this_fiber::sleep_until(schedule->run_end());
+            for (auto* it : active_) {
+                it->stop_waiting();
+                it->expire();
+            }
+        });
+    }
     state::endpoint address() const
     {
         return listener_.address();
     }
 
 private:
+    /// A request in progress, for drain().
+    struct active_request
+    {
+        /// Ends the wait for a place, if there is one.
+        std::function<void()> stop_waiting;
+        /// Ends the request as if its deadline had come.
+        std::function<void()> expire;
+    };
+    /// Lists a request for as long as it is in progress.
+    class active_guard
+    {
+    public:
+        active_guard(std::set<active_request*>& active, active_request request)
+            : active_(active)
+            , request_(std::move(request))
+        {
+            active_.insert(&request_);
+        }
+        ~active_guard()
+        {
+            active_.erase(&request_);
+        }
+        active_guard(const active_guard&) = delete;
+        active_guard& operator=(const active_guard&) = delete;
+
+    private:
+        std::set<active_request*>& active_;
+        active_request request_;
+    };
+
     using clock = std::chrono::steady_clock;
     using choice_type = dispatched_choice<Placement, Dialect>;
 
@@ -142,7 +190,8 @@
         if (!shared_.configured) {
             return refuse(line, answer, state::reply_reason::not_ready, {});
         }
-        if (shared_.refusing) {
+        const auto stop = shared_.drain();
+        if (stop && !stop->accepts(began)) {
             return refuse(line, answer, state::reply_reason::shutting_down, {});
         }
         const auto rules = shared_.rules.read();
@@ -158,7 +207,7 @@
                             state::choose_split_service(*route, random_()),
                             *route,
                             began,
-                            began + time_limit(head, *route),
+                            deadline_of(head, *route, began),
                             shared_.metrics,
                             {},
                             0,
@@ -168,6 +217,15 @@
         run(stream, head, request, answer, sends, line);
     }
 
+    state::time_point deadline_of(const protocol::request_head& head,
+                                  const state::traffic_route& route,
+                                  state::time_point began) const
+    {
+        const auto deadline = began + time_limit(head, route);
+        const auto stop = shared_.drain();
+        return stop ? stop->limit(deadline) : deadline;
+    }
+
     static state::duration time_limit(const protocol::request_head& head,
                                       const state::traffic_route& route)
     {
@@ -193,6 +251,11 @@
                 hedged_run<caller_answer, choice_type, Dialect> runner(
                     ioc_, pool_, sends.route.spec, sends.deadline, head, answer,
                     choice);
+                const active_guard guard(active_,
+                                         {[&choice] { choice.stop_waiting(); },
+                                          [&runner] {
+                                              runner.expire();
+                                          }});
                 const disconnect_watch watch(stream,
                                              [&runner] { runner.cancel(); });
                 report = runner.run();
@@ -201,6 +264,11 @@
             request_runner<caller_request, caller_answer, choice_type, Dialect>
                 runner(pool_, sends.route.spec, sends.deadline, request, answer,
                        choice, gateway_replay_bytes);
+            const active_guard guard(active_,
+                                     {[&choice] { choice.stop_waiting(); },
+                                      [&runner] {
+                                          runner.expire();
+                                      }});
             runner.read_ahead(report.caller_error);
             if (!report.caller_error) {
                 std::optional<disconnect_watch> watch;
@@ -311,6 +379,8 @@
     std::mt19937_64 random_{std::random_device()()};
     /// Connections that wait for a request.
     std::set<tcp_stream*> idle_;
+    /// Requests that have been read and are not answered.
+    std::set<active_request*> active_;
     listener listener_;
 };
 
--- a/include/oriolegrade/transport/hedged_run.hpp
+++ b/include/oriolegrade/transport/hedged_run.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/error.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -151,6 +152,17 @@
         cancel(second_);
     }
 
+    /// Ends both attempts as if the deadline had come.
+    void expire()
+    {
+        deadline_ = std::min(deadline_, std::chrono::steady_clock::now());
+        for (auto* it : {first_, second_}) {
+            if (it != nullptr) {
+                it->expire();
+            }
+        }
+    }
+
 private:
     using runner = request_runner<no_body, racing_sink<Sink>, Choice, Dialect>;
 
@@ -191,7 +203,7 @@
 
     upstream_pool& pool_;
     const state::route_spec& route_;
-    const state::time_point deadline_;
+    state::time_point deadline_;
     const protocol::request_head& head_;
     boost::asio::steady_timer timer_;
     /// False once the first attempt has ended; outlives the run.
--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -177,6 +177,15 @@
         }
     }
 
+    /// Ends the attempt in progress as if the deadline had come.
+    void expire()
+    {
+        deadline_ = std::min(deadline_, std::chrono::steady_clock::now());
+        if (active_) {
+            active_->cancel();
+        }
+    }
+
 private:
     using connection_ptr = upstream_pool::connection_ptr;
 
--- a/test/platform/gateway_worker_test.cpp
+++ b/test/platform/gateway_worker_test.cpp
@@ -78,8 +78,11 @@
         rules->routes = {
             make_route("/read/", state::request_class::idempotent),
             make_route("/book/", state::request_class::non_idempotent),
+            make_route("/slow/", state::request_class::non_idempotent),
             make_route("/film/", state::request_class::idempotent)};
         rules->routes.back().spec.max_response_bytes = std::uint64_t{1} << 40U;
+        // Longer than the grace.
+        rules->routes[2].spec.deadline = 8s;
         shared.rules.publish(std::make_shared<state::route_index>(rules));
         shared.configured = true;
     }
@@ -418,14 +421,76 @@
 TEST(gateway_worker, stopping_host_closes_after_the_answer)
 {
     auto& b = make_bench();
-    b.shared.stopping = true;
+    const auto now = std::chrono::steady_clock::now();
+    b.shared.begin_stop(now);
     b.place_at(b.first, "u1");
     b.first.add({answer("one")});
     EXPECT_FALSE(b.read().keep_alive());
-    b.shared.refusing = true;
+    b.shared.begin_stop(now - b.shared.options.grace / 2);
     EXPECT_EQ(b.book().result_int(), 503U);
 }
 
+/// Moves the stop so that only `left` remains until the moment.
+void begin_stop(bench& b,
+                state::time_point (coordination::drain_schedule::*moment)()
+                    const,
+                std::chrono::milliseconds left)
+{
+    const coordination::drain_schedule whole({}, b.shared.options.grace);
+    const auto until = (whole.*moment)().time_since_epoch();
+    b.shared.begin_stop(std::chrono::steady_clock::now() + left - until);
+}
+
+std::string slow_book()
+{
+    return "POST /slow/1 HTTP/1.1\r\nHost: x\r\nRequest-Id: q\r\n"
+           "Content-Length: 4\r\n\r\nbody";
+}
+
+// Guards against requests that wait for a slot until the process ends: they are
+// cut off, although they did not run and their callers had time to return.
+TEST(gateway_worker, a_stopping_host_cuts_a_request_that_waits)
+{
+    auto& b = make_bench();
+    fake_caller caller(b.ioc, b.worker.address());
+    caller.send(slow_book());
+    boost::this_fiber::sleep_for(50ms);
+    begin_stop(b, &coordination::drain_schedule::wait_end, 100ms);
+    b.worker.drain();
+    const auto got = caller.receive();
+    EXPECT_EQ(got.result_int(), 503U);
+    EXPECT_TRUE(got.count("Retry-After"));
+}
+
+// Guards against requests that run when the process ends and get no answer.
+TEST(gateway_worker, a_stopping_host_cuts_a_request_that_runs)
+{
+    auto& b = make_bench();
+    b.place_at(b.first, "u1");
+    b.first.add({answer("late"), 2s});
+    fake_caller caller(b.ioc, b.worker.address());
+    caller.send(slow_book());
+    boost::this_fiber::sleep_for(50ms);
+    begin_stop(b, &coordination::drain_schedule::run_end, 100ms);
+    b.worker.drain();
+    EXPECT_EQ(caller.receive().result_int(), 504U);
+    EXPECT_EQ(b.first.runs, 1);
+}
+
+// Guards against a deadline that is later than the end of the process: the
+// dispatcher then lets the request wait, and the upstream works, for nothing.
+TEST(gateway_worker, a_stopping_host_promises_more_time_than_it_has)
+{
+    auto& b = make_bench();
+    b.place_at(b.first, "u1");
+    b.first.add({answer("one")});
+    begin_stop(b, &coordination::drain_schedule::accept_end, 100ms);
+    EXPECT_EQ(b.send(slow_book()).result_int(), 200U);
+    ASSERT_EQ(b.places.requests.size(), 1U);
+    EXPECT_LE(b.places.requests[0].time_left, b.shared.options.grace / 2);
+    EXPECT_LE(std::stoi(std::string(b.first.last["Deadline-Ms"])), 3000);
+}
+
 /// An upstream in trouble: what it sends first, and what never ends.
 struct endless_answer
 {
