--- a/include/oriolegrade/coordination/upstream_tracker.hpp
+++ b/include/oriolegrade/coordination/upstream_tracker.hpp
@@ -193,11 +193,6 @@
     {
         return last_begin_;
     }
-    /// True when its last server error is at least sound_after ago.
-    bool is_sound(state::time_point now) const
-    {
-        return now - last_error_ >= sound_after;
-    }
     /// Time of the latest server error.
     state::time_point last_error() const
     {
--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -121,13 +121,18 @@
         /// Ends the request as if its deadline had come.
         std::function<void()> expire;
     };
-    /// Lists a request for as long as it is in progress.
+    /// Lists a request for as long as its run is in progress.
     class active_guard
     {
     public:
-        active_guard(std::set<active_request*>& active, active_request request)
+        template <class Choice, class Runner>
+        active_guard(std::set<active_request*>& active, Choice& choice,
+                     Runner& runner)
             : active_(active)
-            , request_(std::move(request))
+            , request_{[&choice] { choice.stop_waiting(); },
+                       [&runner] {
+                           runner.expire();
+                       }}
         {
             active_.insert(&request_);
         }
@@ -251,11 +256,7 @@
                 hedged_run<caller_answer, choice_type, Dialect> runner(
                     ioc_, pool_, sends.route.spec, sends.deadline, head, answer,
                     choice);
-                const active_guard guard(active_,
-                                         {[&choice] { choice.stop_waiting(); },
-                                          [&runner] {
-                                              runner.expire();
-                                          }});
+                const active_guard guard(active_, choice, runner);
                 const disconnect_watch watch(stream,
                                              [&runner] { runner.cancel(); });
                 report = runner.run();
@@ -264,11 +265,7 @@
             request_runner<caller_request, caller_answer, choice_type, Dialect>
                 runner(pool_, sends.route.spec, sends.deadline, request, answer,
                        choice, gateway_replay_bytes);
-            const active_guard guard(active_,
-                                     {[&choice] { choice.stop_waiting(); },
-                                      [&runner] {
-                                          runner.expire();
-                                      }});
+            const active_guard guard(active_, choice, runner);
             runner.read_ahead(report.caller_error);
             if (!report.caller_error) {
                 std::optional<disconnect_watch> watch;
