Enforce the floor from 7% presumed unserved

Cause: half of the upstreams of a service fail at times there, and trials of those that fail reach 5% of the requests unserved. That put the floor in force, which sends them a request every 1.8 s, and kept it in force.

Change: 7% instead of 5%.

--- a/include/oriolegrade/coordination/upstream_floor.hpp
+++ b/include/oriolegrade/coordination/upstream_floor.hpp
@@ -15,9 +15,10 @@
 namespace oriolegrade::coordination {
 
 /// Share of a service's requests, presumed unserved, above which the floor is
-/// enforced. The users' capacity rule applies from a tenth; half of it leaves a
-/// margin for errors of the estimate.
-inline constexpr double floor_unserved_share = 0.05;
+/// enforced. The users' capacity rule applies from a tenth; the rest is a
+/// margin for errors of the estimate. Trials of failing upstreams alone reach a
+/// lower share, and the floor would keep itself in force.
+inline constexpr double floor_unserved_share = 0.07;
 
 /// Upstreams that must get a request, the longest idle first.
 /// @param ready upstreams of the service that accept requests
--- a/test/system/fault_soak.py
+++ b/test/system/fault_soak.py
@@ -32,6 +32,7 @@
 REGRESSION_SEEDS = {
     1: "places on a host's own old view were never freed",
     2: "second seed of the soak",
+    1003750939: "a stopped host was reaped 14 s after its last line; open",
 }
 GATEWAYS = 4
 UPSTREAMS = 5
