--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -180,7 +180,7 @@
         try:
             while data := await reader.read(65536):
                 if up:
-                    self.requests.append(data.split(b"\r\n", 1)[0])
+                    self.requests.append((now(), data.split(b"\r\n", 1)[0]))
                 await self.open.wait()
                 writer.write(data)
                 await writer.drain()
