--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,4 @@
-"""A consumer sends a body whose bytes are a request of their own. The head names
-a transfer coding that isn't `chunked`, so the length of the body isn't known."""
+"""HEAD requests on kept connections when the operator drops their route."""
 
 import asyncio
 import pathlib
@@ -9,52 +8,83 @@
 sys.path.insert(0, str(HERE.parent / "common"))
 import fleet as f  # noqa: E402
 
-COUNT = 5
+CONSUMERS = 9
+CHANGE_AFTER = 2.0  # seconds
+
+
+class HeadServer(f.Server):
+    """Answers HEAD with the head of its answer to GET, and no body."""
+
+    async def take(self, reader, writer, line, fields, body):
+        if not line.startswith("HEAD "):
+            return await super().take(reader, writer, line, fields, body)
+        rid = fields.get("request-id", "")
+        self.fleet.arrived(self, rid, line, fields)
+        self.fleet.ran(self, rid, line, body)
+        await asyncio.sleep(self.work)
+        text = b"x" * 160
+        whole = f.message(200, text, [("Request-Id", rid), ("Server-Load", self.load()),
+                                      ("Server-Stamp", f"{self.name}.{rid}")])
+        writer.write(whole[:-len(text)])
+        return True
+
+
+async def consumer(fleet, gateway, number, until, broken):
+    connection = None
+    n = 0
+    while f.now() < until:
+        n += 1
+        head, action = f"head-{number}-{n}", f"action-{number}-{n}"
+        try:
+            if connection is None:
+                connection = await f.Connection(fleet, gateway).open()
+            connection.send(head, "HEAD", "/board/x", limit=1.5)
+            got = await asyncio.wait_for(connection.answer(head, "HEAD"), 2)
+            if got.fields.get("connection", "").lower() == "close":
+                connection.close()
+                connection = None
+                continue
+            connection.send(action, "POST", "/consent/x", b"withdraw")
+            await asyncio.wait_for(connection.answer(action, "POST"), 5.5)
+        except f.BadBytes as error:
+            ran = len(fleet.runs.get(action, []))
+            broken.append(f"MIXED: in place of the answer to {action}, which ran {ran} times, "
+                          f"on a kept connection behind {head}: {str(error)[:60]!r}")
+            connection.close()
+            connection = None
+        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as error:
+            fleet.record(f"no answer {head} or {action}: {error!r}")
+            connection = None
+        await asyncio.sleep(0.1)
+
+
+def document(version, board):
+    routes = {"consent": f.route("/consent/", "unsafe", "memberconsent", "5000ms", "1200ms")}
+    if board:
+        routes["board"] = f.route("/board/", "safe", "restboard", "1500ms", "400ms")
+    return {"version": version, "routes": routes,
+            "services": {"restboard": f.service(), "memberconsent": f.service()},
+            "limits": f.LIMITS}
 
 
 async def case(fleet):
     await fleet.store.start()
-    await fleet.put_config({
-        "version": "r5",
-        "routes": {"uploads": f.route("/uploads/", "upload", "bandsync", "5000ms", "1200ms"),
-                   "consent": f.route("/consent/", "unsafe", "memberconsent", "5000ms",
-                                      "1200ms")},
-        "services": {"bandsync": f.service(), "memberconsent": f.service()},
-        "limits": f.LIMITS})
-    for name in ("bandsync", "memberconsent"):
-        for n in range(2):
-            it = f.Server(fleet, name, f"i-{name}-{n}", "regina", work=0.05)
+    await fleet.put_config(document("r5", True))
+    for name, work in (("restboard", 0.05), ("memberconsent", 0.1)):
+        for n in range(4):
+            it = HeadServer(fleet, name, f"i-{name}-{n}", "regina", work=work)
             fleet.servers.append(it)
             await it.start()
     await fleet.start_gateways(3)
     await asyncio.sleep(2)
-    sent = set()
-    for n in range(COUNT):
-        rid = f"upload-{n}"
-        sent.add(rid)
-        # The bytes of a file that the consumer uploads. They are no request of
-        # the consumer's: it sends one request with one body.
-        body = (f"POST /consent/withdraw HTTP/1.1\r\nHost: hulo84.example\r\n"
-                f"Request-Id: inside-{n}\r\nDeadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n").encode()
-        connection = await f.Connection(fleet, fleet.gateways[n % 3]).open()
-        if f.TROUBLE:
-            connection.send(rid, "POST", "/uploads/x", body, length=False,
-                            fields="Transfer-Encoding: gzip\r\n")
-        else:
-            connection.send(rid, "POST", "/uploads/x", body)
-        fleet.record(f"the body of {rid} has {len(body)} bytes")
-        try:
-            got = await asyncio.wait_for(connection.answer(rid, "POST"), 2)
-            fleet.record(f"{rid}: {got.status}")
-        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as error:
-            fleet.record(f"{rid}: {error!r}")
-        await asyncio.sleep(0.5)
-        connection.close()
     broken = []
-    for rid, runs in fleet.runs.items():
-        if rid not in sent:
-            broken.append(f"UNASKED: {runs[0][1].name} ran {rid}, which no consumer sent: it was "
-                          f"inside the body of another request")
+    until = f.now() + CHANGE_AFTER + 4
+    tasks = [asyncio.ensure_future(consumer(fleet, fleet.gateways[n % 3], n, until, broken))
+             for n in range(CONSUMERS)]
+    await asyncio.sleep(CHANGE_AFTER)
+    if f.TROUBLE:
+        await fleet.put_config(document("r7", False))
+    await asyncio.gather(*tasks)
     return broken
 
 
