Read and forward header fields of any length

What callers saw: with max_header_bytes above 65,535 one request with a longer field ended the process of the host that got it.

Cause: Beast's container of fields throws length_error on a name or value above 65,535 bytes, where its parser reports all other faults by an error code. The exception leaves the fiber. The container was filled again for the upstream, and by trailers.

Ruled out: memory (the process ends with SIGABRT at 10 MB), the bound of the whole head (a head of that length made of short fields is served).

Change: the parser takes the events of Beast's basic_parser into the project's own list of fields; request_encoder writes the head for an upstream from that list, with Beast's chunk framing behind it. Why it works: no field passes through the container any more, so the operator's limit is the only bound, and it is checked before a head is parsed.

--- a/include/oriolegrade/protocol/request_parser.hpp
+++ b/include/oriolegrade/protocol/request_parser.hpp
@@ -40,8 +40,8 @@
     /// @return the number of bytes taken, 0 while the head has not ended
     std::size_t put_head(std::string_view bytes, boost::system::error_code& ec);
     bool head_done() const;
-    /// Only after head_done().
-    request_head head() const;
+    /// Once, after head_done().
+    request_head take_head();
 
     /// A longer body is an error (body_limit). Only before its first byte.
     void set_body_limit(std::uint64_t bytes);
@@ -60,7 +60,7 @@
     bool is_head_method() const;
 
 private:
-    struct parser_state;
+    class parser_state;
     std::unique_ptr<parser_state> state_;
 };
 
--- a/include/oriolegrade/transport/upstream_connection.hpp
+++ b/include/oriolegrade/transport/upstream_connection.hpp
@@ -85,6 +85,10 @@
 private:
     struct exchange;
 
+    /// Sends what is unsent of the head, and bytes of the body behind it.
+    template <class Buffers>
+    void write(const Buffers& body, error_code& ec);
+
     state::endpoint address_;
     tcp_stream stream_;
     std::unique_ptr<exchange> exchange_;
--- a/src/protocol/request_parser.cpp
+++ b/src/protocol/request_parser.cpp
@@ -4,8 +4,9 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/string.hpp>
-#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include <algorithm>
@@ -43,8 +44,12 @@
 
 } // namespace
 
-struct request_parser::parser_state
+/// Collects a request from the events of Beast's parser. Beast's own container
+/// of fields holds no value above 65,535 bytes and throws on a longer one,
+/// while the bound of a head is the operator's.
+class request_parser::parser_state final : public http::basic_parser<true>
 {
+public:
     /// Looks at the bytes of a head that has not ended. Beast judges fields
     /// earlier when they arrive at once than when they arrive apart, so it gets
     /// the first line when that has ended, and then the whole head.
@@ -52,13 +57,13 @@
     std::size_t find_end(std::string_view bytes, boost::system::error_code& ec)
     {
         const auto known = bytes.substr(0, max_head_bytes);
-        const auto overlap = std::min(scanned, head_end.size() - 1);
-        const auto end = known.find(head_end, scanned - overlap);
+        const auto overlap = std::min(scanned_, head_end.size() - 1);
+        const auto end = known.find(head_end, scanned_ - overlap);
         const bool ended = end != std::string_view::npos;
         const auto head =
             known.substr(0, ended ? end + head_end.size() : known.size());
         check_lines(head, ec);
-        scanned = head.size();
+        scanned_ = head.size();
         if (ended || ec) {
             return ec ? 0 : head.size();
         }
@@ -68,26 +73,101 @@
         return 0;
     }
 
+    std::size_t max_head_bytes = 0;
+    /// Method, target, host and fields. The framing follows from the parser.
+    request_head head;
+    bool head_method = false;
+    bool continue_expected = false;
+    /// Major and minor version as two digits; 1.1 while the first line is not
+    /// known, for an answer to bytes that are no request.
+    unsigned version = 11;
+    /// Where the content of the body goes.
+    std::span<char> room;
+
+private:
+    using string_view = boost::beast::string_view;
+    using error_code = boost::system::error_code;
+
     /// Checks the ends of the lines that have arrived, and the first line.
-    void check_lines(std::string_view head, boost::system::error_code& ec)
+    void check_lines(std::string_view head, error_code& ec)
     {
-        for (auto at = head.find('\n', scanned);
+        for (auto at = head.find('\n', scanned_);
              at != std::string_view::npos && !ec;
              at = head.find('\n', at + 1)) {
             if (at == 0 || head[at - 1] != '\r') {
                 ec = http::error::bad_line_ending;
-            } else if (!first_line_checked) {
-                first_line_checked = true;
+            } else if (!first_line_checked_) {
+                first_line_checked_ = true;
                 ec = check_first_line(head.substr(0, at + 1));
             }
         }
     }
 
-    http::request_parser<http::buffer_body> parser;
-    std::size_t max_head_bytes = 0;
+    void on_request_impl(http::verb verb, string_view method,
+                         string_view target, int version_in,
+                         error_code& /*ec*/) override
+    {
+        head.method = to_view(method);
+        head.target = to_view(target);
+        head_method = verb == http::verb::head;
+        version = static_cast<unsigned>(version_in);
+    }
+
+    void on_response_impl(int /*code*/, string_view /*reason*/, int /*version*/,
+                          error_code& /*ec*/) override
+    {}
+
+    void on_field_impl(http::field field, string_view name, string_view value,
+                       error_code& /*ec*/) override
+    {
+        // Trailers are not forwarded.
+        if (is_header_done()) {
+            return;
+        }
+        if (field == http::field::host && head.host.empty()) {
+            head.host = to_view(value);
+        }
+        if (field == http::field::expect) {
+            continue_expected = boost::beast::iequals(value, "100-continue");
+        }
+        if (!is_framing(field) && !is_hop_by_hop(to_view(name))) {
+            head.fields.add(to_view(name), to_view(value));
+        }
+    }
+
+    void on_header_impl(error_code& /*ec*/) override {}
+
+    void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
+                           error_code& /*ec*/) override
+    {}
+
+    std::size_t on_body_impl(string_view body, error_code& ec) override
+    {
+        const auto n = std::min(body.size(), room.size());
+        std::copy_n(body.data(), n, room.data());
+        room = room.subspan(n);
+        if (n < body.size()) {
+            ec = http::error::need_buffer;
+        }
+        return n;
+    }
+
+    void on_chunk_header_impl(std::uint64_t /*size*/,
+                              string_view /*extensions*/,
+                              error_code& /*ec*/) override
+    {}
+
+    std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, string_view body,
+                                   error_code& ec) override
+    {
+        return on_body_impl(body, ec);
+    }
+
+    void on_finish_impl(error_code& /*ec*/) override {}
+
     /// Bytes of the head that were looked at.
-    std::size_t scanned = 0;
-    bool first_line_checked = false;
+    std::size_t scanned_ = 0;
+    bool first_line_checked_ = false;
 };
 
 request_parser::request_parser(std::uint32_t max_head_bytes)
@@ -95,8 +175,8 @@
 {
     state_->max_head_bytes = max_head_bytes;
     // find_end() has checked the length.
-    state_->parser.header_limit(max_head_bytes + 1);
-    state_->parser.body_limit(boost::none);
+    state_->header_limit(max_head_bytes + 1);
+    state_->body_limit(boost::none);
 }
 
 request_parser::~request_parser() = default;
@@ -107,7 +187,7 @@
     const auto length = state_->find_end(bytes, ec);
     std::size_t taken = 0;
     while (!ec && taken < length) {
-        taken += state_->parser.put(
+        taken += state_->put(
             boost::asio::buffer(bytes.data() + taken, length - taken), ec);
     }
     return taken;
@@ -115,24 +195,14 @@
 
 bool request_parser::head_done() const
 {
-    return state_->parser.is_header_done();
+    return state_->is_header_done();
 }
 
-request_head request_parser::head() const
+request_head request_parser::take_head()
 {
-    const auto& message = state_->parser.get();
-    request_head out;
-    out.method = to_view(message.method_string());
-    out.target = to_view(message.target());
-    for (const auto& it : message) {
-        const auto name = to_view(it.name_string());
-        if (!is_framing(it.name()) && !is_hop_by_hop(name)) {
-            out.fields.add(name, to_view(it.value()));
-        }
-    }
-    out.host = to_view(message[http::field::host]);
-    out.framing.chunked = state_->parser.chunked();
-    if (const auto n = state_->parser.content_length()) {
+    auto out = std::move(state_->head);
+    out.framing.chunked = state_->chunked();
+    if (const auto n = state_->content_length()) {
         out.framing.length = *n;
     }
     return out;
@@ -140,48 +210,45 @@
 
 void request_parser::set_body_limit(std::uint64_t bytes)
 {
-    state_->parser.body_limit(bytes);
+    state_->body_limit(bytes);
 }
 
 request_parser::body_part
 request_parser::put_body(std::string_view bytes, std::span<char> buf,
                          boost::system::error_code& ec)
 {
-    auto& body = state_->parser.get().body();
-    body.data = buf.data();
-    body.size = buf.size();
+    state_->room = buf;
     const auto taken =
-        state_->parser.put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
+        state_->put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
     if (ec == http::error::need_buffer || ec == http::error::need_more) {
         ec = {};
     }
-    return {taken, buf.size() - body.size};
+    return {taken, buf.size() - state_->room.size()};
 }
 
 bool request_parser::done() const
 {
-    return state_->parser.is_done();
+    return state_->is_done();
 }
 
 bool request_parser::keep_alive() const
 {
-    return head_done() && state_->parser.keep_alive();
+    return head_done() && state_->keep_alive();
 }
 
 unsigned request_parser::version() const
 {
-    return state_->parser.get().version();
+    return state_->version;
 }
 
 bool request_parser::continue_expected() const
 {
-    return boost::beast::iequals(state_->parser.get()[http::field::expect],
-                                 "100-continue");
+    return state_->continue_expected;
 }
 
 bool request_parser::is_head_method() const
 {
-    return state_->parser.get().method() == http::verb::head;
+    return state_->head_method;
 }
 
 } // namespace oriolegrade::protocol
--- a/src/transport/caller_stream.cpp
+++ b/src/transport/caller_stream.cpp
@@ -57,7 +57,7 @@
     }
     arrival_ = input.arrival();
     continue_expected_ = parser_.continue_expected();
-    return parser_.head();
+    return parser_.take_head();
 }
 
 void caller_request::set_body_limit(std::uint64_t bytes)
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -2,16 +2,19 @@
 
 #include <oriolegrade/transport/upstream_connection.hpp>
 
+#include <oriolegrade/protocol/request_encoder.hpp>
 #include <oriolegrade/transport/fiber_yield.hpp>
 
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_cat.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/serializer.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include <optional>
+#include <string>
 
 namespace oriolegrade::transport {
 
@@ -58,11 +61,10 @@
 /// State of one request and its answer.
 struct upstream_connection::exchange
 {
-    using request_type = http::request<http::buffer_body>;
-
-    explicit exchange(request_type request_in)
-        : request(std::move(request_in))
-        , serializer(request)
+    explicit exchange(const protocol::request_head& head)
+        : unsent_head(protocol::encode_head(head))
+        , chunked(head.framing.chunked)
+        , head_method(head.method == "HEAD")
     {
         start_parser();
     }
@@ -72,11 +74,13 @@
         parser.emplace();
         parser->header_limit(max_answer_head_bytes);
         parser->body_limit(boost::none);
-        parser->skip(request.method() == http::verb::head);
+        parser->skip(head_method);
     }
 
-    request_type request;
-    http::request_serializer<http::buffer_body> serializer;
+    /// Head of the request until it is sent with the first bytes of the body.
+    std::string unsent_head;
+    const bool chunked;
+    const bool head_method;
     std::optional<http::response_parser<http::buffer_body>> parser;
     /// Grows to the size of the largest head; holds unread answer bytes.
     beast::flat_buffer buffer{max_answer_head_bytes + read_buffer_bytes};
@@ -105,48 +109,39 @@
 void upstream_connection::begin(const protocol::request_head& head,
                                 state::time_point deadline)
 {
-    exchange::request_type request;
-    request.version(11);
-    request.method_string(head.method);
-    request.target(head.target);
-    for (const auto& it : head.fields) {
-        request.insert(it.name, it.value);
-    }
-    if (head.framing.chunked) {
-        request.chunked(true);
-    } else if (head.framing.length) {
-        request.content_length(*head.framing.length);
-    }
-    request.body().data = nullptr;
-    request.body().size = 0;
-    request.body().more = true;
-    exchange_ = std::make_unique<exchange>(std::move(request));
+    exchange_ = std::make_unique<exchange>(head);
     stream_.expires_at(deadline);
 }
 
+template <class Buffers>
+void upstream_connection::write(const Buffers& body, error_code& ec)
+{
+    auto& x = *exchange_;
+    const auto bytes =
+        beast::buffers_cat(boost::asio::buffer(x.unsent_head), body);
+    const auto n = boost::asio::async_write(stream_, bytes, fiber_yield(ec));
+    x.sent = x.sent || n > 0;
+    x.unsent_head.clear();
+}
+
 void upstream_connection::write_body(std::string_view bytes, error_code& ec)
 {
-    auto& body = exchange_->request.body();
-    body.data = const_cast<char*>(bytes.data());
-    body.size = bytes.size();
-    body.more = true;
-    const auto n =
-        http::async_write(stream_, exchange_->serializer, fiber_yield(ec));
-    exchange_->sent = exchange_->sent || n > 0;
-    if (ec == http::error::need_buffer) {
-        ec = {};
+    const auto body = boost::asio::buffer(bytes.data(), bytes.size());
+    // An empty chunk would end the body.
+    if (exchange_->chunked && !bytes.empty()) {
+        write(http::make_chunk(body), ec);
+    } else {
+        write(body, ec);
     }
 }
 
 void upstream_connection::finish_body(error_code& ec)
 {
-    auto& body = exchange_->request.body();
-    body.data = nullptr;
-    body.size = 0;
-    body.more = false;
-    const auto n =
-        http::async_write(stream_, exchange_->serializer, fiber_yield(ec));
-    exchange_->sent = exchange_->sent || n > 0;
+    if (exchange_->chunked) {
+        write(http::make_chunk_last(), ec);
+    } else if (!exchange_->unsent_head.empty()) {
+        write(boost::asio::const_buffer(), ec);
+    }
     exchange_->request_done = !ec;
 }
 
--- a/test/fakes/request_reader.hpp
+++ b/test/fakes/request_reader.hpp
@@ -53,7 +53,7 @@
         }
         std::string request;
         if (!ec) {
-            const auto head = parser.head();
+            const auto head = parser.take_head();
             request = head.method + " " + head.target + " " + head.host;
             for (const auto& it : head.fields) {
                 request += "|" + it.name + "=" + it.value;
--- a/test/platform/gateway_worker_test.cpp
+++ b/test/platform/gateway_worker_test.cpp
@@ -2,6 +2,7 @@
 // answer belongs to a request, and what a refusal says.
 
 #include "fakes/gateway_bench.hpp"
+#include "fakes/raw_upstream.hpp"
 
 #include <gtest/gtest.h>
 
@@ -30,6 +31,33 @@
     EXPECT_EQ(b.places.reports[1].at(0), state::send_result::answered);
 }
 
+// A field above 65,535 bytes, within the operator's limit of a head, ended the
+// process and with it all requests in progress.
+TEST(gateway_worker, a_field_above_64_kb_ends_the_process)
+{
+    auto& b = make_bench();
+    auto rules = b.shared.rules.read()->rules();
+    rules.limits.header_bytes = 131'072;
+    b.shared.rules.publish(std::make_shared<state::route_index>(
+        std::make_shared<const state::traffic_rules>(rules)));
+    test::raw_upstream upstream(b.ioc, answer("long"));
+    const auto field = "Cookie: " + std::string(70'000, 'c') + "\r\n";
+    for (const auto* begin :
+         {"GET /read/1 HTTP/1.1\r\n",
+          "POST /book/1 HTTP/1.1\r\nContent-Length: 0\r\n"}) {
+        b.places.answers.push_back(
+            state::place{"u1", upstream.address(), 10, {}});
+        const auto got =
+            b.send(begin + field + "Host: x\r\nRequest-Id: q\r\n\r\n");
+        EXPECT_EQ(got.result_int(), 200U);
+        ASSERT_FALSE(upstream.heads.empty());
+        EXPECT_NE(upstream.heads.back().find(field), std::string::npos);
+    }
+    const auto got = b.send("GET /read/1 HTTP/1.1\r\nHost: x\r\nCookie: " +
+                            std::string(140'000, 'c') + "\r\n\r\n");
+    EXPECT_EQ(got.result_int(), 431U);
+}
+
 // A read hides a server error by a send elsewhere.
 TEST(gateway_worker, server_error_of_a_read_is_tried_elsewhere)
 {
--- a/test/protocol/request_parser_test.cpp
+++ b/test/protocol/request_parser_test.cpp
@@ -100,6 +100,30 @@
     }
 }
 
+// The library's container of fields throws on a value above 65,535 bytes, which
+// ended the process on a head within the operator's limit.
+TEST(request_parser, a_field_above_64_kb_throws)
+{
+    const std::string value(70'000, 'c');
+    const auto head = "GET /a HTTP/1.1\r\nHost: x\r\nCookie: " + value +
+                      "\r\n" + std::string(70'000, 'n') + ": v\r\n\r\n";
+    const auto out =
+        oriolegrade::test::read_in_parts(head, 8192, 262'144).requests;
+    ASSERT_EQ(out.size(), 1U);
+    EXPECT_NE(out[0].find("|Cookie=" + value + "|"), std::string::npos);
+}
+
+// Trailers are fields too, and no part of the request that is forwarded.
+TEST(request_parser, a_trailer_above_64_kb_throws)
+{
+    const auto text = "PUT /c HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: "
+                      "chunked\r\n\r\n1\r\nx\r\n0\r\nTrailer: " +
+                      std::string(70'000, 't') + "\r\n\r\n";
+    const auto out = parse(text + get, 8192);
+    ASSERT_EQ(out.requests.size(), 2U);
+    EXPECT_EQ(out.requests[0], "PUT /c x|x");
+}
+
 TEST(request_parser, an_endless_head_is_read_on)
 {
     const auto out =
