Write no body behind answers that end with their head

What callers saw: a gateway's own answer to HEAD (404, 502, 503, 504) had its JSON body behind the head.

Cause: caller_answer looked at the method when it wrote the head and the end of an answer, and not in write(). Only own answers have bytes to write for HEAD. On related paths the framing fields were wrong: 204 went out with a length, 304 and HEAD without one got "Content-Length: 0", and http_server wrote bodies behind answers to HEAD.

Ruled out: answers in the wrong order and second copies (one request at a time shows it, and no upstream takes part).

Change: caller_answer::start() decides once, from method and status (RFC 9112, section 6.3), and framing, write() and finish() follow. request_runner adds a length only to an answer that has bytes; http_server writes the head alone. Why it works: no sender of an answer can put bytes behind such a head.

--- a/include/oriolegrade/transport/caller_stream.hpp
+++ b/include/oriolegrade/transport/caller_stream.hpp
@@ -107,6 +107,7 @@
     /// Waits for the turn of the answer.
     /// @param ec operation_aborted when the connection ended before
     void start(const protocol::answer_head& head, error_code& ec);
+    /// Writes bytes of the body; drops them when the answer must not have one.
     void write(std::string_view bytes, error_code& ec);
     void finish(error_code& ec);
 
@@ -176,6 +177,8 @@
     /// All answers before this one have been written.
     bool has_turn_ = false;
     bool finished_ = false;
+    /// The answer has a body by its method and status.
+    bool has_body_ = true;
     protocol::http_fields added_;
     /// Body bytes that the head promises and that are not written yet; empty
     /// for a chunked answer.
--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -395,7 +395,8 @@
             // The upstream's connection is free before the caller reads.
             active_ = nullptr;
             pool_.release(std::move(connection));
-            if (!head.framing.length) {
+            // An answer to HEAD tells a length only when its upstream does.
+            if (!head.framing.length && !held.empty()) {
                 head.framing = {false, held.size()};
             }
             if (is_fault(head)) {
--- a/src/transport/caller_stream.cpp
+++ b/src/transport/caller_stream.cpp
@@ -17,6 +17,8 @@
 constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
 /// Bytes beyond the longest head that are read ahead at least.
 constexpr std::size_t head_margin_bytes = 4 * 1024;
+constexpr std::uint16_t no_content = 204;
+constexpr std::uint16_t not_modified = 304;
 
 } // namespace
 
@@ -153,9 +155,18 @@
             message_.insert(it.name, it.value);
         }
     }
-    if (head.framing.length) {
+    // RFC 9112, section 6.3: the caller reads on behind these heads, whatever
+    // they say of a body.
+    has_body_ = !request_.is_head() && head.status != no_content &&
+                head.status != not_modified;
+    if (!has_body_) {
+        remaining_ = 0;
+        if (head.framing.length && head.status != no_content) {
+            message_.content_length(*head.framing.length);
+        }
+    } else if (head.framing.length) {
         message_.content_length(*head.framing.length);
-        remaining_ = request_.is_head() ? 0 : *head.framing.length;
+        remaining_ = *head.framing.length;
     } else if (version == http_1_0) {
         keep_alive_ = false;
     } else {
@@ -182,6 +193,9 @@
 
 void caller_answer::write(std::string_view bytes, error_code& ec)
 {
+    if (!has_body_) {
+        return;
+    }
     if (remaining_) {
         *remaining_ -= std::min<std::uint64_t>(*remaining_, bytes.size());
     }
@@ -201,7 +215,7 @@
         body.data = nullptr;
         body.size = 0;
         body.more = false;
-        if (request_.is_head()) {
+        if (!has_body_) {
             auto& stream = connection_.stream();
             stream.expires_after(limits_.progress);
             http::async_write_header(stream, *serializer_, fiber_yield(ec));
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -39,7 +39,12 @@
         answer.keep_alive(request.keep_alive());
         answer.prepare_payload();
         stream.expires_after(write_limit);
-        http::async_write(stream, answer, fiber_yield(ec));
+        if (request.method() == http::verb::head) {
+            http::response_serializer<http::string_body> head(answer);
+            http::async_write_header(stream, head, fiber_yield(ec));
+        } else {
+            http::async_write(stream, answer, fiber_yield(ec));
+        }
         if (ec || !answer.keep_alive()) {
             return;
         }
--- a/test/fakes/request_path.hpp
+++ b/test/fakes/request_path.hpp
@@ -62,6 +62,18 @@
         return parser.release();
     }
 
+    /// Receives an answer to HEAD, which has no body.
+    answer_type receive_head()
+    {
+        http::response_parser<http::string_body> parser;
+        parser.skip(true);
+        transport::error_code ec;
+        stream_.expires_after(5s);
+        http::async_read(stream_, buffer_, parser, transport::fiber_yield(ec));
+        EXPECT_FALSE(ec) << ec.message();
+        return parser.release();
+    }
+
     answer_type receive()
     {
         transport::error_code ec;
--- a/test/platform/gateway_worker_test.cpp
+++ b/test/platform/gateway_worker_test.cpp
@@ -31,6 +31,81 @@
     EXPECT_EQ(b.places.reports[1].at(0), state::send_result::answered);
 }
 
+struct bodiless_answer
+{
+    const char* name;
+    const char* method;
+    const char* target;
+    /// Answer of the upstream; empty when the gateway answers itself.
+    const char* upstream;
+    unsigned status;
+    /// Content-Length due in the head; empty for none, null for any.
+    const char* length;
+};
+
+/// Methods and statuses whose answers end with their head (RFC 9112, 6.3).
+const bodiless_answer bodiless_answers[] = {
+    {"head_without_route", "HEAD", "/none/1", "", 404, nullptr},
+    {"head_without_place", "HEAD", "/read/1", "", 503, nullptr},
+    {"head_of_a_booking", "HEAD", "/book/1", "", 503, nullptr},
+    {"head_with_length", "HEAD", "/read/1",
+     "HTTP/1.1 200 OK\r\nServer-Stamp: x\r\nRequest-Id: q\r\n"
+     "Content-Length: 7\r\n\r\n",
+     200, "7"},
+    {"head_without_length", "HEAD", "/read/1",
+     "HTTP/1.1 200 OK\r\nServer-Stamp: x\r\nRequest-Id: q\r\n\r\n", 200, ""},
+    {"no_content", "GET", "/read/1",
+     "HTTP/1.1 204 None\r\nServer-Stamp: x\r\nRequest-Id: q\r\n\r\n", 204, ""},
+    {"no_content_with_length", "GET", "/read/1",
+     "HTTP/1.1 204 None\r\nServer-Stamp: x\r\nRequest-Id: q\r\n"
+     "Content-Length: 7\r\n\r\n",
+     204, ""},
+    {"not_modified", "GET", "/read/1",
+     "HTTP/1.1 304 Same\r\nServer-Stamp: x\r\nRequest-Id: q\r\n\r\n", 304, ""},
+    {"not_modified_with_length", "GET", "/read/1",
+     "HTTP/1.1 304 Same\r\nServer-Stamp: x\r\nRequest-Id: q\r\n"
+     "Content-Length: 7\r\n\r\n",
+     304, "7"},
+};
+
+class answer_without_body : public ::testing::TestWithParam<bodiless_answer>
+{};
+
+// The gateway's own answers to HEAD, and a 204 or 304 without a length, had a
+// body, which stood where the caller reads its next answer.
+TEST_P(answer_without_body, is_followed_by_bytes_of_its_own)
+{
+    const auto& it = GetParam();
+    auto& b = make_bench();
+    if (*it.upstream != '\0') {
+        b.place_at(b.first, "u1");
+        b.first.add({it.upstream});
+    } else {
+        b.places.answers.push_back(state::place_refusal{
+            state::place_refusal_reason::no_upstream, 10ms});
+    }
+    fake_caller caller(b.ioc, b.worker.address());
+    caller.send(std::string(it.method) + " " + it.target +
+                " HTTP/1.1\r\nHost: x\r\nRequest-Id: q\r\n\r\n");
+    const auto got = caller.receive_head();
+    EXPECT_EQ(got.result_int(), it.status);
+    EXPECT_EQ(got.count("Transfer-Encoding"), 0U);
+    if (it.length != nullptr) {
+        EXPECT_EQ(got["Content-Length"], it.length);
+    }
+    b.places.answers.clear();
+    b.place_at(b.second, "u2");
+    b.second.add({answer("next", "n")});
+    caller.send("GET /read/2 HTTP/1.1\r\nHost: x\r\nRequest-Id: n\r\n\r\n");
+    EXPECT_EQ(caller.receive().body(), "next");
+}
+
+INSTANTIATE_TEST_SUITE_P(gateway_worker, answer_without_body,
+                         ::testing::ValuesIn(bodiless_answers),
+                         [](const auto& it) {
+                             return std::string(it.param.name);
+                         });
+
 // A field above 65,535 bytes, within the operator's limit of a head, ended the
 // process and with it all requests in progress.
 TEST(gateway_worker, a_field_above_64_kb_ends_the_process)
