--- a/include/oriolegrade/protocol/dispatch_messages.hpp
+++ b/include/oriolegrade/protocol/dispatch_messages.hpp
@@ -10,6 +10,7 @@
 #include <oriolegrade/state/result.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -52,8 +53,9 @@
 struct rules_notice
 {
     std::uint64_t version = 0;
-    /// The sender has just read that there is no newer one.
-    bool confirmed = false;
+    /// Time since the sender read that there is no newer one, in whole
+    /// milliseconds on the wire; empty when it did not.
+    std::optional<state::duration> confirmed_age = {};
 };
 
 using entry_frame = std::variant<entry_hello, numbered<state::place_request>,
--- a/include/oriolegrade/transport/gateway/dispatch_server.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_server.hpp
@@ -32,8 +32,9 @@
     /// Reads the store for another host.
     std::function<state::source_reply(const state::source_request&)>
         read_source;
-    /// Tells whether the version in force was just read to be the newest.
-    std::function<bool()> is_fresh;
+    /// Time since the version in force was read to be the newest; empty when
+    /// that is too long ago to confirm it.
+    std::function<std::optional<state::duration>()> confirmed_age;
     /// Tells the version in force to the entries with an open stream.
     void tell_rules_version(std::uint64_t version);
 
--- a/include/oriolegrade/transport/gateway/gateway.hpp
+++ b/include/oriolegrade/transport/gateway/gateway.hpp
@@ -103,7 +103,6 @@
         spawn_fiber([this] { rules_.run(); });
         spawn_fiber([this] { rules_.run_peers(); });
         spawn_fiber([this] { rules_.run_notices(); });
-        spawn_fiber([this] { confirm_rules(); });
         spawn_fiber([this] { members_.run(); });
         spawn_fiber([this] { registry_.run(); });
         spawn_fiber([this] { service_.run(); });
@@ -164,15 +163,18 @@
             router_.tell_rules_version(rules->rules().version);
             registry_.consider();
         };
+        rules_.on_confirmed = [this] {
+            server_.tell_rules_version(shared_.rules.read()->rules().version);
+        };
         rules_.is_reader = [this] {
             return dispatches();
         };
-        server_.is_fresh = [this] {
-            return rules_.is_fresh();
+        server_.confirmed_age = [this] {
+            return rules_.confirmed_age();
         };
         const auto hear = [this](const std::string& host,
                                  const protocol::rules_notice& it) {
-            rules_.heard(host, it.version, it.confirmed);
+            rules_.heard(host, it.version, it.confirmed_age);
         };
         server_.on_rules = hear;
         router_.on_rules = hear;
@@ -238,18 +240,6 @@
                            });
     }
 
-    /// Confirms the version in force to the hosts that have a stream here.
-    void confirm_rules()
-    {
-        for (;;) {
-            boost::this_fiber::sleep_for(rules_confirm_interval);
-            if (rules_.is_fresh()) {
-                server_.tell_rules_version(
-                    shared_.rules.read()->rules().version);
-            }
-        }
-    }
-
     /// Address of the named host, or of a random one.
     state::endpoint peer_named(const std::string& name)
     {
--- a/include/oriolegrade/transport/gateway/relayed_source.hpp
+++ b/include/oriolegrade/transport/gateway/relayed_source.hpp
@@ -10,6 +10,7 @@
 
 #include <oriolegrade/transport/event_log.hpp>
 #include <oriolegrade/transport/fiber_scheduler.hpp>
+#include <oriolegrade/transport/fiber_signal.hpp>
 #include <oriolegrade/transport/gateway/traffic_source.hpp>
 
 #include <boost/fiber/operations.hpp>
@@ -17,6 +18,7 @@
 #include <algorithm>
 #include <chrono>
 #include <concepts>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -30,6 +32,10 @@
 /// within 2 s.
 inline constexpr std::chrono::milliseconds relay_rules_interval{500};
 
+/// Time for the answer to a wait that is over, before another host is asked. A
+/// slow store takes some 300 ms.
+inline constexpr std::chrono::milliseconds relay_overdue_limit{350};
+
 /// Asks another host to read; empty when none can.
 template <class Relay>
 concept source_relay = requires(Relay& r, const state::source_request& request)
@@ -78,10 +84,8 @@
     state::source_result<state::rules_read> wait_for_rules(std::uint64_t from,
                                                            state::duration wait)
     {
-        // A store that drops its history leaves a wait unanswered, so a wait
-        // that fails does not show that the store turns this host away.
         if (!relaying_) {
-            return own_.wait_for_rules(from, wait);
+            return wait_at_own(from, wait);
         }
         boost::this_fiber::sleep_for(
             std::min<state::duration>(wait, relay_rules_interval));
@@ -137,6 +141,41 @@
 private:
     using clock = std::chrono::steady_clock;
 
+    /// A wait that goes on while another host may be asked.
+    struct pending_wait
+    {
+        /// Empty until the wait has ended.
+        std::optional<state::source_result<state::rules_read>> result;
+        fiber_signal ended;
+    };
+
+    /// Waits at the store, and asks another host when the answer is overdue:
+    /// this host may be cut off, and others rely on what it reads. A store that
+    /// drops its history also leaves a wait unanswered, so a wait that fails
+    /// does not show that the store turns this host away.
+    state::source_result<state::rules_read> wait_at_own(std::uint64_t from,
+                                                        state::duration wait)
+    {
+        const auto pending = std::make_shared<pending_wait>();
+        spawn_fiber([this, pending, from, wait] {
+            pending->result = own_.wait_for_rules(from, wait);
+            pending->ended.notify();
+        });
+        const auto has_ended = [&] {
+            return pending->result.has_value();
+        };
+        if (!pending->ended.wait_until(
+                clock::now() + wait + relay_overdue_limit, has_ended)) {
+            auto result = read_at_peer<state::rules_read>(
+                {state::source_call::newest_rules, 0});
+            if (result) {
+                return std::move(*result);
+            }
+            pending->ended.wait(has_ended);
+        }
+        return std::move(*pending->result);
+    }
+
     template <class Read>
     state::source_result<Read> read(const state::source_request& request)
     {
@@ -148,10 +187,22 @@
             }
             failure = own.error();
         }
+        auto result = read_at_peer<Read>(request);
+        if (!result) {
+            return failure;
+        }
+        return std::move(*result);
+    }
+
+    /// Reads through another host; empty when none answers.
+    template <class Read>
+    std::optional<state::source_result<Read>>
+    read_at_peer(const state::source_request& request)
+    {
         const auto reply = relay_.relay(request);
         if (!reply) {
             set_relaying(false);
-            return failure;
+            return std::nullopt;
         }
         auto result = to_result<Read>(*reply);
         const bool reached =
--- a/include/oriolegrade/transport/gateway/rules_follower.hpp
+++ b/include/oriolegrade/transport/gateway/rules_follower.hpp
@@ -1,10 +1,14 @@
 // Follows the operator's document and puts each version in force. Versions
 // only go up, whoever they come from.
 //
-// Hosts that dispatch read the store for all: they confirm twice a second that
+// Hosts that dispatch read the store for all: after each read they confirm that
 // the version in force is the newest, and a host reads the store itself when
-// no confirmation arrives. A call of every host for every change would cost
-// the fleet several percent of its worth.
+// the read behind its last confirmation is too old. A call of every host for
+// every change would cost the fleet several percent of its worth.
+//
+// Load pattern: the one host that reads is cut off from the store while the
+// operator changes the document. A change must be in force within 2 s, so what
+// bounds a confirmation is the age of the read behind it, not its arrival.
 
 #ifndef ORIOLEGRADE_TRANSPORT_GATEWAY_RULES_FOLLOWER_HPP
 #define ORIOLEGRADE_TRANSPORT_GATEWAY_RULES_FOLLOWER_HPP
@@ -39,14 +43,15 @@
 /// The same for other hosts: they hear from the readers when the store is
 /// back.
 inline constexpr std::chrono::milliseconds rules_last_idle_retry{4000};
-/// Interval of confirmations.
-inline constexpr std::chrono::milliseconds rules_confirm_interval{500};
-/// Time since the last confirmation after which a host reads for itself.
-inline constexpr std::chrono::milliseconds rules_confirm_limit{1200};
+/// Interval at which a host looks whether it has become a reader.
+inline constexpr std::chrono::milliseconds rules_role_interval{500};
+/// Age of the read behind a confirmation after which a host reads for itself.
+/// A reader's calls end every second, and 0.5 s remain for a read of its own.
+inline constexpr std::chrono::milliseconds rules_confirm_limit{1500};
 /// The same for the first confirmation of a host that has started and read the
 /// document: it learns of the other hosts in this time.
 inline constexpr std::chrono::milliseconds rules_first_confirm_limit{1900};
-/// Age of a read up to which it confirms the version in force.
+/// Age of a read up to which the store counts as answering.
 inline constexpr std::chrono::milliseconds rules_fresh_limit{1600};
 /// Interval of questions to other hosts while the store cannot be read.
 inline constexpr std::chrono::milliseconds rules_peer_interval{700};
@@ -65,6 +70,8 @@
 
     /// Called after a version came into force.
     std::function<void()> on_rules;
+    /// Called after a read that brought no newer version.
+    std::function<void()> on_confirmed;
     /// Asks another host for a document newer than the version. The name may
     /// be empty: any host will do.
     std::function<std::optional<std::string>(const std::string& host,
@@ -74,8 +81,11 @@
     std::function<bool()> is_reader;
 
     /// Another host has rules of this version.
-    /// @param confirmed it has just read that there is no newer one
-    void heard(const std::string& host, std::uint64_t version, bool confirmed)
+    /// @param confirmed_age time since it read that there is no newer one;
+    /// empty
+    ///        when it did not
+    void heard(const std::string& host, std::uint64_t version,
+               std::optional<state::duration> confirmed_age)
     {
         const auto current = version_in_force();
         if (version > std::max(told_, current)) {
@@ -83,17 +93,26 @@
             teller_ = host;
             noticed_.notify();
         }
-        if (confirmed && version >= current) {
-            confirmed_at_ = clock::now();
+        if (confirmed_age && version >= current) {
+            confirmed_at_ =
+                std::max(confirmed_at_, clock::now() - *confirmed_age);
         }
     }
 
-    /// True when this host has just read that there is no newer version.
+    /// True when the store has just answered this host.
     bool is_fresh() const
     {
         return clock::now() - read_at_ < rules_fresh_limit;
     }
 
+    /// Time since this host read that there is no newer version; empty when
+    /// that is too long ago to confirm the version to others.
+    std::optional<state::duration> confirmed_age() const
+    {
+        const state::duration age = clock::now() - read_at_;
+        return age < rules_confirm_limit ? std::optional(age) : std::nullopt;
+    }
+
     /// Reads the store for ever, in person or by confirmations.
     void run()
     {
@@ -159,11 +178,13 @@
         return clock::now() - confirmed_at_ < rules_confirm_limit;
     }
 
+    /// Waits until the confirmation lapses, or this host may have become a
+    /// reader.
     void wait_for_lapse()
     {
-        // Becoming a reader is noticed with the next confirmation.
-        constexpr std::chrono::milliseconds margin{10};
-        boost::this_fiber::sleep_for(rules_confirm_interval + margin);
+        boost::this_fiber::sleep_until(
+            std::min(confirmed_at_ + rules_confirm_limit,
+                     clock::now() + rules_role_interval));
     }
 
     std::chrono::milliseconds wait() const
@@ -176,8 +197,9 @@
     {
         const bool had_offset = next_offset_.has_value();
         const auto began = clock::now();
+        const auto asked = wait();
         const auto result = had_offset
-                                ? source_.wait_for_rules(*next_offset_, wait())
+                                ? source_.wait_for_rules(*next_offset_, asked)
                                 : source_.newest_rules();
         if (!result) {
             next_offset_.reset();
@@ -194,13 +216,15 @@
             confirmed_at_ =
                 began + (rules_first_confirm_limit - rules_confirm_limit);
         }
-        read_at_ = had_offset ? clock::now() : began;
+        // The store saw the end of its log no earlier than this.
+        read_at_ = had_offset ? std::min(clock::now(), began + asked) : began;
         next_offset_ = result.value().next_offset;
-        if (result.value().document) {
-            take(*result.value().document, "store");
-            if (had_offset) {
-                boost::this_fiber::sleep_for(rules_pause);
-            }
+        const auto& document = result.value().document;
+        if (!document || !take(*document, "store")) {
+            on_confirmed();
+        }
+        if (document && had_offset) {
+            boost::this_fiber::sleep_for(rules_pause);
         }
         return true;
     }
@@ -233,18 +257,19 @@
     }
 
     /// Validates a document and puts it in force when it is newer.
-    void take(const std::string& document, std::string_view from)
+    /// @return whether it came into force
+    bool take(const std::string& document, std::string_view from)
     {
         auto rules = source_.decode_rules(document);
         if (!rules) {
             event(log_level::error, "rules_unreadable")
                 .with("from", from)
                 .with("findings", rules.error().to_text("rules"));
-            return;
+            return false;
         }
         const auto current = version_in_force();
         if (rules.value().version <= current) {
-            return;
+            return false;
         }
         const auto version = rules.value().version;
         const auto routes = rules.value().routes.size();
@@ -258,6 +283,7 @@
             .with("routes", routes)
             .with("from", from);
         on_rules();
+        return true;
     }
 
     void note_failure(state::source_failure failure)
--- a/src/protocol/dispatch_messages.cpp
+++ b/src/protocol/dispatch_messages.cpp
@@ -84,8 +84,21 @@
 template <class Frame>
 void write(const rules_notice& it, Frame& out)
 {
-    out.mutable_rules()->set_version(it.version);
-    out.mutable_rules()->set_confirmed(it.confirmed);
+    auto& rules = *out.mutable_rules();
+    rules.set_version(it.version);
+    if (it.confirmed_age) {
+        rules.set_confirmed(true);
+        rules.set_confirmed_age_ms(wire_time<milliseconds>(*it.confirmed_age));
+    }
+}
+
+rules_notice read(const wire::rules_notice& it)
+{
+    rules_notice out{it.version(), {}};
+    if (it.confirmed()) {
+        out.confirmed_age = milliseconds(it.confirmed_age_ms());
+    }
+    return out;
 }
 
 entry_hello read(const wire::entry_hello& it, const message_check& check)
@@ -243,8 +256,7 @@
         return checked<entry_frame>(
             read(message.report(), check.below("report")), out);
     case wire::entry_frame::kRules:
-        return entry_frame(rules_notice{message.rules().version(),
-                                        message.rules().confirmed()});
+        return entry_frame(read(message.rules()));
     case wire::entry_frame::WHAT_NOT_SET:
         break;
     }
@@ -279,8 +291,7 @@
         return dispatcher_frame(
             numbered<in_line>{message.in_line().number(), {}});
     case wire::dispatcher_frame::kRules:
-        return dispatcher_frame(rules_notice{message.rules().version(),
-                                             message.rules().confirmed()});
+        return dispatcher_frame(read(message.rules()));
     case wire::dispatcher_frame::WHAT_NOT_SET:
         break;
     }
--- a/src/transport/gateway/dispatch_router.cpp
+++ b/src/transport/gateway/dispatch_router.cpp
@@ -167,8 +167,8 @@
             continue;
         }
         // A dispatcher answers a new stream at once.
-        it.link->send(protocol::rules_notice{
-            shared_.rules.read()->rules().version, false});
+        it.link->send(
+            protocol::rules_notice{shared_.rules.read()->rules().version, {}});
     }
 }
 
@@ -267,7 +267,7 @@
 {
     for (const auto& [name, peer] : peers_) {
         if (peer.link->is_open()) {
-            peer.link->send(protocol::rules_notice{version, false});
+            peer.link->send(protocol::rules_notice{version, {}});
         }
     }
 }
@@ -303,8 +303,7 @@
             }
             auto& link = *peer_at(first.front()).link;
             if (!link.is_open()) {
-                link.send(
-                    protocol::rules_notice{rules->rules().version, false});
+                link.send(protocol::rules_notice{rules->rules().version, {}});
             }
             if (++links == most_kept_links) {
                 break;
--- a/src/transport/gateway/dispatch_server.cpp
+++ b/src/transport/gateway/dispatch_server.cpp
@@ -168,7 +168,7 @@
     const auto own = std::make_shared<session>(*this, service_);
     sessions_.insert(own);
     own->send(protocol::rules_notice{shared_.rules.read()->rules().version,
-                                     is_fresh()});
+                                     confirmed_age()});
     fiber_group writer;
     writer.spawn([own, &stream] { own->write(stream); });
     for (;;) {
@@ -201,7 +201,7 @@
 void dispatch_server::tell_rules_version(std::uint64_t version)
 {
     for (const auto& it : sessions_) {
-        it->send(protocol::rules_notice{version, is_fresh()});
+        it->send(protocol::rules_notice{version, confirmed_age()});
     }
 }
 
--- a/test/fakes/fake_source.hpp
+++ b/test/fakes/fake_source.hpp
@@ -6,6 +6,8 @@
 
 #include <oriolegrade/transport/gateway/traffic_source.hpp>
 
+#include <boost/fiber/operations.hpp>
+
 #include <optional>
 #include <string>
 
@@ -21,6 +23,10 @@
     state::source_result<state::rules_read> wait_for_rules(std::uint64_t,
                                                            state::duration)
     {
+        if (silence > state::duration{}) {
+            boost::this_fiber::sleep_for(silence);
+            return state::source_failure::unreachable;
+        }
         return answer(rules);
     }
     state::result<state::traffic_rules, state::findings>
@@ -65,6 +71,8 @@
         return state::outcome::success();
     }
 
+    /// If set, waits fail after this time.
+    state::duration silence{};
     /// If set, all calls fail with it.
     std::optional<state::source_failure> failure;
     state::rules_read rules;
--- a/test/platform/dispatch_test.cpp
+++ b/test/platform/dispatch_test.cpp
@@ -94,10 +94,11 @@
         router.on_rules = [this](const std::string&,
                                  const protocol::rules_notice& it) {
             heard = it.version;
+            heard_age = it.confirmed_age;
         };
         server.on_rules = router.on_rules;
-        server.is_fresh = [] {
-            return true;
+        server.confirmed_age = [] {
+            return std::optional<state::duration>(20ms);
         };
         server.hosts = [] {
             return std::vector<state::host_member>();
@@ -148,6 +149,7 @@
     transport::dispatch_server server;
     std::uint64_t last = 0;
     std::uint64_t heard = 0;
+    std::optional<state::duration> heard_age;
 };
 
 std::string upstream_of(const std::optional<state::place_answer>& answer)
@@ -449,9 +451,11 @@
     f.first().server.tell_rules_version(7);
     boost::this_fiber::sleep_for(50ms);
     EXPECT_EQ(f.entry().heard, 7U);
+    EXPECT_EQ(f.entry().heard_age, 20ms);
     f.entry().router.tell_rules_version(8);
     boost::this_fiber::sleep_for(50ms);
     EXPECT_EQ(f.first().heard, 8U);
+    EXPECT_FALSE(f.first().heard_age);
 }
 
 // The entry's process ends: its places are free again.
--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -275,6 +275,9 @@
         follower.on_rules = [this] {
             ++applied;
         };
+        follower.on_confirmed = [this] {
+            ++confirmed;
+        };
         follower.is_reader = [this] {
             return reader;
         };
@@ -307,6 +310,7 @@
     std::optional<std::string> peer_document;
     bool reader = true;
     int applied = 0;
+    int confirmed = 0;
 };
 
 TEST(rules_follower, versions_only_go_up)
@@ -336,7 +340,7 @@
     b.store.drop_history(op);
     b.store.put(op, "other", "x");
     b.store.drop_history(op);
-    b.follower.heard("other", 2, false);
+    b.follower.heard("other", 2, {});
     EXPECT_TRUE(b.reaches(2, 1s));
 }
 
@@ -360,12 +364,12 @@
     ASSERT_TRUE(b.reaches(1, 2s));
     b.reader = false;
     for (int n = 0; n < 6; ++n) {
-        b.follower.heard("other", 1, true);
+        b.follower.heard("other", 1, 0ms);
         boost::this_fiber::sleep_for(200ms);
     }
     const auto before = b.store.calls;
     for (int n = 0; n < 5; ++n) {
-        b.follower.heard("other", 1, true);
+        b.follower.heard("other", 1, 0ms);
         boost::this_fiber::sleep_for(200ms);
     }
     EXPECT_EQ(b.store.calls, before);
@@ -373,6 +377,47 @@
     EXPECT_TRUE(b.reaches(2, 1900ms));
 }
 
+// A reader that was cut off from the store went on to confirm from its last
+// read, and a change was in force 2.8 s later instead of within 2 s.
+TEST(rules_follower, an_old_read_confirms_the_version_for_too_long)
+{
+    auto& b = make_bench<rules_bench>();
+    b.store.put(op, "config", rules(1));
+    ASSERT_TRUE(b.reaches(1, 2s));
+    b.reader = false;
+    // Outlasts the wait that is under way.
+    for (int n = 0; n < 13; ++n) {
+        b.follower.heard("other", 1, 0ms);
+        boost::this_fiber::sleep_for(200ms);
+    }
+    const auto read_at = std::chrono::steady_clock::now();
+    b.follower.heard("other", 1, 0ms);
+    b.store.put(op, "config", rules(2));
+    // The reader learns nothing new, and confirms while its read is young.
+    while (b.version() < 2) {
+        const auto age = std::chrono::steady_clock::now() - read_at;
+        ASSERT_LT(age, 2s);
+        if (age < 1600ms) {
+            b.follower.heard("other", 1, age);
+        }
+        boost::this_fiber::sleep_for(100ms);
+    }
+}
+
+// Others rely on what a reader confirms: each of its reads counts.
+TEST(rules_follower, a_read_without_news_is_not_confirmed)
+{
+    auto& b = make_bench<rules_bench>();
+    b.store.put(op, "config", rules(1));
+    ASSERT_TRUE(b.reaches(1, 2s));
+    EXPECT_EQ(b.confirmed, 0);
+    boost::this_fiber::sleep_for(2300ms);
+    EXPECT_GE(b.confirmed, 2);
+    const auto age = b.follower.confirmed_age();
+    ASSERT_TRUE(age);
+    EXPECT_LT(*age, 1100ms);
+}
+
 // A reader with older rules than this host confirms nothing.
 TEST(rules_follower, old_confirmation_counts_for_nothing)
 {
@@ -382,7 +427,7 @@
     b.reader = false;
     b.store.put(op, "config", rules(4));
     for (int n = 0; n < 10; ++n) {
-        b.follower.heard("other", 2, true);
+        b.follower.heard("other", 2, 0ms);
         boost::this_fiber::sleep_for(100ms);
     }
     EXPECT_TRUE(b.reaches(4, 1s));
--- a/test/transport/relayed_source_test.cpp
+++ b/test/transport/relayed_source_test.cpp
@@ -109,6 +109,30 @@
     EXPECT_EQ(other.calls, 0);
 }
 
+// A reader that was cut off in silence waited 2.1 s for its own call to fail,
+// while all hosts relied on it and changes must be in force within 2 s.
+TEST_F(relayed_reads, an_overdue_wait_holds_up_the_news)
+{
+    own.silence = 1900ms;
+    other.source.rules.next_offset = 9;
+    const auto began = std::chrono::steady_clock::now();
+    const auto read = source.wait_for_rules(1, 1s);
+    EXPECT_LT(std::chrono::steady_clock::now() - began, 1450ms);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read.value().next_offset, 9U);
+    boost::this_fiber::sleep_for(600ms);
+}
+
+// Without another host that answers, the own call decides.
+TEST_F(relayed_reads, an_overdue_wait_that_nobody_helps_ends_early)
+{
+    own.silence = 600ms;
+    other.reachable = false;
+    const auto began = std::chrono::steady_clock::now();
+    EXPECT_FALSE(source.wait_for_rules(1, 100ms));
+    EXPECT_GE(std::chrono::steady_clock::now() - began, 600ms);
+}
+
 TEST_F(relayed_reads, rules_read_through_another_host_are_read_with_pauses)
 {
     own.failure = state::source_failure::turned_away;
