Survive an empty chunked body that arrives in pieces

What callers would have seen: a request or an answer with a chunked body without content, of which three and then four bytes had arrived, ended the process and cut all requests in progress on it. Nobody has reported it.

Cause: Beast's parser asserts five bytes when it is called again after the line of the last chunk; a body that begins with its last chunk has fewer.

Change: the parser gets no byte of a chunked body before five are there, the shortest such body, for requests, for answers of upstreams and of the store, and in http_server. Why it works: the parser sees the last chunk as the first one only with all five bytes.

Before: request_parser.an_empty_chunked_body_in_pieces_ends_the_process ends the test program by the assertion `n >= 5`. The tests of answers and of http_server were not run on the code before. After: all pass.

--- a/src/protocol/request_parser.cpp
+++ b/src/protocol/request_parser.cpp
@@ -2,6 +2,8 @@
 
 #include <oriolegrade/protocol/request_parser.hpp>
 
+#include <oriolegrade/protocol/chunk_limits.hpp>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/basic_parser.hpp>
@@ -81,6 +83,8 @@
     /// Major and minor version as two digits; 1.1 while the first line is not
     /// known, for an answer to bytes that are no request.
     unsigned version = 11;
+    /// The header of a chunk was taken.
+    bool chunk_begun = false;
     /// Where the content of the body goes.
     std::span<char> room;
 
@@ -155,7 +159,9 @@
     void on_chunk_header_impl(std::uint64_t /*size*/,
                               string_view /*extensions*/,
                               error_code& /*ec*/) override
-    {}
+    {
+        chunk_begun = true;
+    }
 
     std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, string_view body,
                                    error_code& ec) override
@@ -217,6 +223,10 @@
 request_parser::put_body(std::string_view bytes, std::span<char> buf,
                          boost::system::error_code& ec)
 {
+    if (state_->chunked() && !state_->chunk_begun &&
+        bytes.size() < shortest_chunked_body) {
+        return {};
+    }
     state_->room = buf;
     const auto taken =
         state_->put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -3,6 +3,7 @@
 #include <oriolegrade/transport/http_server.hpp>
 
 #include <oriolegrade/transport/fiber_yield.hpp>
+#include <oriolegrade/transport/first_chunk.hpp>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -29,7 +30,11 @@
         parser.body_limit(max_control_body_bytes);
         error_code ec;
         stream.expires_after(idle_limit);
-        http::async_read(stream, buf, parser, fiber_yield(ec));
+        http::async_read_header(stream, buf, parser, fiber_yield(ec));
+        read_first_chunk(stream, buf, parser, ec);
+        if (!ec && !parser.is_done()) {
+            http::async_read(stream, buf, parser, fiber_yield(ec));
+        }
         if (ec) {
             return;
         }
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <oriolegrade/protocol/request_encoder.hpp>
 #include <oriolegrade/transport/fiber_yield.hpp>
+#include <oriolegrade/transport/first_chunk.hpp>
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_cat.hpp>
@@ -75,6 +76,7 @@
         parser->header_limit(max_answer_head_bytes);
         parser->body_limit(boost::none);
         parser->skip(head_method);
+        body_begun = false;
     }
 
     /// Head of the request until it is sent with the first bytes of the body.
@@ -84,6 +86,8 @@
     std::optional<http::response_parser<http::buffer_body>> parser;
     /// Grows to the size of the largest head; holds unread answer bytes.
     beast::flat_buffer buffer{max_answer_head_bytes + read_buffer_bytes};
+    /// Bytes of the answer's body were asked for.
+    bool body_begun = false;
     bool request_done = false;
     bool answer_done = false;
     bool sent = false;
@@ -188,8 +192,12 @@
 std::size_t upstream_connection::read_body(std::span<char> buf, error_code& ec)
 {
     auto& x = *exchange_;
+    if (!x.body_begun) {
+        read_first_chunk(stream_, x.buffer, *x.parser, ec);
+        x.body_begun = true;
+    }
     auto& body = x.parser->get().body();
-    while (!x.parser->is_done()) {
+    while (!ec && !x.parser->is_done()) {
         body.data = buf.data();
         body.size = buf.size();
         http::async_read_some(stream_, x.buffer, *x.parser, fiber_yield(ec));
@@ -202,7 +210,7 @@
             return n;
         }
     }
-    x.answer_done = true;
+    x.answer_done = !ec;
     return 0;
 }
 
--- a/test/fakes/raw_upstream.hpp
+++ b/test/fakes/raw_upstream.hpp
@@ -1,5 +1,5 @@
 // Fake upstream that keeps the bytes of each request head, however long its
-// fields are, and answers all requests with the same bytes.
+// fields are, and answers all requests with the same bytes, in pieces.
 
 #ifndef ORIOLEGRADE_TEST_FAKES_RAW_UPSTREAM_HPP
 #define ORIOLEGRADE_TEST_FAKES_RAW_UPSTREAM_HPP
@@ -10,7 +10,9 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/fiber/operations.hpp>
 
+#include <chrono>
 #include <string>
 #include <utility>
 #include <vector>
@@ -20,8 +22,9 @@
 class raw_upstream
 {
 public:
-    raw_upstream(boost::asio::io_context& ioc, std::string answer)
-        : answer_(std::move(answer))
+    /// @param pieces bytes of an answer, sent with a short pause between them
+    raw_upstream(boost::asio::io_context& ioc, std::vector<std::string> pieces)
+        : pieces_(std::move(pieces))
         , listener_(ioc, {0x7f000001, 0}, 100,
                     [this](transport::tcp_stream stream) {
                         serve(std::move(stream));
@@ -50,12 +53,15 @@
             }
             heads.push_back(bytes.substr(0, n));
             bytes.erase(0, n);
-            boost::asio::async_write(stream, boost::asio::buffer(answer_),
-                                     transport::fiber_yield(ec));
+            for (const auto& it : pieces_) {
+                boost::asio::async_write(stream, boost::asio::buffer(it),
+                                         transport::fiber_yield(ec));
+                boost::this_fiber::sleep_for(std::chrono::milliseconds(5));
+            }
         }
     }
 
-    std::string answer_;
+    std::vector<std::string> pieces_;
     transport::listener listener_;
 };
 
--- a/test/platform/gateway_worker_test.cpp
+++ b/test/platform/gateway_worker_test.cpp
@@ -106,6 +106,21 @@
                              return std::string(it.param.name);
                          });
 
+// A chunked answer without content that came in pieces ended the process by an
+// assertion of the library.
+TEST(gateway_worker, an_empty_chunked_answer_in_pieces_ends_the_process)
+{
+    auto& b = make_bench();
+    test::raw_upstream upstream(
+        b.ioc, {"HTTP/1.1 200 OK\r\nServer-Stamp: x\r\nRequest-Id: q\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n",
+                "0", "\r", "\n", "\r", "\n"});
+    b.places.answers.push_back(state::place{"u1", upstream.address(), 10, {}});
+    const auto got = b.book();
+    EXPECT_EQ(got.result_int(), 200U);
+    EXPECT_EQ(got.body(), "");
+}
+
 // A field above 65,535 bytes, within the operator's limit of a head, ended the
 // process and with it all requests in progress.
 TEST(gateway_worker, a_field_above_64_kb_ends_the_process)
@@ -115,7 +130,7 @@
     rules.limits.header_bytes = 131'072;
     b.shared.rules.publish(std::make_shared<state::route_index>(
         std::make_shared<const state::traffic_rules>(rules)));
-    test::raw_upstream upstream(b.ioc, answer("long"));
+    test::raw_upstream upstream(b.ioc, {answer("long")});
     const auto field = "Cookie: " + std::string(70'000, 'c') + "\r\n";
     for (const auto* begin :
          {"GET /read/1 HTTP/1.1\r\n",
--- a/test/protocol/request_parser_test.cpp
+++ b/test/protocol/request_parser_test.cpp
@@ -124,6 +124,19 @@
     EXPECT_EQ(out.requests[0], "PUT /c x|x");
 }
 
+// The library's parser ended the process by an assertion when the last chunk, as
+// the first one, came in pieces.
+TEST(request_parser, an_empty_chunked_body_in_pieces_ends_the_process)
+{
+    const std::string text = "PUT /c HTTP/1.1\r\nHost: x\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    for (std::size_t step = 1; step < 8; ++step) {
+        const auto out = parse(text + get, step);
+        ASSERT_EQ(out.requests.size(), 2U) << step;
+        EXPECT_EQ(out.requests[0], "PUT /c x|") << step;
+    }
+}
+
 TEST(request_parser, an_endless_head_is_read_on)
 {
     const auto out =
--- a/test/transport/http_server_test.cpp
+++ b/test/transport/http_server_test.cpp
@@ -1,9 +1,11 @@
-// Guards the framing of the small HTTP server that answers checks, metrics and
-// administration.
+// Guards the framing of the small HTTP server and client, which carry checks,
+// metrics, administration and calls to the store.
 
 #include "fakes/fiber_thread.hpp"
+#include "fakes/raw_upstream.hpp"
 #include "fakes/request_path.hpp"
 
+#include <oriolegrade/transport/http_client.hpp>
 #include <oriolegrade/transport/http_server.hpp>
 
 #include <gtest/gtest.h>
@@ -26,4 +28,43 @@
     EXPECT_EQ(caller.get("/ready").body(), "ready");
 }
 
+/// Sends a request without content in pieces, as the fake upstreams answer.
+void send_in_pieces(test::fake_caller& caller)
+{
+    for (const auto* it :
+         {"PUT /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "0", "\r", "\n", "\r", "\n"}) {
+        caller.send(it);
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(5));
+    }
+}
+
+// An assertion of the library ended the process.
+TEST(http_server, an_empty_chunked_body_in_pieces_ends_the_process)
+{
+    static transport::http_server server(
+        test::fiber_context(), {0x7f000001, 0},
+        [](const transport::http_request& request) {
+            return transport::text_answer(200, "got " + request.body());
+        });
+    test::fake_caller caller(test::fiber_context(), server.address());
+    send_in_pieces(caller);
+    EXPECT_EQ(caller.receive().body(), "got ");
+}
+
+// The same in an answer, of the store for example.
+TEST(http_client, an_empty_chunked_answer_in_pieces_ends_the_process)
+{
+    static test::raw_upstream server(
+        test::fiber_context(),
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0", "\r",
+         "\n", "\r", "\n"});
+    transport::http_client client(test::fiber_context(), server.address(), {});
+    const auto got = client.call(
+        transport::make_request(boost::beast::http::verb::get, "/x", {}),
+        std::chrono::seconds(1));
+    ASSERT_TRUE(got);
+    EXPECT_EQ(got.value().body(), "");
+}
+
 } // namespace
