Refuse messages whose end is doubtful

Cause: the parser took framing that is odd for framing that is absent: Beast notes a coding only when chunked is the last one. So also: codings before chunked, chunks in HTTP/1.0, two Host fields or none, and of an answer with a coding and a length the length was believed.

Why it works: there is one reading of each message that is passed on, and it is written anew from that reading.

request_parser.a_head_at_its_bound_is_read_however_it_is_split used a head without Host, which is now refused; it has one, and the same length.

--- a/src/protocol/request_parser.cpp
+++ b/src/protocol/request_parser.cpp
@@ -122,13 +122,23 @@
     {}
 
     void on_field_impl(http::field field, string_view name, string_view value,
-                       error_code& /*ec*/) override
+                       error_code& ec) override
     {
         // Trailers are not forwarded.
         if (is_header_done()) {
             return;
         }
-        if (field == http::field::host && head.host.empty()) {
+        if (field == http::field::transfer_encoding &&
+            !is_known_coding(value)) {
+            ec = http::error::bad_transfer_encoding;
+            return;
+        }
+        if (field == http::field::host) {
+            if (has_host_) {
+                ec = http::error::bad_field;
+                return;
+            }
+            has_host_ = true;
             head.host = to_view(value);
         }
         if (field == http::field::expect) {
@@ -139,7 +149,23 @@
         }
     }
 
-    void on_header_impl(error_code& /*ec*/) override {}
+    /// A coding other than `chunked` leaves the end of the body unknown, or the
+    /// body coded, and HTTP/1.0 has no codings (RFC 9112, section 6.1). A body
+    /// whose end is unknown would be run as the next request.
+    bool is_known_coding(string_view value) const
+    {
+        constexpr unsigned http_1_0 = 10;
+        return version != http_1_0 && boost::beast::iequals(value, "chunked");
+    }
+
+    void on_header_impl(error_code& ec) override
+    {
+        constexpr unsigned http_1_1 = 11;
+        // RFC 9112, section 3.2.
+        if (version == http_1_1 && !has_host_) {
+            ec = http::error::bad_field;
+        }
+    }
 
     void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
                            error_code& /*ec*/) override
@@ -174,6 +200,7 @@
     /// Bytes of the head that were looked at.
     std::size_t scanned_ = 0;
     bool first_line_checked_ = false;
+    bool has_host_ = false;
 };
 
 request_parser::request_parser(std::uint32_t max_head_bytes)
--- a/test/platform/gateway_worker_test.cpp
+++ b/test/platform/gateway_worker_test.cpp
@@ -106,6 +106,27 @@
                              return std::string(it.param.name);
                          });
 
+// An answer with a coding that cannot be read has no known end, or a coded
+// body: the bytes behind its length would be read as the next answer.
+TEST(gateway_worker, an_answer_with_an_unknown_coding_is_passed_on)
+{
+    for (const auto* fields :
+         {"Transfer-Encoding: gzip\r\nContent-Length: 4\r\n",
+          "Content-Length: 4\r\nTransfer-Encoding: gzip\r\n",
+          "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+          "Transfer-Encoding: chunked, gzip\r\n",
+          "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+          "Content-Length: 4\r\nContent-Length: 5\r\n",
+          "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"}) {
+        auto& b = make_bench();
+        b.place_at(b.first, "u1");
+        b.first.add({"HTTP/1.1 200 OK\r\nServer-Stamp: x\r\nRequest-Id: q\r\n" +
+                         std::string(fields) + "\r\n4\r\nbody\r\n0\r\n\r\n",
+                     0ms, after_answer::close});
+        EXPECT_EQ(b.book().result_int(), 502U) << fields;
+    }
+}
+
 // A chunked answer without content that came in pieces ended the process by an
 // assertion of the library.
 TEST(gateway_worker, an_empty_chunked_answer_in_pieces_ends_the_process)
--- a/test/protocol/request_parser_test.cpp
+++ b/test/protocol/request_parser_test.cpp
@@ -65,7 +65,7 @@
 // it, in the same bytes.
 TEST(request_parser, a_head_at_its_bound_is_read_however_it_is_split)
 {
-    const std::string begin = "GET / HTTP/1.1\r\nX: ";
+    const std::string begin = "GET / HTTP/1.1\r\nHost: x\r\nX: ";
     const std::string end = "\r\n\r\n";
     const auto head =
         begin + std::string(max_head - begin.size() - end.size(), 'x') + end;
@@ -124,8 +124,8 @@
     EXPECT_EQ(out.requests[0], "PUT /c x|x");
 }
 
-// The library's parser ended the process by an assertion when the last chunk, as
-// the first one, came in pieces.
+// The library's parser ended the process by an assertion when the last chunk,
+// as the first one, came in pieces.
 TEST(request_parser, an_empty_chunked_body_in_pieces_ends_the_process)
 {
     const std::string text = "PUT /c HTTP/1.1\r\nHost: x\r\n"
@@ -137,6 +137,131 @@
     }
 }
 
+struct request_case
+{
+    const char* name;
+    /// Bytes behind `POST / HTTP/1.1` and its line end.
+    const char* bytes;
+    /// Content of the body; null when the request must be an error.
+    const char* body;
+};
+
+/// Framings that may end a request at two places (RFC 9112, sections 3.2, 5.1,
+/// 6.1 to 6.3, 7.1 and 11.2), and the nearest ones that are sound.
+const request_case framings[] = {
+    {"coding_gzip", "Host: x\r\nTransfer-Encoding: gzip\r\n\r\nGET", nullptr},
+    {"coding_identity", "Host: x\r\nTransfer-Encoding: identity\r\n\r\nGET",
+     nullptr},
+    {"coding_empty", "Host: x\r\nTransfer-Encoding:\r\n\r\nGET", nullptr},
+    {"coding_unknown",
+     "Host: x\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", nullptr},
+    {"chunked_not_last",
+     "Host: x\r\nTransfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n", nullptr},
+    {"chunked_twice",
+     "Host: x\r\nTransfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n",
+     nullptr},
+    {"chunked_in_two_fields",
+     "Host: x\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: "
+     "chunked\r\n\r\n0\r\n\r\n",
+     nullptr},
+    {"coded_and_chunked",
+     "Host: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", nullptr},
+    {"coding_and_length",
+     "Host: x\r\nContent-Length: 3\r\nTransfer-Encoding: gzip\r\n\r\nGET",
+     nullptr},
+    {"chunked_and_length",
+     "Host: x\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "0\r\n\r\n",
+     nullptr},
+    {"chunked_in_capitals",
+     "Host: x\r\nTransfer-Encoding: CHUNKED\r\n\r\n1\r\nb\r\n0\r\n\r\n", "b"},
+    {"lengths_differ",
+     "Host: x\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nGET", nullptr},
+    {"lengths_differ_in_a_list", "Host: x\r\nContent-Length: 3, 2\r\n\r\nGET",
+     nullptr},
+    {"length_signed", "Host: x\r\nContent-Length: +3\r\n\r\nGET", nullptr},
+    {"length_negative", "Host: x\r\nContent-Length: -3\r\n\r\nGET", nullptr},
+    {"length_in_hexadecimal", "Host: x\r\nContent-Length: 0x3\r\n\r\nGET",
+     nullptr},
+    {"length_empty", "Host: x\r\nContent-Length:\r\n\r\nGET", nullptr},
+    {"length_of_30_digits",
+     "Host: x\r\nContent-Length: 100000000000000000000000000003\r\n\r\nGET",
+     nullptr},
+    {"length_beyond_64_bits",
+     "Host: x\r\nContent-Length: 18446744073709551619\r\n\r\nGET", nullptr},
+    {"length_padded", "Host: x\r\nContent-Length: \t 3 \r\n\r\nGET", "GET"},
+    {"space_before_a_colon", "Host: x\r\nContent-Length : 3\r\n\r\nGET",
+     nullptr},
+    {"line_begins_with_a_space", " Content-Length: 3\r\nHost: x\r\n\r\nGET",
+     nullptr},
+    {"bare_cr_in_a_value", "Host: x\r\nX: a\rContent-Length: 3\r\n\r\nGET",
+     nullptr},
+    {"bare_lf_in_a_value", "Host: x\r\nX: a\nContent-Length: 3\r\n\r\nGET",
+     nullptr},
+    {"nul_in_a_value", "Host: x\r\nX: \x01\r\n\r\n", nullptr},
+    {"no_host", "Content-Length: 3\r\n\r\nGET", nullptr},
+    {"two_hosts", "Host: x\r\nHost: y\r\n\r\n", nullptr},
+    {"chunk_size_signed",
+     "Host: x\r\nTransfer-Encoding: chunked\r\n\r\n+1\r\nb\r\n0\r\n\r\n",
+     nullptr},
+    {"chunk_size_prefixed",
+     "Host: x\r\nTransfer-Encoding: chunked\r\n\r\n0x1\r\nb\r\n0\r\n\r\n",
+     nullptr},
+    {"chunk_size_beyond_64_bits",
+     "Host: x\r\nTransfer-Encoding: chunked\r\n\r\n10000000000000001\r\nb\r\n"
+     "0\r\n\r\n",
+     nullptr},
+    {"chunk_without_its_end",
+     "Host: x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nbb\r\n0\r\n\r\n",
+     nullptr},
+    {"chunk_size_with_a_bare_lf",
+     "Host: x\r\nTransfer-Encoding: chunked\r\n\r\n1\nb\r\n0\r\n\r\n", nullptr},
+    {"length_in_a_trailer",
+     "Host: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+     "Content-Length: 3\r\n\r\n",
+     nullptr},
+    {"chunk_extension",
+     "Host: x\r\nTransfer-Encoding: chunked\r\n\r\n1;n=v\r\nb\r\n0\r\n\r\n",
+     "b"},
+};
+
+class request_framing : public ::testing::TestWithParam<request_case>
+{};
+
+// A body with an unknown coding had no end, and its bytes were run as a request
+// that nobody had sent. Whoever parses it with other rules finds other
+// requests.
+TEST_P(request_framing, ends_a_request_at_two_places)
+{
+    const auto text =
+        "POST / HTTP/1.1\r\n" + std::string(GetParam().bytes) + get;
+    for (const std::size_t step : {1UL, 5UL, text.size()}) {
+        const auto out = parse(text, step);
+        if (GetParam().body == nullptr) {
+            EXPECT_TRUE(out.requests.empty()) << step;
+            EXPECT_FALSE(out.error.empty()) << step;
+            continue;
+        }
+        ASSERT_EQ(out.requests.size(), 2U) << step;
+        EXPECT_EQ(out.requests[0], "POST / x|" + std::string(GetParam().body));
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(request_parser, request_framing,
+                         ::testing::ValuesIn(framings), [](const auto& it) {
+                             return std::string(it.param.name);
+                         });
+
+// HTTP/1.0 has no chunks; an older sender means the bytes as they are.
+TEST(request_parser, chunks_of_http_1_0_are_taken)
+{
+    const auto out = parse("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n"
+                           "\r\n0\r\n\r\n",
+                           1000);
+    EXPECT_TRUE(out.requests.empty());
+    EXPECT_FALSE(out.error.empty());
+}
+
 TEST(request_parser, an_endless_head_is_read_on)
 {
     const auto out =
