Skip every interim answer, not only those with a name

Cause: the class of a status was asked of the library, which has one only for statuses that it names; 103 to 199 are not among them.

Change: the number decides. A status below 100 is no answer. Why it works: the bound on interim answers and the reading of the next head do not depend on a table of names.

--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -176,11 +176,17 @@
         if (ec) {
             return {};
         }
-        const auto status_class =
-            http::to_status_class(x.parser->get().result());
-        if (status_class != http::status_class::informational) {
+        // Beast has a class only for the statuses that it names.
+        constexpr unsigned first_interim = 100;
+        constexpr unsigned first_final = 200;
+        const auto status = x.parser->get().result_int();
+        if (status >= first_final) {
             break;
         }
+        if (status < first_interim) {
+            ec = http::error::bad_status;
+            return {};
+        }
         if (interim == max_interim_answers) {
             ec = http::error::bad_status;
             return {};
--- a/test/platform/gateway_worker_test.cpp
+++ b/test/platform/gateway_worker_test.cpp
@@ -142,6 +142,20 @@
     EXPECT_EQ(got.body(), "");
 }
 
+// A 103 was passed on as the final answer, and the answer behind it was lost.
+TEST(gateway_worker, an_interim_answer_is_taken_for_the_final_one)
+{
+    for (const auto* status : {"100", "101", "102", "103", "104", "199"}) {
+        auto& b = make_bench();
+        b.place_at(b.first, "u1");
+        b.first.add({"HTTP/1.1 " + std::string(status) +
+                     " Wait\r\nLink: </a>\r\n\r\n" + answer("final")});
+        const auto got = b.book();
+        EXPECT_EQ(got.result_int(), 200U) << status;
+        EXPECT_EQ(got.body(), "final") << status;
+    }
+}
+
 // A field above 65,535 bytes, within the operator's limit of a head, ended the
 // process and with it all requests in progress.
 TEST(gateway_worker, a_field_above_64_kb_ends_the_process)
