Handle stop signals for the life of a process

What callers saw: a second SIGTERM during a planned stop ended the process at once, with the requests in progress. SIGHUP within some 20 ms of a start ended it too.

Cause: the signal set was local to the wait for the first SIGTERM, and the one of SIGHUP was created by a fiber that runs after the start.

--- a/src/programs/oriole-agent/main.cpp
+++ b/src/programs/oriole-agent/main.cpp
@@ -23,9 +23,10 @@
     int status = 0;
     transport::run_fibers([&](boost::asio::io_context& ioc) {
         try {
+            transport::stop_signal stop(ioc);
             transport::agent agent(ioc, settings);
             agent.start();
-            transport::wait_for_stop_signal(ioc);
+            stop.wait();
             agent.leave();
             transport::event(transport::log_level::info, "agent_stopped")
                 .with("host", settings.name);
--- a/src/programs/oriole-entry/main.cpp
+++ b/src/programs/oriole-entry/main.cpp
@@ -93,6 +93,7 @@
 void serve(const protocol::entry_settings& settings,
            boost::asio::io_context& ioc)
 {
+    transport::stop_signal signals(ioc);
     transport::entry_shared shared(options_from(settings));
     transport::once_shared once(settings.name, settings.fleet_key,
                                 std::chrono::steady_clock::now());
@@ -120,7 +121,7 @@
         .with("incarnation",
               to_string(once.incarnations.own()->authority.incarnation()))
         .with("threads", settings.threads);
-    transport::wait_for_stop_signal(ioc);
+    signals.wait();
     stop(settings, ioc, server, once);
 }
 
--- a/src/programs/oriole-standin/platform_mode.cpp
+++ b/src/programs/oriole-standin/platform_mode.cpp
@@ -214,7 +214,7 @@
                 return service.serve(request);
             });
         std::cout << "listening " << to_string(server.address()) << std::endl;
-        transport::wait_for_stop_signal(ioc);
+        transport::stop_signal(ioc).wait();
         server.close();
         transport::exit_process(0);
     });
--- a/src/transport/stop_signal.cpp
+++ b/src/transport/stop_signal.cpp
@@ -4,19 +4,25 @@
 
 #include <oriolegrade/transport/fiber_yield.hpp>
 
-#include <boost/asio/signal_set.hpp>
-
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 
 namespace oriolegrade::transport {
 
-void wait_for_stop_signal(boost::asio::io_context& ioc)
+void ignore_reload_signal()
+{
+    std::signal(SIGHUP, SIG_IGN);
+}
+
+stop_signal::stop_signal(boost::asio::io_context& ioc)
+    : signals_(ioc, SIGTERM, SIGINT)
+{}
+
+void stop_signal::wait()
 {
-    boost::asio::signal_set signals(ioc, SIGTERM, SIGINT);
     boost::system::error_code ec;
-    signals.async_wait(fiber_yield(ec));
+    signals_.async_wait(fiber_yield(ec));
 }
 
 void exit_process(int status)
--- a/test/system/planned_stop.py
+++ b/test/system/planned_stop.py
@@ -147,6 +147,9 @@
         await self.gateway.start([])
         await asyncio.sleep(2.5)
 
+    def begin_stop(self, gateway):
+        gateway.process.terminate()
+
     async def run_checks(self, checks):
         for check in checks:
             try:
@@ -172,7 +175,7 @@
         send_all(["upload"] * BEFORE)
         await asyncio.sleep(0.05)
         self.stopping_at = time.monotonic()
-        gateway.process.terminate()
+        self.begin_stop(gateway)
         while gateway.process.returncode is None and self.since_stop(time.monotonic()) < GRACE:
             send_all(KINDS)
             await asyncio.sleep(STEP)
