Close by half after the last answer and wait for the caller

Cause: the socket was closed once the kernel had taken the last answer, or 0.5 s later when bytes were unread. The caller's next request met a closed socket, and the reset destroyed what it had not read.

Ruled out: the end of the grace (the resets come 4 s before it).

Why it works: as long as the socket is open no request can be answered by a reset. A caller that never closes costs a descriptor for 5 s and no more than the bytes that it reads.

--- a/include/oriolegrade/transport/caller_connection.hpp
+++ b/include/oriolegrade/transport/caller_connection.hpp
@@ -118,10 +118,12 @@
     /// arrive.
     void close_if_idle();
 
-    /// Closes the connection after the caller had the time to read the last
-    /// answer, and waits for the end of reading. Call once, after end().
-    /// @param linger bytes may be unread; closing now would reset the
-    ///        connection and could destroy the answer on its way
+    /// Closes the connection and waits for the end of reading. Call once, after
+    /// end().
+    /// @param linger answers may be on their way: closes by half and reads
+    /// until
+    ///        the caller closes too. A request that it sends before it has seen
+    ///        the end would reset the connection and destroy them.
     void close(bool linger);
 
 private:
--- a/include/oriolegrade/transport/caller_session.hpp
+++ b/include/oriolegrade/transport/caller_session.hpp
@@ -187,15 +187,14 @@
         } else {
             front_.serve(plan, head, request, answer);
         }
-        finish(at, request, answer);
+        finish(at, answer);
         if (order == run_order::exclusive) {
             reading_ = false;
         }
     }
 
     /// Goes on after an answer, or ends the connection.
-    void finish(position at, const caller_request& request,
-                const caller_answer& answer)
+    void finish(position at, const caller_answer& answer)
     {
         if (!connection_.await_turn(at)) {
             return;
@@ -203,8 +202,7 @@
         if (!answer.finished()) {
             connection_.reset();
         } else if (!answer.keeps_connection()) {
-            linger_ = linger_ || !request.done() ||
-                      !connection_.input().bytes().empty();
+            linger_ = true;
             connection_.end();
         }
         connection_.answered(at);
@@ -234,7 +232,7 @@
     /// A fiber reads the next request, or runs one that nothing may be read
     /// behind.
     bool reading_ = true;
-    /// Unread bytes may be on their way when the connection ends.
+    /// Answers may be on their way when the connection ends.
     bool linger_ = false;
     fiber_signal ended_;
     fiber_group fibers_;
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
-/// Time for a caller to close its side after the last answer.
-constexpr std::chrono::milliseconds linger_time{500};
+/// Time for a caller to take what was written and to close its side. A slow one
+/// takes seconds for a few answers; each connection in this state costs a
+/// descriptor and no more than the bytes that it reads.
+constexpr std::chrono::milliseconds linger_time{5000};
 
 } // namespace
 
--- a/test/fakes/request_path.hpp
+++ b/test/fakes/request_path.hpp
@@ -34,12 +34,18 @@
 {
 public:
     /// @param address loopback address that the caller connects from
+    /// @param window bytes that the caller takes without reading; the system's
+    ///        own when 0
     fake_caller(asio::io_context& ioc, const state::endpoint& entry,
-                std::uint32_t address = 0x7f000001)
+                std::uint32_t address = 0x7f000001, int window = 0)
         : stream_(ioc)
     {
         transport::error_code ec;
         stream_.socket().open(asio::ip::tcp::v4(), ec);
+        if (window > 0) {
+            stream_.socket().set_option(
+                asio::socket_base::receive_buffer_size(window), ec);
+        }
         stream_.socket().bind({asio::ip::address_v4(address), 0}, ec);
         EXPECT_FALSE(ec);
         stream_.async_connect(transport::to_tcp(entry),
--- a/test/platform/pipelining_test.cpp
+++ b/test/platform/pipelining_test.cpp
@@ -201,6 +201,32 @@
     EXPECT_TRUE(caller.closes_within(1s));
 }
 
+// A stop closed the connection as soon as the last answer was written. A caller
+// that reads slowly had not seen the end, and its next request reset the
+// connection with the answers that were on their way.
+TEST(pipelining, a_request_behind_the_last_answer_destroys_answers)
+{
+    auto& b = make_bench();
+    constexpr int window = 4096;
+    fake_caller caller(b.ioc, b.worker.address(), 0x7f000001, window);
+    const std::string body(100'000, 'x');
+    std::string text;
+    for (const auto* id : {"q1", "q2", "q3"}) {
+        b.place_at(b.first, "u1");
+        b.first.add({answer(body, id), 20ms});
+        text += read_request(id);
+    }
+    caller.send(text);
+    boost::this_fiber::sleep_for(10ms);
+    b.shared.begin_stop(std::chrono::steady_clock::now());
+    boost::this_fiber::sleep_for(1200ms);
+    caller.send(read_request("q4"));
+    for (int n = 0; n < 3; ++n) {
+        EXPECT_EQ(caller.receive().body().size(), body.size());
+    }
+    EXPECT_TRUE(caller.closes_within(1s));
+}
+
 // Bytes that are no request: the good one before them is answered, then comes a
 // clear refusal, and the connection ends.
 TEST(pipelining, bytes_that_are_no_request_take_the_answer_before_them)
