Linger only while a caller that sends ahead has bytes to receive

The first form of the half close waited for the close of every connection, up to 5 s. Callers without a request ahead keep theirs until they use it again, so each connection that a stop closes cost a descriptor and a fiber for that time.

Change: connections on which requests were sent ahead linger for 0.5 s, as before the half close, and the time begins anew while the caller has not received all answers (SIOCOUTQ), up to 5 s or the end of the process.

--- a/include/oriolegrade/transport/caller_connection.hpp
+++ b/include/oriolegrade/transport/caller_connection.hpp
@@ -120,13 +120,17 @@
 
     /// Closes the connection and waits for the end of reading. Call once, after
     /// end().
-    /// @param linger answers may be on their way: closes by half and reads
-    /// until
-    ///        the caller closes too. A request that it sends before it has seen
-    ///        the end would reset the connection and destroy them.
+    /// @param linger requests may come that the caller sent ahead: closes by
+    /// half
+    ///        and reads until the caller closes too, or has had time to. A
+    ///        request at a closed socket would reset the connection and destroy
+    ///        the answers on their way.
     void close(bool linger);
 
 private:
+    /// Waits until the caller closes its side. The time begins anew while the
+    /// caller has not received all answers, up to a bound.
+    void linger_for_caller();
     void on_event();
     void cancel_all();
 
--- a/include/oriolegrade/transport/caller_session.hpp
+++ b/include/oriolegrade/transport/caller_session.hpp
@@ -187,14 +187,15 @@
         } else {
             front_.serve(plan, head, request, answer);
         }
-        finish(at, answer);
+        finish(at, request, answer);
         if (order == run_order::exclusive) {
             reading_ = false;
         }
     }
 
     /// Goes on after an answer, or ends the connection.
-    void finish(position at, const caller_answer& answer)
+    void finish(position at, const caller_request& request,
+                const caller_answer& answer)
     {
         if (!connection_.await_turn(at)) {
             return;
@@ -202,7 +203,8 @@
         if (!answer.finished()) {
             connection_.reset();
         } else if (!answer.keeps_connection()) {
-            linger_ = true;
+            linger_ = linger_ || !request.done() ||
+                      !connection_.input().bytes().empty();
             connection_.end();
         }
         connection_.answered(at);
@@ -232,7 +234,7 @@
     /// A fiber reads the next request, or runs one that nothing may be read
     /// behind.
     bool reading_ = true;
-    /// Answers may be on their way when the connection ends.
+    /// Unread bytes may be on their way when the connection ends.
     bool linger_ = false;
     fiber_signal ended_;
     fiber_group fibers_;
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -2,16 +2,30 @@
 
 #include <oriolegrade/transport/caller_connection.hpp>
 
+#include <algorithm>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <utility>
 
 namespace oriolegrade::transport {
 
 namespace {
 
-/// Time for a caller to take what was written and to close its side. A slow one
-/// takes seconds for a few answers; each connection in this state costs a
-/// descriptor and no more than the bytes that it reads.
-constexpr std::chrono::milliseconds linger_time{5000};
+/// Time for a caller to close its side once it has received all that was
+/// written.
+constexpr std::chrono::milliseconds linger_time{500};
+/// Time for a caller to receive it. A slow one takes seconds for a few answers.
+constexpr std::chrono::milliseconds longest_linger{5000};
+/// Interval at which the unreceived bytes are looked at.
+constexpr std::chrono::milliseconds linger_step{100};
+
+/// Bytes that were written and that the peer has not acknowledged; 0 where the
+/// system does not tell.
+int unreceived_bytes(tcp_stream& stream)
+{
+    int n = 0;
+    return ::ioctl(stream.socket().native_handle(), SIOCOUTQ, &n) == 0 ? n : 0;
+}
 
 } // namespace
 
@@ -81,12 +95,25 @@
     error_code ec;
     stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
     if (linger && !ec) {
-        input_.discard(std::chrono::steady_clock::now() + linger_time);
+        linger_for_caller();
     }
     stream_.close();
     input_.join();
 }
 
+void caller_connection::linger_for_caller()
+{
+    using clock = std::chrono::steady_clock;
+    const auto last = clock::now() + longest_linger;
+    auto until = clock::now() + linger_time;
+    while (!input_.ended() && clock::now() < std::min(until, last)) {
+        input_.discard(clock::now() + linger_step);
+        if (unreceived_bytes(stream_) > 0) {
+            until = clock::now() + linger_time;
+        }
+    }
+}
+
 void caller_connection::on_event()
 {
     if (input_.ended()) {
