Take over the register from other dispatchers while the store is away

Ruled out: the half close of connections (stops take 3.0 s with and without it).

Change: a host that is the first choice for a service, with a view that is 5 s old or missing, asks the hosts that dispatch for what they hold, and takes one that is younger. It keeps its age; the next successful read is of the whole register.

--- a/include/oriolegrade/coordination/upstream_registry.hpp
+++ b/include/oriolegrade/coordination/upstream_registry.hpp
@@ -48,6 +48,9 @@
     std::vector<state::registered_upstream>
     upstreams_of(const std::string& service) const;
 
+    /// All entries in force, as the changes that write them.
+    std::vector<state::registry_change> entries() const;
+
     /// True while entries are in force that the registry no longer contains. If
     /// only this host was disconnected from the store, another host has newer
     /// data.
--- a/include/oriolegrade/state/source_type.hpp
+++ b/include/oriolegrade/state/source_type.hpp
@@ -7,6 +7,7 @@
 #include <oriolegrade/state/host_member.hpp>
 #include <oriolegrade/state/registered_upstream.hpp>
 #include <oriolegrade/state/result.hpp>
+#include <oriolegrade/state/time_type.hpp>
 
 #include <array>
 #include <cstdint>
@@ -50,6 +51,9 @@
 {
     std::vector<registry_change> changes;
     std::uint64_t next_offset = 0;
+    /// Time since the register was like this; above 0 only where a host tells
+    /// what it holds.
+    duration age{};
 };
 
 /// The hosts that the directory names.
@@ -79,13 +83,16 @@
     newest_rules,
     newest_upstreams,
     read_upstreams,
+    /// What the other host holds, without a call to the store.
+    known_upstreams,
 };
 
 template <>
 struct enum_names<source_call>
 {
-    static constexpr std::array<std::string_view, 3> value{
-        "newest_rules", "newest_upstreams", "read_upstreams"};
+    static constexpr std::array<std::string_view, 4> value{
+        "newest_rules", "newest_upstreams", "read_upstreams",
+        "known_upstreams"};
 };
 
 struct source_request
--- a/include/oriolegrade/transport/gateway/dispatch_router.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_router.hpp
@@ -19,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -44,6 +45,9 @@
 
     /// True when this host is the first choice for the service.
     bool is_primary(const std::string& service);
+    /// Names of the other hosts that come first for a service, and of those
+    /// next to this one where it does.
+    std::set<std::string> other_dispatchers();
 
     /// Asks for a place. `done` is called once, unless report() ends the
     /// request first.
--- a/include/oriolegrade/transport/gateway/gateway.hpp
+++ b/include/oriolegrade/transport/gateway/gateway.hpp
@@ -204,6 +204,9 @@
         registry_.is_wanted = [this] {
             return dispatches();
         };
+        registry_.ask_dispatchers = [this] {
+            return ask_dispatchers();
+        };
         members_.on_members = [this](const auto& members) {
             router_.set_members(members);
             registry_.consider();
@@ -224,7 +227,9 @@
             return some_peer();
         };
         server_.read_source = [this](const state::source_request& request) {
-            return read_source(source_, request);
+            return request.call == state::source_call::known_upstreams
+                       ? registry_.known(std::chrono::steady_clock::now())
+                       : read_source(source_, request);
         };
     }
 
@@ -240,6 +245,25 @@
                            });
     }
 
+    /// Register of the first host that dispatches and has a view.
+    std::optional<state::registry_read> ask_dispatchers()
+    {
+        constexpr int most_asked = 4;
+        int asked = 0;
+        for (const auto& name : router_.other_dispatchers()) {
+            if (++asked > most_asked) {
+                break;
+            }
+            auto reply = peer_source_.ask(
+                peer_named(name), {state::source_call::known_upstreams, 0});
+            if (auto* it = reply ? std::get_if<state::registry_read>(&*reply)
+                                 : nullptr) {
+                return std::move(*it);
+            }
+        }
+        return std::nullopt;
+    }
+
     /// Address of the named host, or of a random one.
     state::endpoint peer_named(const std::string& name)
     {
--- a/include/oriolegrade/transport/gateway/peer_source.hpp
+++ b/include/oriolegrade/transport/gateway/peer_source.hpp
@@ -31,10 +31,11 @@
     std::optional<state::source_reply>
     relay(const state::source_request& request);
 
-private:
+    /// The answer of one host; empty when it gives none in time.
     std::optional<state::source_reply>
-    ask(const state::source_request& request);
+    ask(const state::endpoint& peer, const state::source_request& request);
 
+private:
     boost::asio::io_context& ioc_;
     /// Host that was asked last and reached the store; no port for none.
     state::endpoint peer_;
--- a/include/oriolegrade/transport/gateway/registry_follower.hpp
+++ b/include/oriolegrade/transport/gateway/registry_follower.hpp
@@ -1,4 +1,8 @@
 // Follows the register of upstreams while this host places requests.
+//
+// Load pattern: the store is away, and the first dispatcher of a service stops.
+// The next one has no view, or one from the start of the fleet, and cannot read
+// its own. Hosts that dispatch other services hold the whole register.
 
 #ifndef ORIOLEGRADE_TRANSPORT_GATEWAY_REGISTRY_FOLLOWER_HPP
 #define ORIOLEGRADE_TRANSPORT_GATEWAY_REGISTRY_FOLLOWER_HPP
@@ -10,6 +14,8 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace oriolegrade::transport {
@@ -40,6 +46,9 @@
     std::function<void()> on_read;
     /// Tells whether this host places requests as the first choice.
     std::function<bool()> is_wanted;
+    /// Asks the hosts that dispatch for what they hold; empty when none has a
+    /// view.
+    std::function<std::optional<state::registry_read>()> ask_dispatchers;
 
     const coordination::upstream_registry& registry() const
     {
@@ -54,6 +63,16 @@
                                               : read_age(now);
     }
 
+    /// What this host holds, for one that cannot read the store.
+    state::source_reply known(state::time_point now) const
+    {
+        const auto since = age(now);
+        if (since == state::duration::max()) {
+            return state::source_failure::unreachable;
+        }
+        return state::registry_read{registry_.entries(), next_offset_, since};
+    }
+
     /// Reads at once.
     /// @param done called after the next read, whether it succeeded or not
     void refresh(std::function<void()> done)
@@ -133,7 +152,7 @@
     {
         const auto began = clock::now();
         tried_at_ = began;
-        bool whole = read_age(began) >= registry_history_limit;
+        bool whole = taken_over_ || read_age(began) >= registry_history_limit;
         auto result = whole ? source_.newest_upstreams()
                             : source_.read_upstreams(next_offset_);
         if (!result && result.error() == state::source_failure::trimmed) {
@@ -143,18 +162,44 @@
         const auto now = clock::now();
         if (!result) {
             note_failure(result.error(), now);
+            if (is_wanted() && age(now) >= registry_history_limit) {
+                take_over();
+            }
             return;
         }
         if (failed_) {
             event(log_level::info, "register_regained");
         }
         failed_ = false;
+        taken_over_ = false;
         registry_.read_succeeded(now);
         take(result.value(), whole, now);
         registry_.advance(now);
         read_at_ = began;
     }
 
+    /// Takes the view of another host when it is younger than the own one.
+    /// Only a host that is the first choice for a service does, or a store that
+    /// is away would make all ask all.
+    void take_over()
+    {
+        const auto told = ask_dispatchers();
+        const auto now = clock::now();
+        if (!told || told->age >= age(now)) {
+            return;
+        }
+        registry_.replace(told->changes, now);
+        next_offset_ = told->next_offset;
+        read_at_ = now - told->age;
+        taken_over_ = true;
+        event(log_level::info, "register_taken_over")
+            .with("upstreams", registry_.size())
+            .with(
+                "age_ms",
+                std::chrono::duration_cast<std::chrono::milliseconds>(told->age)
+                    .count());
+    }
+
     void take(const state::registry_read& read, bool whole,
               state::time_point now)
     {
@@ -206,6 +251,8 @@
     state::time_point tried_at_{};
     state::time_point used_at_{};
     bool failed_ = false;
+    /// The view is another host's; the next read is of the whole register.
+    bool taken_over_ = false;
     std::vector<std::function<void()>> waiting_;
     fiber_signal wake_;
 };
--- a/include/oriolegrade/transport/gateway/relayed_source.hpp
+++ b/include/oriolegrade/transport/gateway/relayed_source.hpp
@@ -63,6 +63,9 @@
         return reply(source.newest_upstreams());
     case state::source_call::read_upstreams:
         return reply(source.read_upstreams(request.from));
+    case state::source_call::known_upstreams:
+        // No call to a source.
+        break;
     }
     return state::source_failure::unreachable;
 }
--- a/src/coordination/upstream_registry.cpp
+++ b/src/coordination/upstream_registry.cpp
@@ -155,4 +155,14 @@
     return out;
 }
 
+std::vector<state::registry_change> upstream_registry::entries() const
+{
+    std::vector<state::registry_change> out;
+    out.reserve(entries_.size());
+    for (const auto& [id, it] : entries_) {
+        out.push_back({state::registry_change_kind::written, id, it.upstream});
+    }
+    return out;
+}
+
 } // namespace oriolegrade::coordination
--- a/src/protocol/source_messages.cpp
+++ b/src/protocol/source_messages.cpp
@@ -34,6 +34,7 @@
 {
     auto& registered = *out.mutable_registered();
     registered.set_next_offset(read.next_offset);
+    registered.set_age_ms(wire_time<milliseconds>(read.age));
     for (const auto& it : read.changes) {
         auto& row = *registered.add_changes();
         row.set_kind(static_cast<std::uint32_t>(it.kind));
@@ -94,6 +95,7 @@
 {
     state::registry_read out;
     out.next_offset = it.next_offset();
+    out.age = milliseconds(it.age_ms());
     if (check.require(it.changes_size() <= max_changes, "changes",
                       "has too many rows")) {
         for (const auto& row : it.changes()) {
--- a/src/transport/gateway/dispatch_router.cpp
+++ b/src/transport/gateway/dispatch_router.cpp
@@ -68,6 +68,22 @@
     return first.empty() || first.front().name == shared_.options.self.name;
 }
 
+std::set<std::string> dispatch_router::other_dispatchers()
+{
+    std::set<std::string> names;
+    const auto rules = shared_.rules.read();
+    for (const auto& service : rules->rules().services) {
+        for (const auto& it :
+             ranking_.candidates(service.first, 2, clock::now())) {
+            if (it.name != shared_.options.self.name) {
+                names.insert(it.name);
+                break;
+            }
+        }
+    }
+    return names;
+}
+
 void dispatch_router::ask(std::uint64_t number,
                           const state::place_request& request,
                           answer_callback done)
--- a/src/transport/gateway/dispatch_server.cpp
+++ b/src/transport/gateway/dispatch_server.cpp
@@ -226,7 +226,7 @@
 void dispatch_server::serve_source(server_stream& stream)
 {
     const auto body = stream.read_all(protocol::max_source_request_bytes);
-    if (!body || shared_.stopping) {
+    if (!body) {
         (void)stream.reply(503, "");
         return;
     }
@@ -237,6 +237,12 @@
         (void)stream.reply(400, "");
         return;
     }
+    // A host that stops still hands over what it holds.
+    if (shared_.stopping &&
+        request.value().call != state::source_call::known_upstreams) {
+        (void)stream.reply(503, "");
+        return;
+    }
     (void)stream.reply(
         200, protocol::encode_source_reply(read_source(request.value())));
 }
--- a/src/transport/gateway/peer_source.cpp
+++ b/src/transport/gateway/peer_source.cpp
@@ -41,7 +41,7 @@
         if (peer_.port == 0) {
             peer_ = some_peer();
         }
-        auto reply = ask(request);
+        auto reply = ask(peer_, request);
         if (reached_store(reply)) {
             return reply;
         }
@@ -51,9 +51,9 @@
 }
 
 std::optional<state::source_reply>
-peer_source::ask(const state::source_request& request)
+peer_source::ask(const state::endpoint& peer,
+                 const state::source_request& request)
 {
-    const auto peer = peer_;
     const auto body =
         call_host(ioc_, peer, source_path,
                   protocol::encode_source_request(request), call_limit);
--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -452,8 +452,12 @@
         follower.on_read = [this] {
             ++reads;
         };
-        follower.is_wanted = [] {
-            return false;
+        follower.is_wanted = [this] {
+            return wanted;
+        };
+        follower.ask_dispatchers = [this] {
+            ++asked;
+            return other_view;
         };
         transport::spawn_fiber([this] { follower.run(); });
     }
@@ -472,9 +476,71 @@
     test::fake_store store;
     platform::store_source source;
     transport::registry_follower<platform::store_source> follower;
+    std::optional<state::registry_read> other_view;
+    bool wanted = false;
+    int asked = 0;
     int reads = 0;
 };
 
+/// View of another host with one upstream.
+state::registry_read view_of_other(state::duration age)
+{
+    state::registered_upstream it;
+    it.id = "i-9";
+    it.service = "s";
+    it.address = {0x0a000001, 80};
+    it.slots = 1;
+    return {{{state::registry_change_kind::written, it.id, it}}, 7, age};
+}
+
+// The store is away and the first dispatcher stops: the next one placed nothing
+// for the rest of the time, while other hosts held the whole register.
+TEST(registry_follower, a_dispatcher_without_a_view_asks_nobody)
+{
+    auto& b = make_bench<registry_bench>();
+    b.store.fault = store_fault::busy;
+    b.other_view = view_of_other(2s);
+    b.wanted = true;
+    b.follower.consider();
+    boost::this_fiber::sleep_for(300ms);
+    ASSERT_EQ(b.follower.registry().size(), 1U);
+    EXPECT_EQ(b.follower.registry().upstreams_of("s").at(0).id, "i-9");
+    const auto age = b.follower.age(std::chrono::steady_clock::now());
+    EXPECT_GE(age, 2s);
+    EXPECT_LT(age, 3s);
+    // Told by the store again, the view is read as a whole.
+    b.store.fault = store_fault::none;
+    b.store.put(servers, "i-1", entry(1));
+    boost::this_fiber::sleep_for(2500ms);
+    ASSERT_EQ(b.follower.registry().size(), 1U);
+    EXPECT_EQ(b.follower.registry().upstreams_of("s").at(0).id, "i-1");
+}
+
+// Hosts that are no first choice would multiply the calls of a fleet whose
+// store is away.
+TEST(registry_follower, hosts_that_do_not_dispatch_ask_for_views)
+{
+    auto& b = make_bench<registry_bench>();
+    b.store.fault = store_fault::busy;
+    EXPECT_FALSE(b.refresh());
+    EXPECT_EQ(b.asked, 0);
+}
+
+// The own view is younger than that of the other host.
+TEST(registry_follower, an_older_view_takes_the_place_of_the_own_one)
+{
+    auto& b = make_bench<registry_bench>();
+    b.store.put(servers, "i-1", entry(1));
+    ASSERT_TRUE(b.refresh());
+    b.store.fault = store_fault::busy;
+    b.other_view = view_of_other(60s);
+    b.wanted = true;
+    b.follower.consider();
+    boost::this_fiber::sleep_for(6s);
+    EXPECT_GT(b.asked, 0);
+    EXPECT_EQ(b.follower.registry().upstreams_of("s").at(0).id, "i-1");
+}
+
 TEST(registry_follower, refresh_reads_and_tells_failure)
 {
     auto& b = make_bench<registry_bench>();
--- a/test/protocol/source_messages_test.cpp
+++ b/test/protocol/source_messages_test.cpp
@@ -43,6 +43,7 @@
     entry.sequence = 5;
     state::registry_read sent;
     sent.next_offset = 42;
+    sent.age = 1700ms;
     sent.changes = {
         {state::registry_change_kind::written, "u1", entry},
         {state::registry_change_kind::removed, "u2", std::nullopt},
@@ -50,6 +51,7 @@
     const auto reply = round_trip(sent);
     const auto& got = std::get<state::registry_read>(reply);
     EXPECT_EQ(got.next_offset, 42U);
+    EXPECT_EQ(got.age, 1700ms);
     ASSERT_EQ(got.changes.size(), 3U);
     const auto& first = got.changes[0];
     ASSERT_TRUE(first.entry);
