Send nothing to upstreams that leave or want quiet

Before, the register alone decided: it lags by seconds, and a dispatcher that had just taken over could not know.

Change: the adapter decodes both fields into state::upstream_wish. The host that hears one sends that incarnation nothing, whoever placed the request, and reports it; the dispatcher places nothing there for the fleet. Places carry the incarnation, so a restart under the same id is another upstream. Callers are refused at once where nobody is left, with a Retry-After from the earliest return. The floor and the share of held upstreams count only upstreams that have not said otherwise.

--- a/include/oriolegrade/coordination/dispatch_queue.hpp
+++ b/include/oriolegrade/coordination/dispatch_queue.hpp
@@ -105,7 +105,9 @@
     /// Removes a request whose place was never used. Nothing is learned from
     /// it: a dispatcher that decides too late would otherwise count its
     /// upstreams as used and its requests as unserved.
-    void take_back(request_id number, state::time_point now);
+    /// @param wish what the upstream had said to the host of the request
+    void take_back(request_id number, state::time_point now,
+                   const state::upstream_wish& wish = {});
 
     /// Ends a request whose host has failed or left.
     void report_host_lost(request_id number, state::time_point now);
@@ -198,6 +200,9 @@
                                 request_id number,
                                 const state::place_request& request,
                                 state::time_point now);
+    /// Time until the first upstream that wants no requests takes some again;
+    /// 0 when there is none.
+    state::duration quiet_time(state::time_point now) const;
     /// True when the request may be sent to some upstream, now or later.
     bool any_candidate(const state::place_request& request,
                        state::time_point now) const;
--- a/include/oriolegrade/coordination/upstream_index.hpp
+++ b/include/oriolegrade/coordination/upstream_index.hpp
@@ -76,7 +76,10 @@
         return sizes_[state::index_of(use)];
     }
 
-    /// Upstreams that accept requests.
+    /// Upstreams that accept requests now: those of ready_upstreams() that did
+    /// not say otherwise.
+    std::size_t available() const;
+    /// Upstreams that accept requests by the register.
     std::size_t ready() const
     {
         return ready_.size();
--- a/include/oriolegrade/coordination/upstream_tracker.hpp
+++ b/include/oriolegrade/coordination/upstream_tracker.hpp
@@ -119,10 +119,23 @@
     }
 
     /// Accepts requests, as far as it says itself.
-    bool is_ready() const
+    /// The register says that it accepts requests.
+    bool is_listed() const
     {
         return spec_.state == state::registration_state::ready;
     }
+    bool is_ready(state::time_point now) const
+    {
+        return is_listed() && now >= quiet_until();
+    }
+    /// The upstream has said something of itself.
+    void note_wish(const state::upstream_wish& wish, state::time_point now);
+    /// End of the time for which the upstream wants no requests; max() when it
+    /// leaves.
+    state::time_point quiet_until() const
+    {
+        return leaving_ ? state::time_point::max() : quiet_until_;
+    }
     std::uint64_t order() const
     {
         return order_;
@@ -278,6 +291,10 @@
     std::set<std::string> lost_at_;
     double slowness_ = 1.0;
     state::time_point slowness_at_{};
+    /// The upstream said that it leaves. Only a new incarnation returns.
+    bool leaving_ = false;
+    /// Until then the upstream wants no requests.
+    state::time_point quiet_until_{};
     /// Hosts that failed to connect, with the time until which they do not
     /// retry.
     std::map<std::string, state::time_point> unreachable_;
--- a/include/oriolegrade/state/dispatch_type.hpp
+++ b/include/oriolegrade/state/dispatch_type.hpp
@@ -68,6 +68,24 @@
     std::uint32_t max_connections = 1;
     /// Time after which to send a hedge; empty for none.
     std::optional<duration> hedge_after;
+    /// Incarnation of the upstream, as it registered.
+    std::uint64_t born = 0;
+};
+
+/// What an upstream says of itself in an answer.
+struct upstream_wish
+{
+    /// It leaves: no further requests, whatever the register says of this
+    /// incarnation.
+    bool leaving = false;
+    /// No requests for this time; empty when it says nothing of the kind.
+    std::optional<duration> pause = {};
+
+    bool any() const
+    {
+        return leaving || pause.has_value();
+    }
+    bool operator==(const upstream_wish&) const = default;
 };
 
 enum class place_refusal_reason : std::uint8_t
@@ -145,6 +163,8 @@
     /// No send was made: the place came too late, and the request had gone
     /// elsewhere. It says nothing about the upstream.
     bool unused = false;
+    /// What the upstream said of itself.
+    upstream_wish wish = {};
 };
 
 } // namespace oriolegrade::state
--- a/include/oriolegrade/transport/gateway/dispatched_choice.hpp
+++ b/include/oriolegrade/transport/gateway/dispatched_choice.hpp
@@ -3,6 +3,7 @@
 #ifndef ORIOLEGRADE_TRANSPORT_GATEWAY_DISPATCHED_CHOICE_HPP
 #define ORIOLEGRADE_TRANSPORT_GATEWAY_DISPATCHED_CHOICE_HPP
 
+#include <oriolegrade/coordination/upstream_wishes.hpp>
 #include <oriolegrade/protocol/http_head.hpp>
 #include <oriolegrade/state/attempt_result.hpp>
 #include <oriolegrade/state/reply_reason.hpp>
@@ -17,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace oriolegrade::transport {
@@ -30,6 +32,7 @@
     state::time_point began;
     state::time_point deadline;
     gateway_metrics& metrics;
+    coordination::upstream_wishes& wishes;
     /// Ids of upstreams that got the request.
     std::vector<std::string> tried;
     /// Sends that ran the request, or may have or still may.
@@ -52,6 +55,9 @@
     {
         Dialect::is_misdirected(head)
         } -> std::same_as<bool>;
+    {
+        Dialect::wish_of(head)
+        } -> std::same_as<state::upstream_wish>;
 };
 
 template <placement Placement, reporting_dialect Dialect>
@@ -84,8 +90,15 @@
         if (!place_ && !get_place(kind_)) {
             return std::nullopt;
         }
+        for (int n = 0; const auto wish = wish_in_force(); ++n) {
+            give_back(*wish);
+            if (n == most_given_back || !get_place(kind_)) {
+                return std::nullopt;
+            }
+        }
         const auto place = *std::exchange(place_, std::nullopt);
         sends_.tried.push_back(place.upstream);
+        target_ = {place.upstream, place.born};
         if (!sends_.first_placed) {
             sends_.first_placed = std::chrono::steady_clock::now();
         }
@@ -179,6 +192,48 @@
         return out;
     }
 
+    /// What the upstream of the present place said of itself, if it forbids a
+    /// send.
+    std::optional<state::upstream_wish> wish_in_force() const
+    {
+        const auto wish = sends_.wishes.in_force(place_->upstream, place_->born,
+                                                 clock::now());
+        return wish.any() ? std::optional(wish) : std::nullopt;
+    }
+
+    /// Gives an unused place back to a dispatcher that had not heard of the
+    /// wish. The request counts the upstream as tried, so that the next place
+    /// is another one.
+    void give_back(const state::upstream_wish& wish)
+    {
+        sends_.tried.push_back(place_->upstream);
+        place_.reset();
+        --sends_.runs;
+        state::send_report report{state::send_result::cancelled, {}, {}, true};
+        report.wish = wish;
+        sends_.metrics.count(report.result);
+        sends_.results.push_back(report.result);
+        from_.report(std::exchange(number_, 0), report);
+    }
+
+    /// Takes what an answer says of its upstream.
+    state::upstream_wish hear(const protocol::answer_head& head)
+    {
+        const auto wish = Dialect::wish_of(head);
+        if (wish.any() && sends_.wishes.heard(target_.first, target_.second,
+                                              wish, clock::now())) {
+            event(log_level::info, "upstream_wish")
+                .with("id", target_.first)
+                .with("born", target_.second)
+                .with("leaving", wish.leaving ? "yes" : "no")
+                .with("pause_ms",
+                      std::chrono::duration_cast<std::chrono::milliseconds>(
+                          wish.pause.value_or(state::duration{}))
+                          .count());
+        }
+        return wish;
+    }
+
     bool get_place(state::send_kind kind)
     {
         // Counted before the wait: a send beside this one must know of it.
@@ -247,12 +302,17 @@
         state::send_report report{result, took, {}};
         if (head != nullptr) {
             report.load = Dialect::load_of(*head);
+            report.wish = hear(*head);
         }
         sends_.metrics.count(result);
         sends_.results.push_back(result);
         from_.report(std::exchange(number_, 0), report);
     }
 
+    /// Places of one send that are given back. Each one teaches the dispatcher,
+    /// and a request names at most 16 upstreams that it has tried.
+    static constexpr int most_given_back = 8;
+
     Placement& from_;
     request_sends& sends_;
     state::send_kind kind_;
@@ -260,6 +320,8 @@
     /// Name of the present place or wait; 0 for none.
     std::uint64_t number_ = 0;
     std::optional<state::place> place_;
+    /// Upstream of the present send, and its incarnation.
+    std::pair<std::string, std::uint64_t> target_;
     std::shared_ptr<place_wait> waiting_;
     /// The request was given to the present place.
     bool sent_ = false;
--- a/include/oriolegrade/transport/gateway/gateway_shared.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_shared.hpp
@@ -4,6 +4,7 @@
 #define ORIOLEGRADE_TRANSPORT_GATEWAY_GATEWAY_SHARED_HPP
 
 #include <oriolegrade/coordination/drain_schedule.hpp>
+#include <oriolegrade/coordination/upstream_wishes.hpp>
 #include <oriolegrade/coordination/window_budget.hpp>
 #include <oriolegrade/state/host_member.hpp>
 #include <oriolegrade/state/rcu_cell.hpp>
@@ -54,6 +55,7 @@
     /// When the stop began; read only when stopping.
     std::atomic<state::time_point> stop_began{};
     gateway_metrics metrics;
+    coordination::upstream_wishes wishes;
 
     /// Schedule of the stop in progress; empty before.
     std::optional<coordination::drain_schedule> drain() const
--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -178,6 +178,7 @@
                             line.began,
                             deadline_of(head, *plan.route, line.began),
                             shared_.metrics,
+                            shared_.wishes,
                             {},
                             0,
                             {},
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -166,7 +166,7 @@
     const auto& request = it.request;
     const auto& spec = entry.tracker.spec();
     state::place out{spec.id, spec.address, options_.max_connections,
-                     hedge_delay(it, entry.tracker, now)};
+                     hedge_delay(it, entry.tracker, now), spec.born};
     const auto previous_begin = entry.tracker.last_begin();
     bool trial = false;
     upstreams_.change(entry, now, [&](upstream_tracker& tracker) {
@@ -202,8 +202,21 @@
                                             state::time_point now)
 {
     unserved_.turned_away(request.kind, now);
-    return admission_.refuse(reason, number, expected_wait(request.rank),
-                             latencies_.usual());
+    auto wait = expected_wait(request.rank);
+    if (reason == place_refusal_reason::no_upstream) {
+        wait = std::max(wait, quiet_time(now));
+    }
+    return admission_.refuse(reason, number, wait, latencies_.usual());
+}
+
+state::duration dispatch_queue::quiet_time(state::time_point now) const
+{
+    auto first = state::time_point::max();
+    for (const auto* it : upstreams_.ready_upstreams()) {
+        first = std::min(first, it->tracker.quiet_until());
+    }
+    return first == state::time_point::max() || first <= now ? state::duration{}
+                                                             : first - now;
 }
 
 state::place_answer dispatch_queue::place_or_refuse(request_id number,
@@ -279,7 +292,8 @@
     limit_holds(now);
 }
 
-void dispatch_queue::take_back(request_id number, state::time_point now)
+void dispatch_queue::take_back(request_id number, state::time_point now,
+                               const state::upstream_wish& wish)
 {
     const auto found = active_sends_.find(number);
     if (found == active_sends_.end()) {
@@ -295,6 +309,7 @@
                               {active_send.began, 1.0,
                                active_send.unconfirmed_trial,
                                active_send.stalled});
+            tracker.note_wish(wish, now);
         });
     }
 }
@@ -362,8 +377,8 @@
 
 void dispatch_queue::limit_holds(state::time_point now)
 {
-    const auto max_held = static_cast<std::size_t>(
-        std::floor(static_cast<double>(upstreams_.ready()) * max_held_share));
+    const auto max_held = static_cast<std::size_t>(std::floor(
+        static_cast<double>(upstreams_.available()) * max_held_share));
     if (upstreams_.count(upstream_standing::held) <= max_held) {
         return;
     }
--- a/src/coordination/upstream_choice.cpp
+++ b/src/coordination/upstream_choice.cpp
@@ -38,13 +38,13 @@
 bool are_few_in_service(const upstream_index& index)
 {
     return static_cast<double>(index.count(upstream_standing::in_service)) <
-           min_in_service_share * static_cast<double>(index.ready());
+           min_in_service_share * static_cast<double>(index.available());
 }
 
 /// All upstreams are held: each is as good as the others.
 bool are_all_held(const upstream_index& index)
 {
-    return index.count(upstream_standing::held) == index.ready();
+    return index.count(upstream_standing::held) == index.available();
 }
 
 /// Cheapest upstream of several pools for one request.
@@ -118,7 +118,7 @@
                  const state::place_request& request, state::time_point now)
 {
     const auto& tried = request.tried;
-    return tracker.is_ready() && tracker.reachable_from(request.host, now) &&
+    return tracker.is_ready(now) && tracker.reachable_from(request.host, now) &&
            std::find(tried.begin(), tried.end(), tracker.spec().id) ==
                tried.end();
 }
--- a/src/coordination/upstream_index.cpp
+++ b/src/coordination/upstream_index.cpp
@@ -79,7 +79,7 @@
             it = entries_.erase(it);
             continue;
         }
-        if (entry.tracker.is_ready()) {
+        if (entry.tracker.is_listed()) {
             ready_.push_back(&entry);
         }
         refresh(entry, now);
@@ -96,6 +96,15 @@
     floor_.advance(now);
 }
 
+std::size_t upstream_index::available() const
+{
+    std::size_t n = 0;
+    for (const auto& it : counts_) {
+        n += it.upstreams;
+    }
+    return n;
+}
+
 upstream_entry* upstream_index::find(const std::string& id)
 {
     const auto it = entries_.find(id);
@@ -121,7 +130,7 @@
     const auto& tracker = entry.tracker;
     count(entry, now);
     remove_from_pool(entry);
-    const bool usable = tracker.is_ready() && tracker.has_room(now);
+    const bool usable = tracker.is_ready(now) && tracker.has_room(now);
     if (usable) {
         put_in_pool(entry, now);
     }
@@ -134,7 +143,7 @@
     const auto& tracker = entry.tracker;
     const auto standing = tracker.standing(now);
     uncount(entry);
-    if (tracker.is_ready()) {
+    if (tracker.is_ready(now)) {
         auto& it = counts_[state::index_of(standing)];
         ++it.upstreams;
         it.slots += tracker.spec().slots;
--- a/src/coordination/upstream_tracker.cpp
+++ b/src/coordination/upstream_tracker.cpp
@@ -61,6 +61,15 @@
                              : upstream_standing::on_trial;
 }
 
+void upstream_tracker::note_wish(const state::upstream_wish& wish,
+                                 state::time_point now)
+{
+    leaving_ = leaving_ || wish.leaving;
+    if (wish.pause) {
+        quiet_until_ = std::max(quiet_until_, now + *wish.pause);
+    }
+}
+
 state::time_point upstream_tracker::next_change(state::time_point now) const
 {
     auto next = state::time_point::max();
@@ -78,6 +87,7 @@
         consider(external_load_until_);
     }
     consider(warm_at_);
+    consider(quiet_until_);
     if (slowness(now) > min_slowness) {
         consider(now + slowness_step);
     }
@@ -145,6 +155,7 @@
                            const send_context& how, state::time_point now)
 {
     release_slot(how);
+    note_wish(report.wish, now);
     if (report.load) {
         const bool ran = report.result == state::send_result::answered ||
                          report.result == state::send_result::server_error;
--- a/src/protocol/dispatch_messages.cpp
+++ b/src/protocol/dispatch_messages.cpp
@@ -73,6 +73,10 @@
     report.set_result(static_cast<std::uint32_t>(it.what.result));
     report.set_took_us(wire_time<microseconds>(it.what.took));
     report.set_unused(it.what.unused);
+    report.set_leaving(it.what.wish.leaving);
+    if (it.what.wish.pause) {
+        report.set_pause_ms(wire_time<milliseconds>(*it.what.wish.pause));
+    }
     if (it.what.load) {
         report.set_has_load(true);
         report.set_running(it.what.load->running);
@@ -149,6 +153,10 @@
         check.enumerator<state::send_result>(it.result(), "result");
     out.what.took = microseconds(it.took_us());
     out.what.unused = it.unused();
+    out.what.wish.leaving = it.leaving();
+    if (it.pause_ms() > 0) {
+        out.what.wish.pause = milliseconds(it.pause_ms());
+    }
     if (it.has_load()) {
         out.what.load =
             state::occupancy_report{it.running(), it.waiting(), it.slots()};
@@ -163,6 +171,7 @@
     place.set_upstream(it.what.upstream);
     place.set_address(packed(it.what.address));
     place.set_max_connections(it.what.max_connections);
+    place.set_born(it.what.born);
     if (it.what.hedge_after) {
         place.set_may_hedge(true);
         place.set_hedge_after_us(wire_time<microseconds>(*it.what.hedge_after));
@@ -191,6 +200,7 @@
     check_text(out.what.upstream, "upstream", check);
     out.what.address = check.endpoint(it.address(), "address");
     out.what.max_connections = it.max_connections();
+    out.what.born = it.born();
     if (it.may_hedge()) {
         out.what.hedge_after = microseconds(it.hedge_after_us());
     }
--- a/src/transport/gateway/dispatch_service.cpp
+++ b/src/transport/gateway/dispatch_service.cpp
@@ -212,7 +212,7 @@
 {
     finish(number, [&](coordination::dispatch_queue& queue, time_point now) {
         if (report.unused) {
-            queue.take_back(number, now);
+            queue.take_back(number, now, report.wish);
         } else {
             queue.report(number, report, now);
         }
--- a/test/fakes/fake_placement.hpp
+++ b/test/fakes/fake_placement.hpp
@@ -32,11 +32,16 @@
     void report(std::uint64_t number, const state::send_report& report)
     {
         reports[number].push_back(report.result);
+        if (report.wish.any()) {
+            wishes.push_back(report.wish);
+        }
     }
 
     std::deque<state::place_answer> answers;
     std::vector<state::place_request> requests;
     std::map<std::uint64_t, std::vector<state::send_result>> reports;
+    /// What the reports told of upstreams.
+    std::vector<state::upstream_wish> wishes;
 
 private:
     std::uint64_t last_ = 0;
--- a/test/platform/dialect_test.cpp
+++ b/test/platform/dialect_test.cpp
@@ -30,6 +30,32 @@
     EXPECT_TRUE(dialect::is_misdirected(answer(421)));
 }
 
+// A wish that is misread takes a sound upstream out of service, or leaves one
+// in that asked for quiet.
+TEST(platform_dialect, wishes_of_an_upstream_are_read_or_ignored)
+{
+    using std::chrono::milliseconds;
+    EXPECT_FALSE(dialect::wish_of(answer(200)).any());
+    EXPECT_TRUE(
+        dialect::wish_of(answer(200, {{"Server-Leaving", "1"}})).leaving);
+    EXPECT_FALSE(
+        dialect::wish_of(answer(200, {{"Server-Leaving", "0"}})).any());
+    const auto pause = [](std::uint16_t status, const std::string& text) {
+        return dialect::wish_of(answer(status, {{"Retry-After", text}})).pause;
+    };
+    EXPECT_EQ(pause(503, "2"), milliseconds(2000));
+    EXPECT_EQ(pause(503, "0.25"), milliseconds(250));
+    EXPECT_EQ(pause(503, "3600"), std::chrono::hours(1));
+    for (const auto* text :
+         {"", "0", "-1", "+1", "3601", "1e9", "inf", "nan", "0x10", "2s", "2 ",
+          "Wed, 21 Oct 2026 07:28:00 GMT", "100000000000000000000000000000"}) {
+        EXPECT_FALSE(pause(503, text)) << text;
+    }
+    // Only a 503 turns a request away.
+    EXPECT_FALSE(pause(500, "2"));
+    EXPECT_FALSE(pause(200, "2"));
+}
+
 TEST(platform_dialect, an_answer_to_another_request_does_not_belong)
 {
     protocol::request_head request;
--- a/test/platform/gateway_worker_test.cpp
+++ b/test/platform/gateway_worker_test.cpp
@@ -106,6 +106,87 @@
                              return std::string(it.param.name);
                          });
 
+// A dispatcher that lags places at an upstream that has said that it leaves.
+// The host knows better, and a new incarnation of the upstream is another one.
+TEST(gateway_worker, an_upstream_that_said_it_leaves_gets_another_request)
+{
+    auto& b = make_bench();
+    b.place_at(b.first, "u1");
+    b.first.add({"HTTP/1.1 200 OK\r\nServer-Stamp: x\r\nRequest-Id: q\r\n"
+                 "Server-Leaving: 1\r\nContent-Length: 3\r\n\r\none"});
+    EXPECT_EQ(b.book().body(), "one");
+    ASSERT_EQ(b.places.wishes.size(), 1U);
+    EXPECT_TRUE(b.places.wishes[0].leaving);
+    for (int n = 0; n < 2; ++n) {
+        b.place_at(b.first, "u1");
+        b.place_at(b.second, "u2");
+        b.second.add({answer("two")});
+        EXPECT_EQ(b.book().body(), "two");
+        EXPECT_EQ(b.first.runs, 1);
+        // The dispatcher hears of it, and places elsewhere.
+        EXPECT_EQ(b.places.wishes.size(), 2U + n);
+        EXPECT_EQ(b.places.requests.back().tried,
+                  std::vector<std::string>{"u1"});
+    }
+    b.place_at(b.first, "u1", {}, 2);
+    b.first.add({answer("again")});
+    EXPECT_EQ(b.book().body(), "again");
+}
+
+// The same for a hedge: the second send of a read was placed at an upstream
+// that leaves.
+TEST(gateway_worker, a_hedge_goes_to_an_upstream_that_leaves)
+{
+    auto& b = make_bench();
+    b.place_at(b.second, "u2");
+    b.second.add({"HTTP/1.1 200 OK\r\nServer-Stamp: x\r\nRequest-Id: q\r\n"
+                  "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n"});
+    b.book();
+    b.place_at(b.first, "u1", 20ms);
+    b.place_at(b.second, "u2");
+    b.first.add({answer("slow"), 100ms});
+    EXPECT_EQ(b.read().body(), "slow");
+    EXPECT_EQ(b.second.runs, 1);
+}
+
+// An upstream that turned a request away asked for quiet, and got the next one.
+TEST(gateway_worker, an_upstream_that_wants_quiet_gets_a_request)
+{
+    auto& b = make_bench();
+    b.place_at(b.first, "u1");
+    b.place_at(b.second, "u2");
+    b.first.add({refusal("Request-Id: q\r\nRetry-After: 0.3\r\n")});
+    b.second.add({answer("two")});
+    EXPECT_EQ(b.book().body(), "two");
+    b.place_at(b.first, "u1");
+    b.place_at(b.second, "u2");
+    b.second.add({answer("three")});
+    EXPECT_EQ(b.book().body(), "three");
+    EXPECT_EQ(b.first.runs, 1);
+    boost::this_fiber::sleep_for(320ms);
+    b.place_at(b.first, "u1");
+    b.first.add({answer("four")});
+    EXPECT_EQ(b.book().body(), "four");
+}
+
+// All places that the dispatcher knows are of upstreams that leave: the caller
+// hears at once that nothing ran.
+TEST(gateway_worker, a_request_without_a_willing_upstream_waits)
+{
+    auto& b = make_bench();
+    b.place_at(b.first, "u1");
+    b.first.add({"HTTP/1.1 200 OK\r\nServer-Stamp: x\r\nRequest-Id: q\r\n"
+                 "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n"});
+    b.book();
+    b.place_at(b.first, "u1");
+    b.places.answers.push_back(
+        state::place_refusal{state::place_refusal_reason::no_upstream, 1500ms});
+    const auto got = b.book();
+    EXPECT_EQ(got.result_int(), 503U);
+    EXPECT_EQ(got["Retry-After"], "1.50");
+    EXPECT_EQ(b.first.runs, 1);
+}
+
 // An answer with a coding that cannot be read has no known end, or a coded
 // body: the bytes behind its length would be read as the next answer.
 TEST(gateway_worker, an_answer_with_an_unknown_coding_is_passed_on)
