Count an upstream's word for the incarnation that gave it

The answer of an upstream that leaves may be reported after the register has named its next incarnation under the same id; the dispatcher then took the new one out of service for good.

Change: a send remembers the incarnation that it went to, and its report says something of that one alone.

Before: queue_wishes.a_word_of_an_old_incarnation_counts_for_the_new_one fails. After: it passes with the 11 others.

--- a/include/oriolegrade/coordination/dispatch_queue.hpp
+++ b/include/oriolegrade/coordination/dispatch_queue.hpp
@@ -157,6 +157,8 @@
         bool overdue = false;
         /// Last send to the upstream before this one.
         state::time_point previous_begin = {};
+        /// Incarnation of the upstream.
+        std::uint64_t born = 0;
 
         send_attributes attributes() const
         {
@@ -200,6 +202,9 @@
                                 request_id number,
                                 const state::place_request& request,
                                 state::time_point now);
+    static void note_wish(upstream_tracker& tracker, const active_send& send,
+                          const state::upstream_wish& wish,
+                          state::time_point now);
     /// Time until the first upstream that wants no requests takes some again;
     /// 0 when there is none.
     state::duration quiet_time(state::time_point now) const;
--- a/include/oriolegrade/coordination/upstream_wishes.hpp
+++ b/include/oriolegrade/coordination/upstream_wishes.hpp
@@ -21,9 +21,9 @@
 
 namespace oriolegrade::coordination {
 
-/// An upstream that leaves serves for some seconds more, and its entry in the
-/// register may lag by seconds. Its identity does not return.
-inline constexpr state::duration leaving_memory = std::chrono::minutes(2);
+/// An incarnation that leaves is gone within minutes, and its entry with it. A
+/// false word of one that stays is forgotten after this time.
+inline constexpr state::duration leaving_memory = std::chrono::hours(1);
 /// Upstreams that are remembered; further ones are not. The target size is
 /// 9,500 upstreams.
 inline constexpr std::size_t max_wishes = 16384;
--- a/include/oriolegrade/transport/caller_connection.hpp
+++ b/include/oriolegrade/transport/caller_connection.hpp
@@ -120,11 +120,10 @@
 
     /// Closes the connection and waits for the end of reading. Call once, after
     /// end().
-    /// @param linger requests may come that the caller sent ahead: closes by
-    /// half
-    ///        and reads until the caller closes too, or has had time to. A
-    ///        request at a closed socket would reset the connection and destroy
-    ///        the answers on their way.
+    /// @param linger requests may come that the caller sent ahead; then the
+    ///        connection is closed by half and read until the caller closes
+    ///        too, or has had time to. A request at a closed socket would reset
+    ///        the connection and destroy the answers on their way.
     void close(bool linger);
 
 private:
--- a/include/oriolegrade/transport/gateway/rules_follower.hpp
+++ b/include/oriolegrade/transport/gateway/rules_follower.hpp
@@ -81,9 +81,7 @@
     std::function<bool()> is_reader;
 
     /// Another host has rules of this version.
-    /// @param confirmed_age time since it read that there is no newer one;
-    /// empty
-    ///        when it did not
+    /// @param confirmed_age time since it read that there is no newer one
     void heard(const std::string& host, std::uint64_t version,
                std::optional<state::duration> confirmed_age)
     {
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -173,8 +173,9 @@
         trial = tracker.begin(now);
     });
     active_sends_[number] = {
-        spec.id, request.host, request.route,      now,   false,
-        trial,   request.kind, request.repeatable, false, previous_begin};
+        spec.id, request.host,   request.route, now,
+        false,   trial,          request.kind,  request.repeatable,
+        false,   previous_begin, spec.born};
     latencies_.began(request.route);
     if (request.kind == send_kind::first) {
         unserved_.placed(now);
@@ -288,10 +289,22 @@
                     {active_send.began, relative, active_send.unconfirmed_trial,
                      active_send.stalled},
                     now);
+        note_wish(tracker, active_send, report.wish, now);
     });
     limit_holds(now);
 }
 
+void dispatch_queue::note_wish(upstream_tracker& tracker,
+                               const active_send& send,
+                               const state::upstream_wish& wish,
+                               state::time_point now)
+{
+    // The word of an earlier incarnation says nothing of this one.
+    if (tracker.spec().born == send.born) {
+        tracker.note_wish(wish, now);
+    }
+}
+
 void dispatch_queue::take_back(request_id number, state::time_point now,
                                const state::upstream_wish& wish)
 {
@@ -309,7 +322,7 @@
                               {active_send.began, 1.0,
                                active_send.unconfirmed_trial,
                                active_send.stalled});
-            tracker.note_wish(wish, now);
+            note_wish(tracker, active_send, wish, now);
         });
     }
 }
--- a/src/coordination/upstream_tracker.cpp
+++ b/src/coordination/upstream_tracker.cpp
@@ -155,7 +155,6 @@
                            const send_context& how, state::time_point now)
 {
     release_slot(how);
-    note_wish(report.wish, now);
     if (report.load) {
         const bool ran = report.result == state::send_result::answered ||
                          report.result == state::send_result::server_error;
