--- a/include/oriolegrade/coordination/upstream_index.hpp
+++ b/include/oriolegrade/coordination/upstream_index.hpp
@@ -76,14 +76,10 @@
         return sizes_[state::index_of(use)];
     }
 
-    /// Upstreams that accept requests now: those of ready_upstreams() that did
-    /// not say otherwise.
+    /// Number of upstreams that accept requests now: those of ready_upstreams()
+    /// that did not say otherwise.
     std::size_t available() const;
     /// Upstreams that accept requests by the register.
-    std::size_t ready() const
-    {
-        return ready_.size();
-    }
     const std::vector<upstream_entry*>& ready_upstreams() const
     {
         return ready_;
--- a/include/oriolegrade/coordination/upstream_tracker.hpp
+++ b/include/oriolegrade/coordination/upstream_tracker.hpp
@@ -118,15 +118,15 @@
         return spec_;
     }
 
-    /// Accepts requests, as far as it says itself.
     /// The register says that it accepts requests.
     bool is_listed() const
     {
         return spec_.state == state::registration_state::ready;
     }
+    /// It accepts requests, as far as the register and it itself say.
     bool is_ready(state::time_point now) const
     {
-        return is_listed() && now >= quiet_until();
+        return is_listed() && now >= quiet_until_;
     }
     /// The upstream has said something of itself.
     void note_wish(const state::upstream_wish& wish, state::time_point now);
@@ -134,7 +134,7 @@
     /// leaves.
     state::time_point quiet_until() const
     {
-        return leaving_ ? state::time_point::max() : quiet_until_;
+        return quiet_until_;
     }
     std::uint64_t order() const
     {
@@ -291,9 +291,8 @@
     std::set<std::string> lost_at_;
     double slowness_ = 1.0;
     state::time_point slowness_at_{};
-    /// The upstream said that it leaves. Only a new incarnation returns.
-    bool leaving_ = false;
-    /// Until then the upstream wants no requests.
+    /// Until then the upstream wants no requests; max() when it said that it
+    /// leaves, as only a new incarnation returns.
     state::time_point quiet_until_{};
     /// Hosts that failed to connect, with the time until which they do not
     /// retry.
--- a/include/oriolegrade/coordination/upstream_wishes.hpp
+++ b/include/oriolegrade/coordination/upstream_wishes.hpp
@@ -48,10 +48,9 @@
 private:
     struct row
     {
-        bool leaving = false;
-        /// Until then the upstream wants no requests.
+        /// Until then the upstream wants no requests; max() when it leaves.
         state::time_point quiet_until{};
-        /// The row is forgotten then; not before quiet_until.
+        /// The row is forgotten then.
         state::time_point expires{};
     };
     using key = std::pair<std::string, std::uint64_t>;
--- a/include/oriolegrade/protocol/http_head.hpp
+++ b/include/oriolegrade/protocol/http_head.hpp
@@ -77,6 +77,16 @@
     body_framing framing;
 };
 
+/// Version as two digits, as the library has it.
+inline constexpr unsigned http_1_0 = 10;
+inline constexpr unsigned http_1_1 = 11;
+
+/// False for a transfer coding that leaves the end of a body unknown, or the
+/// body coded: any but `chunked`, and all in HTTP/1.0, which has none (RFC
+/// 9112, section 6.1). A body whose end is unknown would be read as the next
+/// message.
+bool is_known_coding(std::string_view coding, unsigned version);
+
 /// Path of a request target, without the query.
 std::string_view path_of(std::string_view target);
 
--- a/include/oriolegrade/state/dispatch_type.hpp
+++ b/include/oriolegrade/state/dispatch_type.hpp
@@ -85,6 +85,15 @@
     {
         return leaving || pause.has_value();
     }
+    /// End of the time for which the upstream gets no requests; max() when it
+    /// leaves, and the first moment there is when it says nothing.
+    time_point quiet_until(time_point now) const
+    {
+        if (leaving) {
+            return time_point::max();
+        }
+        return pause ? now + *pause : time_point{};
+    }
     bool operator==(const upstream_wish&) const = default;
 };
 
--- a/include/oriolegrade/transport/first_chunk.hpp
+++ b/include/oriolegrade/transport/first_chunk.hpp
@@ -1,4 +1,5 @@
-// Reads the begin of a chunked body before Beast's parser looks at it.
+// Reads HTTP messages by Beast, which must not see the begin of a chunked body
+// too early.
 
 #ifndef ORIOLEGRADE_TRANSPORT_FIRST_CHUNK_HPP
 #define ORIOLEGRADE_TRANSPORT_FIRST_CHUNK_HPP
@@ -8,6 +9,7 @@
 #include <oriolegrade/transport/tcp.hpp>
 
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
 
 namespace oriolegrade::transport {
 
@@ -24,6 +26,18 @@
     }
 }
 
+/// Reads a whole message.
+template <class Parser>
+void read_http_message(tcp_stream& stream, boost::beast::flat_buffer& buf,
+                       Parser& parser, error_code& ec)
+{
+    boost::beast::http::async_read_header(stream, buf, parser, fiber_yield(ec));
+    read_first_chunk(stream, buf, parser, ec);
+    if (!ec && !parser.is_done()) {
+        boost::beast::http::async_read(stream, buf, parser, fiber_yield(ec));
+    }
+}
+
 } // namespace oriolegrade::transport
 
 #endif
--- a/include/oriolegrade/transport/gateway/dispatched_choice.hpp
+++ b/include/oriolegrade/transport/gateway/dispatched_choice.hpp
@@ -211,6 +211,12 @@
         --sends_.runs;
         state::send_report report{state::send_result::cancelled, {}, {}, true};
         report.wish = wish;
+        end_place(report);
+    }
+
+    /// Reports the end of the present place.
+    void end_place(const state::send_report& report)
+    {
         sends_.metrics.count(report.result);
         sends_.results.push_back(report.result);
         from_.report(std::exchange(number_, 0), report);
@@ -304,9 +310,7 @@
             report.load = Dialect::load_of(*head);
             report.wish = hear(*head);
         }
-        sends_.metrics.count(result);
-        sends_.results.push_back(result);
-        from_.report(std::exchange(number_, 0), report);
+        end_place(report);
     }
 
     /// Places of one send that are given back. Each one teaches the dispatcher,
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -204,7 +204,8 @@
 {
     unserved_.turned_away(request.kind, now);
     auto wait = expected_wait(request.rank);
-    if (reason == place_refusal_reason::no_upstream) {
+    if (reason == place_refusal_reason::no_upstream &&
+        upstreams_.available() == 0) {
         wait = std::max(wait, quiet_time(now));
     }
     return admission_.refuse(reason, number, wait, latencies_.usual());
--- a/src/coordination/upstream_tracker.cpp
+++ b/src/coordination/upstream_tracker.cpp
@@ -64,10 +64,7 @@
 void upstream_tracker::note_wish(const state::upstream_wish& wish,
                                  state::time_point now)
 {
-    leaving_ = leaving_ || wish.leaving;
-    if (wish.pause) {
-        quiet_until_ = std::max(quiet_until_, now + *wish.pause);
-    }
+    quiet_until_ = std::max(quiet_until_, wish.quiet_until(now));
 }
 
 state::time_point upstream_tracker::next_change(state::time_point now) const
--- a/src/coordination/upstream_wishes.cpp
+++ b/src/coordination/upstream_wishes.cpp
@@ -15,28 +15,27 @@
                             const state::upstream_wish& wish,
                             state::time_point now)
 {
+    const auto quiet_until = wish.quiet_until(now);
+    const auto expires = quiet_until == state::time_point::max()
+                             ? now + leaving_memory
+                             : quiet_until;
     const std::lock_guard lock(writing_);
-    auto rows = std::make_shared<table>(*rows_.read());
+    const auto known = rows_.read();
+    const auto found = known->find({upstream, born});
+    // Each answer of an upstream that leaves says so again.
+    if (found != known->end() && found->second.expires > now &&
+        found->second.quiet_until >= quiet_until) {
+        return false;
+    }
+    auto rows = std::make_shared<table>(*known);
     std::erase_if(*rows,
                   [&](const auto& it) { return it.second.expires <= now; });
-    const auto found = rows->find({upstream, born});
-    if (found == rows->end() && rows->size() >= max_wishes) {
+    if (rows->size() >= max_wishes && !rows->contains({upstream, born})) {
         return false;
     }
-    const auto before = found == rows->end() ? row{} : found->second;
-    auto after = before;
-    after.leaving = before.leaving || wish.leaving;
-    if (wish.pause) {
-        after.quiet_until = std::max(before.quiet_until, now + *wish.pause);
-    }
-    after.expires =
-        std::max(after.quiet_until,
-                 after.leaving ? now + leaving_memory : state::time_point{});
-    const bool known = before.leaving == after.leaving &&
-                       before.quiet_until >= after.quiet_until;
-    (*rows)[{upstream, born}] = after;
+    (*rows)[{upstream, born}] = {quiet_until, expires};
     rows_.publish(std::move(rows));
-    return !known;
+    return true;
 }
 
 state::upstream_wish upstream_wishes::in_force(const std::string& upstream,
@@ -44,19 +43,15 @@
                                                state::time_point now) const
 {
     const auto rows = rows_.read();
-    state::upstream_wish out;
-    if (rows->empty()) {
-        return out;
-    }
     const auto found = rows->find({upstream, born});
-    if (found == rows->end()) {
-        return out;
+    if (found == rows->end() || found->second.expires <= now) {
+        return {};
     }
-    out.leaving = found->second.leaving && found->second.expires > now;
-    if (found->second.quiet_until > now) {
-        out.pause = found->second.quiet_until - now;
+    const auto until = found->second.quiet_until;
+    if (until == state::time_point::max()) {
+        return {true, {}};
     }
-    return out;
+    return {false, until - now};
 }
 
 } // namespace oriolegrade::coordination
--- a/src/protocol/http_head.cpp
+++ b/src/protocol/http_head.cpp
@@ -55,6 +55,11 @@
     return find(state::name_of(field));
 }
 
+bool is_known_coding(std::string_view coding, unsigned version)
+{
+    return version != http_1_0 && same_field_name(coding, "chunked");
+}
+
 std::string_view path_of(std::string_view target)
 {
     return target.substr(0, target.find('?'));
--- a/src/protocol/request_parser.cpp
+++ b/src/protocol/request_parser.cpp
@@ -82,7 +82,7 @@
     bool continue_expected = false;
     /// Major and minor version as two digits; 1.1 while the first line is not
     /// known, for an answer to bytes that are no request.
-    unsigned version = 11;
+    unsigned version = http_1_1;
     /// The header of a chunk was taken.
     bool chunk_begun = false;
     /// Where the content of the body goes.
@@ -129,7 +129,7 @@
             return;
         }
         if (field == http::field::transfer_encoding &&
-            !is_known_coding(value)) {
+            !is_known_coding(to_view(value), version)) {
             ec = http::error::bad_transfer_encoding;
             return;
         }
@@ -149,18 +149,8 @@
         }
     }
 
-    /// A coding other than `chunked` leaves the end of the body unknown, or the
-    /// body coded, and HTTP/1.0 has no codings (RFC 9112, section 6.1). A body
-    /// whose end is unknown would be run as the next request.
-    bool is_known_coding(string_view value) const
-    {
-        constexpr unsigned http_1_0 = 10;
-        return version != http_1_0 && boost::beast::iequals(value, "chunked");
-    }
-
     void on_header_impl(error_code& ec) override
     {
-        constexpr unsigned http_1_1 = 11;
         // RFC 9112, section 3.2.
         if (version == http_1_1 && !has_host_) {
             ec = http::error::bad_field;
--- a/src/transport/caller_stream.cpp
+++ b/src/transport/caller_stream.cpp
@@ -136,7 +136,6 @@
 
 void caller_answer::start(const protocol::answer_head& head, error_code& ec)
 {
-    constexpr unsigned http_1_0 = 10;
     if (head.framing.length) {
         held_.shrink(*head.framing.length);
     }
@@ -160,14 +159,13 @@
     has_body_ = !request_.is_head() && head.status != no_content &&
                 head.status != not_modified;
     if (!has_body_) {
-        remaining_ = 0;
         if (head.framing.length && head.status != no_content) {
             message_.content_length(*head.framing.length);
         }
     } else if (head.framing.length) {
         message_.content_length(*head.framing.length);
         remaining_ = *head.framing.length;
-    } else if (version == http_1_0) {
+    } else if (version == protocol::http_1_0) {
         keep_alive_ = false;
     } else {
         message_.chunked(true);
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -7,7 +7,6 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 namespace oriolegrade::transport {
@@ -68,11 +67,7 @@
     boost::beast::flat_buffer buf;
     http::response_parser<http::string_body> parser;
     parser.body_limit(options_.max_answer_bytes);
-    http::async_read_header(*stream, buf, parser, fiber_yield(ec));
-    read_first_chunk(*stream, buf, parser, ec);
-    if (!ec && !parser.is_done()) {
-        http::async_read(*stream, buf, parser, fiber_yield(ec));
-    }
+    read_http_message(*stream, buf, parser, ec);
     if (ec) {
         return http_failure{ec, true};
     }
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -7,7 +7,6 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <chrono>
@@ -30,11 +29,7 @@
         parser.body_limit(max_control_body_bytes);
         error_code ec;
         stream.expires_after(idle_limit);
-        http::async_read_header(stream, buf, parser, fiber_yield(ec));
-        read_first_chunk(stream, buf, parser, ec);
-        if (!ec && !parser.is_done()) {
-            http::async_read(stream, buf, parser, fiber_yield(ec));
-        }
+        read_http_message(stream, buf, parser, ec);
         if (ec) {
             return;
         }
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -9,13 +9,12 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_cat.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
-#include <iterator>
+#include <algorithm>
 #include <optional>
 #include <string>
 
@@ -38,21 +37,16 @@
            field == http::field::transfer_encoding;
 }
 
-/// The end of the answer is known, and its body is not coded. A transfer coding
-/// overrides a length (RFC 9112, section 6.3), so a coding other than `chunked`
-/// leaves bytes that would be read as the next answer.
-template <class Parser>
-bool is_framed(const Parser& parser)
+/// A transfer coding overrides a length (RFC 9112, section 6.3), so each has to
+/// be one that can be read.
+template <class Message>
+bool has_known_codings(const Message& message)
 {
-    constexpr unsigned http_1_0 = 10;
-    const auto& message = parser.get();
     const auto range = message.equal_range(http::field::transfer_encoding);
-    if (range.first == range.second) {
-        return true;
-    }
-    return message.version() != http_1_0 && parser.chunked() &&
-           std::next(range.first) == range.second &&
-           beast::iequals(range.first->value(), "chunked");
+    return std::all_of(range.first, range.second, [&](const auto& it) {
+        return protocol::is_known_coding({it.value().data(), it.value().size()},
+                                         message.version());
+    });
 }
 
 /// Time of a `Keep-Alive: timeout=N` field; empty without one.
@@ -193,12 +187,12 @@
         }
         x.start_parser();
     }
-    if (!is_framed(*x.parser)) {
+    const auto& message = x.parser->get();
+    if (!has_known_codings(message)) {
         ec = http::error::bad_transfer_encoding;
         return {};
     }
     protocol::answer_head head;
-    const auto& message = x.parser->get();
     head.status = static_cast<std::uint16_t>(message.result_int());
     if (const auto limit = keep_alive_limit(message)) {
         peer_idle_limit = *limit;
--- a/test/coordination/upstream_wishes_test.cpp
+++ b/test/coordination/upstream_wishes_test.cpp
@@ -143,7 +143,6 @@
     {
         int late = 0;
         int refused = 0;
-        int placed = 0;
     };
 
     /// @param wish of each fifth upstream, said with its first answer after 1 s
@@ -179,7 +178,6 @@
                     queue.take_back(last, now);
                     break;
                 }
-                ++out.placed;
                 const auto at = said.find(id);
                 out.late +=
                     at != said.end() && now - at->second < allowed ? 1 : 0;
--- a/test/fakes/gateway_bench.hpp
+++ b/test/fakes/gateway_bench.hpp
@@ -23,12 +23,14 @@
     transport::gateway_worker<platform::dialect, fake_placement>;
 
 /// Whole answer of an upstream to the request with the id.
+/// @param fields additional header fields, each terminated by CRLF
 inline std::string answer(const std::string& body, const std::string& id = "q",
-                          const std::string& status = "200 OK")
+                          const std::string& status = "200 OK",
+                          const std::string& fields = {})
 {
     return "HTTP/1.1 " + status + "\r\nServer-Stamp: x\r\nRequest-Id: " + id +
-           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-           body;
+           "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
 }
 
 /// Answer of an upstream that did not run the request.
--- a/test/fakes/raw_upstream.hpp
+++ b/test/fakes/raw_upstream.hpp
@@ -19,6 +19,19 @@
 
 namespace oriolegrade::test {
 
+/// A message with a chunked body without content, whose bytes arrive apart.
+/// @param head first line and fields, each terminated by CRLF
+inline std::vector<std::string>
+with_empty_body_in_pieces(const std::string& head)
+{
+    return {head + "Transfer-Encoding: chunked\r\n\r\n",
+            "0",
+            "\r",
+            "\n",
+            "\r",
+            "\n"};
+}
+
 class raw_upstream
 {
 public:
--- a/test/platform/gateway_worker_test.cpp
+++ b/test/platform/gateway_worker_test.cpp
@@ -106,14 +106,19 @@
                              return std::string(it.param.name);
                          });
 
+/// Answer of an upstream that says that it leaves.
+std::string leaving_answer(const std::string& body)
+{
+    return answer(body, "q", "200 OK", "Server-Leaving: 1\r\n");
+}
+
 // A dispatcher that lags places at an upstream that has said that it leaves.
 // The host knows better, and a new incarnation of the upstream is another one.
 TEST(gateway_worker, an_upstream_that_said_it_leaves_gets_another_request)
 {
     auto& b = make_bench();
     b.place_at(b.first, "u1");
-    b.first.add({"HTTP/1.1 200 OK\r\nServer-Stamp: x\r\nRequest-Id: q\r\n"
-                 "Server-Leaving: 1\r\nContent-Length: 3\r\n\r\none"});
+    b.first.add({leaving_answer("one")});
     EXPECT_EQ(b.book().body(), "one");
     ASSERT_EQ(b.places.wishes.size(), 1U);
     EXPECT_TRUE(b.places.wishes[0].leaving);
@@ -139,8 +144,7 @@
 {
     auto& b = make_bench();
     b.place_at(b.second, "u2");
-    b.second.add({"HTTP/1.1 200 OK\r\nServer-Stamp: x\r\nRequest-Id: q\r\n"
-                  "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n"});
+    b.second.add({leaving_answer("")});
     b.book();
     b.place_at(b.first, "u1", 20ms);
     b.place_at(b.second, "u2");
@@ -175,8 +179,7 @@
 {
     auto& b = make_bench();
     b.place_at(b.first, "u1");
-    b.first.add({"HTTP/1.1 200 OK\r\nServer-Stamp: x\r\nRequest-Id: q\r\n"
-                 "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n"});
+    b.first.add({leaving_answer("")});
     b.book();
     b.place_at(b.first, "u1");
     b.places.answers.push_back(
@@ -214,9 +217,8 @@
 {
     auto& b = make_bench();
     test::raw_upstream upstream(
-        b.ioc, {"HTTP/1.1 200 OK\r\nServer-Stamp: x\r\nRequest-Id: q\r\n"
-                "Transfer-Encoding: chunked\r\n\r\n",
-                "0", "\r", "\n", "\r", "\n"});
+        b.ioc, test::with_empty_body_in_pieces(
+                   "HTTP/1.1 200 OK\r\nServer-Stamp: x\r\nRequest-Id: q\r\n"));
     b.places.answers.push_back(state::place{"u1", upstream.address(), 10, {}});
     const auto got = b.book();
     EXPECT_EQ(got.result_int(), 200U);
--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -293,6 +293,14 @@
     {
         return shared.rules.read()->rules().version;
     }
+    /// Another host confirms version 1, once in 200 ms.
+    void hear_confirmations(int count)
+    {
+        for (int n = 0; n < count; ++n) {
+            follower.heard("other", 1, 0ms);
+            boost::this_fiber::sleep_for(200ms);
+        }
+    }
     /// True when the version is in force within the time.
     bool reaches(std::uint64_t wanted, std::chrono::milliseconds limit) const
     {
@@ -363,15 +371,9 @@
     b.store.put(op, "config", rules(1));
     ASSERT_TRUE(b.reaches(1, 2s));
     b.reader = false;
-    for (int n = 0; n < 6; ++n) {
-        b.follower.heard("other", 1, 0ms);
-        boost::this_fiber::sleep_for(200ms);
-    }
+    b.hear_confirmations(6);
     const auto before = b.store.calls;
-    for (int n = 0; n < 5; ++n) {
-        b.follower.heard("other", 1, 0ms);
-        boost::this_fiber::sleep_for(200ms);
-    }
+    b.hear_confirmations(5);
     EXPECT_EQ(b.store.calls, before);
     b.store.put(op, "config", rules(2));
     EXPECT_TRUE(b.reaches(2, 1900ms));
@@ -386,10 +388,7 @@
     ASSERT_TRUE(b.reaches(1, 2s));
     b.reader = false;
     // Outlasts the wait that is under way.
-    for (int n = 0; n < 13; ++n) {
-        b.follower.heard("other", 1, 0ms);
-        boost::this_fiber::sleep_for(200ms);
-    }
+    b.hear_confirmations(13);
     const auto read_at = std::chrono::steady_clock::now();
     b.follower.heard("other", 1, 0ms);
     b.store.put(op, "config", rules(2));
--- a/test/system/signals.py
+++ b/test/system/signals.py
@@ -17,7 +17,6 @@
 import socket
 import time
 
-import fault_soak
 from planned_stop import PlannedStop, gateway_of_build, run_and_report
 
 # Seconds after the first socket listens at which the process gets SIGHUP.
--- a/test/transport/http_server_test.cpp
+++ b/test/transport/http_server_test.cpp
@@ -31,9 +31,8 @@
 /// Sends a request without content in pieces, as the fake upstreams answer.
 void send_in_pieces(test::fake_caller& caller)
 {
-    for (const auto* it :
-         {"PUT /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n",
-          "0", "\r", "\n", "\r", "\n"}) {
+    for (const auto& it :
+         test::with_empty_body_in_pieces("PUT /x HTTP/1.1\r\nHost: x\r\n")) {
         caller.send(it);
         boost::this_fiber::sleep_for(std::chrono::milliseconds(5));
     }
@@ -57,8 +56,7 @@
 {
     static test::raw_upstream server(
         test::fiber_context(),
-        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0", "\r",
-         "\n", "\r", "\n"});
+        test::with_empty_body_in_pieces("HTTP/1.1 200 OK\r\n"));
     transport::http_client client(test::fiber_context(), server.address(), {});
     const auto got = client.call(
         transport::make_request(boost::beast::http::verb::get, "/x", {}),
