Log the connection of each send and the answers that were read past

Of the hypotheses in docs/incidents/refusal-copies.md the log told none apart: a request line named upstreams and results, and two entries of the register may have one address. It now has the number of the connection of each send and the count of answers to other requests that were read past; upstream_changed has the address, and the metrics count such answers. No decision changes.

--- a/include/oriolegrade/transport/gateway/dispatched_choice.hpp
+++ b/include/oriolegrade/transport/gateway/dispatched_choice.hpp
@@ -34,13 +34,17 @@
     gateway_metrics& metrics;
     coordination::upstream_wishes& wishes;
     /// Ids of upstreams that got the request.
-    std::vector<std::string> tried;
+    std::vector<std::string> tried = {};
+    /// Numbers of the connections of the sends, in order; 0 for none.
+    std::vector<std::uint64_t> connections = {};
+    /// Answers to other requests that were read on these connections.
+    std::uint32_t skipped_answers = 0;
     /// Sends that ran the request, or may have or still may.
     std::uint32_t runs = 0;
     /// How each send ended, in the order of the ends.
     std::vector<state::send_result> results = {};
     /// The last turning away, when a place was refused.
-    std::optional<state::place_refusal> refusal;
+    std::optional<state::place_refusal> refusal = {};
     /// When the request got its first place.
     std::optional<state::time_point> first_placed = {};
 };
@@ -140,6 +144,16 @@
                is_server_error(head);
     }
 
+    void sent_on(std::uint64_t connection)
+    {
+        sends_.connections.push_back(connection);
+    }
+    void skipped_answer()
+    {
+        ++sends_.skipped_answers;
+        sends_.metrics.count_skipped_answer();
+    }
+
     void on_hedge(std::function<void(state::duration)> arm)
     {
         arm_ = std::move(arm);
--- a/include/oriolegrade/transport/gateway/gateway_metrics.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_metrics.hpp
@@ -63,6 +63,11 @@
         const auto n = std::min(in_front, read_ahead_.size()) - 1;
         read_ahead_[n].fetch_add(1, std::memory_order_relaxed);
     }
+    /// Counts an answer to another request that was read past.
+    void count_skipped_answer()
+    {
+        skipped_answers_.fetch_add(1, std::memory_order_relaxed);
+    }
     void count_fallback()
     {
         fallbacks_.fetch_add(1, std::memory_order_relaxed);
@@ -86,6 +91,8 @@
     std::array<counter, 8> read_ahead_{};
     /// Requests that no dispatcher placed in time.
     counter fallbacks_{0};
+    /// Answers of upstreams that belonged to other requests.
+    counter skipped_answers_{0};
 };
 
 } // namespace oriolegrade::transport
--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -178,11 +178,7 @@
                             line.began,
                             deadline_of(head, *plan.route, line.began),
                             shared_.metrics,
-                            shared_.wishes,
-                            {},
-                            0,
-                            {},
-                            {}};
+                            shared_.wishes};
         line.service = sends.service;
         run(head, request, answer, sends, line);
     }
@@ -325,6 +321,8 @@
     {
         line.sends = sends.tried;
         line.results = sends.results;
+        line.connections = sends.connections;
+        line.skipped_answers = sends.skipped_answers;
         line.first_placed = sends.first_placed;
         line.turn_wait = answer.turn_wait();
         if (report.caller_error == boost::beast::http::error::body_limit &&
--- a/include/oriolegrade/transport/gateway/registry_follower.hpp
+++ b/include/oriolegrade/transport/gateway/registry_follower.hpp
@@ -226,6 +226,7 @@
         line.with("id", it.id).with("change", state::name_of(it.kind));
         if (it.entry) {
             line.with("service", it.entry->service)
+                .with("address", to_string(it.entry->address))
                 .with("state", state::name_of(it.entry->state))
                 .with("born", it.entry->born)
                 .with("sequence", it.entry->sequence);
--- a/include/oriolegrade/transport/gateway/request_log.hpp
+++ b/include/oriolegrade/transport/gateway/request_log.hpp
@@ -26,6 +26,10 @@
     std::vector<std::string> sends = {};
     /// How the sends ended, in the order of their ends.
     std::vector<state::send_result> results = {};
+    /// Numbers of the connections of the sends, in order; 0 for none.
+    std::vector<std::uint64_t> connections = {};
+    /// Answers to other requests that were read on these connections.
+    std::uint32_t skipped_answers = 0;
     /// When the request got its first place; empty when it got none.
     std::optional<state::time_point> first_placed = {};
     /// Requests in front of it on its connection when it was read.
--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -88,6 +88,16 @@
     c.cancel();
 };
 
+/// A choice that records the connections of sends, and the answers on them that
+/// belonged to other requests.
+template <class Choice>
+concept send_recorder = requires(Choice& c, std::uint64_t connection)
+{
+    // 0 for a send without a connection.
+    c.sent_on(connection);
+    c.skipped_answer();
+};
+
 template <body_source Source, answer_sink Sink, upstream_choice Choice,
           protocol::upstream_dialect Dialect = protocol::own_dialect>
 class request_runner
@@ -262,6 +272,9 @@
                 : reuse_policy::any_idle;
         error_code ec;
         auto connection = pool_.acquire(upstream, policy, deadline_, ec);
+        if constexpr (send_recorder<Choice>) {
+            choice_.sent_on(connection ? connection->number() : 0);
+        }
         if (cancelled_) {
             return state::attempt_result::caller_lost;
         }
@@ -318,6 +331,9 @@
     {
         constexpr int most_strays = 2;
         for (int n = 0; !Dialect::belongs(head, *answer_head_); ++n) {
+            if constexpr (send_recorder<Choice>) {
+                choice_.skipped_answer();
+            }
             if (n == most_strays || !read_past(connection) ||
                 !connection.expect_another()) {
                 return false;
--- a/include/oriolegrade/transport/upstream_connection.hpp
+++ b/include/oriolegrade/transport/upstream_connection.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <span>
 #include <string_view>
@@ -68,6 +69,11 @@
     {
         return address_;
     }
+    /// Tells the connections of the process apart in its log.
+    std::uint64_t number() const
+    {
+        return number_;
+    }
 
     /// Time since when the connection is idle; kept by the pool.
     state::time_point idle_since{};
@@ -90,6 +96,7 @@
     void write(const Buffers& body, error_code& ec);
 
     state::endpoint address_;
+    const std::uint64_t number_;
     tcp_stream stream_;
     std::unique_ptr<exchange> exchange_;
 };
--- a/src/transport/gateway/gateway_metrics.cpp
+++ b/src/transport/gateway/gateway_metrics.cpp
@@ -54,6 +54,7 @@
                  read_ahead_[n]);
     }
     add_line(out, "local_placements_total", "", "", fallbacks_);
+    add_line(out, "skipped_answers_total", "", "", skipped_answers_);
     return out;
 }
 
--- a/src/transport/gateway/request_log.cpp
+++ b/src/transport/gateway/request_log.cpp
@@ -54,6 +54,11 @@
         upstreams += upstreams.empty() ? "" : ",";
         upstreams += it;
     }
+    std::string connection_numbers;
+    for (const auto it : connections) {
+        connection_numbers += connection_numbers.empty() ? "" : ",";
+        connection_numbers += std::to_string(it);
+    }
     std::string ends;
     for (const auto it : results) {
         ends += ends.empty() ? "" : ",";
@@ -70,7 +75,11 @@
         .with("route", route)
         .with("service", service)
         .with("upstreams", upstreams)
+        .with("connections", connection_numbers)
         .with("results", ends);
+    if (skipped_answers > 0) {
+        line.with("skipped_answers", skipped_answers);
+    }
     if (read_behind > 0) {
         line.with("read_behind", read_behind)
             .with("turn_ms", milliseconds_of(turn_wait));
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <optional>
 #include <string>
 
@@ -31,6 +32,12 @@
 /// trouble may send them without end.
 constexpr int max_interim_answers = 8;
 
+std::uint64_t next_number()
+{
+    static std::atomic<std::uint64_t> last{0};
+    return last.fetch_add(1, std::memory_order_relaxed) + 1;
+}
+
 bool is_framing(http::field field)
 {
     return field == http::field::content_length ||
@@ -109,6 +116,7 @@
 upstream_connection::upstream_connection(boost::asio::io_context& ioc,
                                          const state::endpoint& address)
     : address_(address)
+    , number_(next_number())
     , stream_(ioc)
 {}
 
--- a/test/platform/gateway_worker_test.cpp
+++ b/test/platform/gateway_worker_test.cpp
@@ -361,6 +361,19 @@
     EXPECT_EQ(b.book().body(), "mine");
 }
 
+// Without a count nobody sees that an upstream answers twice.
+TEST(gateway_worker, skipped_answers_are_not_counted)
+{
+    auto& b = make_bench();
+    b.place_at(b.first, "u1");
+    b.first.add({answer("stray", "other") + refusal("Request-Id: older\r\n") +
+                 answer("mine")});
+    EXPECT_EQ(b.book().body(), "mine");
+    EXPECT_NE(
+        b.shared.metrics.to_text().find("oriole_skipped_answers_total 2\n"),
+        std::string::npos);
+}
+
 // An upstream writes an earlier refusal once more when the next request is
 // there. Taken for this request's own it would say unrun of one that runs, and
 // send it to a second upstream.
