Show that a copy of a refusal ends a request that runs

An upstream writes a refusal twice. The request that it refused is placed at the same address again, as the register holds the old and the new id of a restarted upstream, and goes out on the kept connection. The copy bears its id and is taken for the second answer.

--- a/test/fakes/scripted_upstream.hpp
+++ b/test/fakes/scripted_upstream.hpp
@@ -36,6 +36,8 @@
     /// Sent repeatedly after `bytes` until the peer closes the connection.
     std::string endless = {};
     std::chrono::milliseconds endless_pause{1};
+    /// Sent in front of the next answer on this connection.
+    std::string late = {};
 };
 
 class scripted_upstream
@@ -74,6 +76,7 @@
         namespace http = boost::beast::http;
         ++connections;
         boost::beast::flat_buffer buffer;
+        std::string late;
         for (;;) {
             if (!script_.empty() &&
                 script_.front().after == after_answer::close_unread) {
@@ -99,7 +102,9 @@
             if (step.delay.count() > 0) {
                 boost::this_fiber::sleep_for(step.delay);
             }
-            boost::asio::async_write(stream, boost::asio::buffer(step.bytes),
+            const auto bytes = late + step.bytes;
+            late = step.late;
+            boost::asio::async_write(stream, boost::asio::buffer(bytes),
                                      transport::fiber_yield(ec));
             endless += step.endless.empty() ? 0 : 1;
             while (!step.endless.empty() && !ec) {
--- a/test/platform/gateway_worker_test.cpp
+++ b/test/platform/gateway_worker_test.cpp
@@ -421,6 +421,51 @@
     EXPECT_EQ(b.second.runs, 1);
 }
 
+/// Answers that say that the request did not run. An upstream that has
+/// restarted stands in the register under its old id and its new one until the
+/// old entry lapses, and answers 421 to a request for the old one.
+const std::vector<std::string>& unrun_answers()
+{
+    static const std::vector<std::string> out{
+        refusal("Request-Id: q\r\n"),
+        "HTTP/1.1 421 Other\r\nRequest-Id: q\r\nContent-Length: 0\r\n\r\n"};
+    return out;
+}
+
+/// Has the first upstream refuse the request, and refuse it once more when the
+/// connection carries the next one.
+void add_refusal_with_copy(bench& b, const std::string& unrun)
+{
+    b.place_at(b.first, "old");
+    b.place_at(b.first, "new");
+    b.first.add({.bytes = unrun, .late = unrun});
+    b.first.add({answer("mine")});
+}
+
+// The copy bears the id of the request that is under way again.
+TEST(gateway_worker, a_copy_of_a_refusal_sends_a_running_request_again)
+{
+    for (const auto& unrun : unrun_answers()) {
+        auto& b = make_bench();
+        add_refusal_with_copy(b, unrun);
+        b.place_at(b.second, "u2");
+        b.second.add({answer("twice")});
+        EXPECT_EQ(b.book().body(), "mine") << unrun;
+        EXPECT_EQ(b.second.runs, 0) << unrun;
+    }
+}
+
+TEST(gateway_worker, a_copy_of_a_refusal_calls_a_running_request_unrun)
+{
+    for (const auto& unrun : unrun_answers()) {
+        auto& b = make_bench();
+        add_refusal_with_copy(b, unrun);
+        b.places.answers.push_back(state::place_refusal{
+            state::place_refusal_reason::no_upstream, 10ms});
+        EXPECT_EQ(b.book().body(), "mine") << unrun;
+    }
+}
+
 /// What an upstream sends before the head that is cut.
 const std::vector<std::string>& before_cut_heads()
 {
--- /dev/null
+++ b/test/system/refusal_copies.py
@@ -0,0 +1,168 @@
+#!/usr/bin/env python3
+"""Upstreams that restart under a new id at the same address, refuse requests and
+write some refusals twice.
+
+The old entry of an upstream stays in the register for a while, so a request for
+it meets the new process, is refused with 421, and may be placed at the same
+address again. A copy of the refusal bears the id of that request. Checked is,
+beside one gateway process, that
+
+- a request that must not repeat runs at most once;
+- one that was refused as unrun has not run and never runs;
+- a success is the answer to the request itself;
+- most requests are served.
+
+usage: refusal_copies.py BUILD [SEED]
+"""
+
+import asyncio
+import random
+import sys
+
+import fault_soak
+from fault_soak import Upstream, answer, read_message
+from planned_stop import PlannedStop, gateway_of_build, run_and_report
+
+SEED = 41
+UPSTREAMS = 3
+CALLERS = 12
+SECONDS = 8.0
+# Time for which the entry of an ended process stays in the register, in seconds.
+OLD_ENTRY = 1.5
+# Share of the refusals that are written twice.
+COPIED = 0.9
+# Share of the requests that are refused although the upstream could run them.
+REFUSED = 0.02
+# Share of the requests that must be served. The others meet an upstream that is
+# gone, or several that refuse.
+SERVED_SHARE = 0.5
+
+
+class RestartingUpstream(Upstream):
+    """One address; each start has another id and closes no connection."""
+
+    async def start(self):
+        self.first_name = self.name
+        self.lives = 0
+        self.old = []
+        # Without a proxy, which would hide when a connection ends.
+        _, self.port = await fault_soak.serve(self.handle)
+        asyncio.ensure_future(self.beat())
+
+    async def restart(self):
+        old = self.name
+        self.lives += 1
+        self.name = f"{self.first_name}-{self.lives}"
+        self.born += 1
+        self.sequence = 0
+        await self.write_entry()
+        await asyncio.sleep(OLD_ENTRY)
+        await self.soak.store.put("keyed.servers", old, None)
+
+    async def handle(self, reader, writer):
+        try:
+            copy = b""
+            while True:
+                line, fields, body = await read_message(reader)
+                # An earlier refusal once more, where the next answer is due.
+                writer.write(copy)
+                copy = await self.run(writer, line, fields, body)
+                if copy and self.soak.chance.random() < 0.3:
+                    await asyncio.sleep(self.soak.chance.choice((0.001, 0.02)))
+                    writer.write(copy)
+                    copy = b""
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            writer.close()
+
+    async def run(self, writer, line, fields, body):
+        """Answers; returns the copy of a refusal that is still to come."""
+        rid = fields.get("request-id", "")
+        own = [("Request-Id", rid)]
+        refusal = b""
+        if fields.get("expect-instance") not in (None, self.name):
+            refusal = answer(421, b"", own + [("Instance-Id", self.name)])
+        elif self.soak.chance.random() < REFUSED:
+            refusal = answer(503, b"", own + [("Not-Executed", "1")])
+        if refusal:
+            self.soak.refusals += 1
+            writer.write(refusal)
+            await writer.drain()
+            return refusal if self.soak.chance.random() < COPIED else b""
+        self.soak.note_run(rid, self, line)
+        await asyncio.sleep(self.soak.chance.uniform(0.005, 0.03))
+        writer.write(answer(200, rid.encode() * 20, [("Server-Stamp", self.name)] + own))
+        await writer.drain()
+        return b""
+
+
+class RefusalCopies(PlannedStop):
+    def __init__(self, binary, directory, seed):
+        super().__init__(binary, directory)
+        self.chance = random.Random(seed)
+        self.numbers = iter(range(1, 1000000))
+        self.refusals = 0
+
+    async def ask(self, kind):
+        rid = f"{kind}-{next(self.numbers)}"
+        body = b"" if kind == "read" else b"x" * 200
+        method = "GET" if kind == "read" else "POST"
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.gateway.ports["front"])
+        writer.write((f"{method} /{kind}/0 HTTP/1.1\r\nHost: x.example\r\n"
+                      f"Request-Id: {rid}\r\nDeadline-Ms: 1500\r\n"
+                      f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
+        try:
+            line, _, got = await asyncio.wait_for(read_message(reader), 6)
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            self.counts["other"] += 1
+            return
+        finally:
+            writer.close()
+        status = int(line.split(" ")[1])
+        self.counts["served" if status == 200 else "other"] += 1
+        if status == 200 and got != rid.encode() * 20:
+            self.fail(f"{rid} got another answer: {got[:60]!r}")
+        if status in (503, 429, 408, 421):
+            self.refused.add(rid)
+            if kind != "read" and self.runs.get(rid):
+                self.fail(f"{rid} ran and was refused with {status} as unrun")
+
+    async def caller(self):
+        until = asyncio.get_running_loop().time() + SECONDS
+        while asyncio.get_running_loop().time() < until:
+            await self.ask(self.chance.choice(("once", "once", "upload", "read")))
+            await asyncio.sleep(self.chance.uniform(0, 0.02))
+
+    async def restarts(self):
+        while True:
+            asyncio.ensure_future(self.chance.choice(self.upstreams).restart())
+            await asyncio.sleep(self.chance.uniform(0.1, 0.3))
+
+    def note_run(self, rid, upstream, line):
+        super().note_run(rid, upstream, line)
+        if rid.startswith("upload") and self.runs[rid] > 1:
+            self.fail(f"request {rid} ran {self.runs[rid]} times")
+
+    async def run(self):
+        await self.start(fault_soak.Store(), RestartingUpstream, UPSTREAMS)
+        restarting = asyncio.ensure_future(self.restarts())
+        await asyncio.gather(*[self.caller() for _ in range(CALLERS)])
+        restarting.cancel()
+        total = sum(self.counts.values())
+        if self.counts["served"] < SERVED_SHARE * total:
+            self.fail(f"{self.counts['served']} of {total} served")
+
+
+def main():
+    seed = int(sys.argv[2]) if len(sys.argv) > 2 else SEED
+    test = RefusalCopies(*gateway_of_build("refusals"), seed)
+
+    def summary():
+        return (f"refusal copies: seed {seed}, {test.counts['served']} served, "
+                f"{test.counts['other']} not, {test.refusals} refusals; ")
+
+    run_and_report(test, test.run(), summary)
+
+
+if __name__ == "__main__":
+    main()
--- a/test/transport/entry_worker_test.cpp
+++ b/test/transport/entry_worker_test.cpp
@@ -252,6 +252,23 @@
     });
 }
 
+// Upstreams repeat no id, so a copy of an earlier refusal looks like the answer
+// to whatever the connection carries next.
+TEST(entry_worker, a_copy_of_a_refusal_calls_another_request_unrun)
+{
+    on_bench([](bench& b) {
+        const std::string shed = "HTTP/1.1 503 Busy\r\nOriolegrade-Shed: "
+                                 "1\r\nContent-Length: 0\r\n\r\n";
+        b.script({.bytes = shed, .late = shed});
+        b.script({answer_text("booked")});
+        fake_caller caller(b.ioc, b.worker.address());
+        EXPECT_EQ(outcome_of(caller.post("/book", "carton")), "not-run");
+        const auto refused = b.runs();
+        EXPECT_EQ(caller.post("/book", "carton").body(), "booked");
+        EXPECT_EQ(b.runs(), refused + 1);
+    });
+}
+
 // Guards against request smuggling by two lengths and against malformed
 // lines.
 TEST(entry_worker, ambiguous_and_malformed_requests_are_refused)
