Send no request twice over one connection

What callers saw: a booking ran twice, or was answered 503, which says that it has not run, while an upstream ran it.

Cause: an answer belongs to a request by the id that upstreams repeat. The id does not tell the copy of a refusal from the answer to a later send of the same request on the same connection. Such a send happens when the register holds two ids for one address, for example the old and the new process of a restarted upstream: the pool keeps connections by address.

Ruled out by the log of the run that shows it: two places at once (the sends follow each other), a send counted as unsent (the result is a refusal), a request read twice (one line).

Change: a connection remembers the ids of requests that it has answered and that may be sent again, and the pool leaves it out for these. Where upstreams repeat no id, the connection is closed after a refusal, as any later answer could be the copy.

--- a/include/oriolegrade/protocol/own_dialect.hpp
+++ b/include/oriolegrade/protocol/own_dialect.hpp
@@ -28,6 +28,11 @@
     {
         Dialect::is_unrun(received)
         } -> std::same_as<bool>;
+    /// Id of the request that upstreams repeat in their answers; empty for
+    /// none.
+    {
+        Dialect::request_id(sent)
+        } -> std::same_as<std::string_view>;
     /// True when the answer belongs to the request.
     {
         Dialect::belongs(sent, received)
@@ -53,6 +58,10 @@
         return answer.status == service_unavailable &&
                answer.fields.find(header_field::shed) == "1";
     }
+    static std::string_view request_id(const request_head&)
+    {
+        return {};
+    }
     static bool belongs(const request_head&, const answer_head&)
     {
         return true;
--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -33,9 +33,6 @@
     {
         Dialect::time_left(head)
         } -> std::same_as<std::optional<std::uint64_t>>;
-    {
-        Dialect::request_id(head)
-        } -> std::same_as<std::string_view>;
 };
 
 /// Bodies up to this size are read before a place is asked for, and can be
--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -271,7 +271,8 @@
                 ? reuse_policy::recent_only
                 : reuse_policy::any_idle;
         error_code ec;
-        auto connection = pool_.acquire(upstream, policy, deadline_, ec);
+        auto connection = pool_.acquire(
+            upstream, policy, Dialect::request_id(head), deadline_, ec);
         if constexpr (send_recorder<Choice>) {
             choice_.sent_on(connection ? connection->number() : 0);
         }
@@ -312,6 +313,9 @@
             answer_head_.reset();
             return lost();
         }
+        if (Dialect::is_unrun(*answer_head_) || is_fault(*answer_head_)) {
+            connection->note_retryable_answer(Dialect::request_id(head));
+        }
         if (Dialect::is_unrun(*answer_head_)) {
             if (read_past(*connection)) {
                 pool_.release(std::move(connection));
--- a/include/oriolegrade/transport/upstream_connection.hpp
+++ b/include/oriolegrade/transport/upstream_connection.hpp
@@ -1,5 +1,6 @@
-// One HTTP/1.1 connection to an upstream. It carries one request at a time,
-// so an answer belongs to its request by the connection.
+// One HTTP/1.1 connection to an upstream. It carries one request at a time. An
+// upstream may answer twice, so an answer belongs to a request by its id, and
+// an id that may be sent again is sent on another connection.
 
 #ifndef ORIOLEGRADE_TRANSPORT_UPSTREAM_CONNECTION_HPP
 #define ORIOLEGRADE_TRANSPORT_UPSTREAM_CONNECTION_HPP
@@ -16,6 +17,7 @@
 #include <memory>
 #include <span>
 #include <string_view>
+#include <vector>
 
 namespace oriolegrade::transport {
 
@@ -49,6 +51,15 @@
     /// request. False when the connection carries no more answers.
     bool expect_another();
 
+    /// Notes that the present request was answered and may be sent again. A
+    /// copy of the answer may come at any later time, where the answer to
+    /// another send of the request would be due.
+    /// @param request_id empty when upstreams repeat no id; a copy cannot be
+    ///        told from any answer then, so the connection is not used again
+    void note_retryable_answer(std::string_view request_id);
+    /// True when a copy of an answer to the request may come.
+    bool may_repeat_answer(std::string_view request_id) const;
+
     /// Changes the deadline of the operations that follow.
     void expires_at(state::time_point deadline);
 
@@ -56,7 +67,7 @@
     bool request_sent() const;
 
     /// True when the answer was read to its end and the connection may carry
-    /// another request.
+    /// another request, but for those of may_repeat_answer().
     bool reusable() const;
 
     /// True when the idle connection is open and has no unread bytes.
@@ -95,6 +106,11 @@
     template <class Buffers>
     void write(const Buffers& body, error_code& ec);
 
+    /// Hashes of the ids of note_retryable_answer(). Two ids with one hash cost
+    /// a new connection.
+    std::vector<std::size_t> retryable_ids_;
+    bool is_reuse_forbidden_ = false;
+
     state::endpoint address_;
     const std::uint64_t number_;
     tcp_stream stream_;
--- a/include/oriolegrade/transport/upstream_pool.hpp
+++ b/include/oriolegrade/transport/upstream_pool.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <memory>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -45,7 +46,10 @@
 
     /// Idle connection, or a new one that is connected before the deadline.
     /// Null with `ec` set when the connect fails.
+    /// @param request_id an idle connection that may bring an answer to an
+    ///        earlier send of that request is left out
     connection_ptr acquire(const chosen_upstream& upstream, reuse_policy policy,
+                           std::string_view request_id,
                            state::time_point deadline, error_code& ec);
 
     /// Gives a connection back. It is kept when it may be used again and
@@ -57,7 +61,8 @@
 
 private:
     connection_ptr take_idle(const state::endpoint& upstream,
-                             reuse_policy policy, state::time_point now);
+                             reuse_policy policy, std::string_view request_id,
+                             state::time_point now);
 
     boost::asio::io_context& ioc_;
     const upstream_pool_options options_;
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -31,6 +32,14 @@
 /// Interim answers before the final one. One or two are usual; an upstream in
 /// trouble may send them without end.
 constexpr int max_interim_answers = 8;
+/// Ids that a connection remembers. An upstream that refuses so often costs a
+/// new connection each time this is reached.
+constexpr std::size_t max_retryable_ids = 64;
+
+std::size_t hash_of(std::string_view text)
+{
+    return std::hash<std::string_view>()(text);
+}
 
 std::uint64_t next_number()
 {
@@ -255,6 +264,19 @@
     return true;
 }
 
+void upstream_connection::note_retryable_answer(std::string_view request_id)
+{
+    retryable_ids_.push_back(hash_of(request_id));
+    is_reuse_forbidden_ =
+        request_id.empty() || retryable_ids_.size() == max_retryable_ids;
+}
+
+bool upstream_connection::may_repeat_answer(std::string_view request_id) const
+{
+    return std::find(retryable_ids_.begin(), retryable_ids_.end(),
+                     hash_of(request_id)) != retryable_ids_.end();
+}
+
 void upstream_connection::expires_at(state::time_point deadline)
 {
     stream_.expires_at(deadline);
@@ -267,8 +289,9 @@
 
 bool upstream_connection::reusable() const
 {
-    return exchange_ && exchange_->request_done && exchange_->answer_done &&
-           exchange_->buffer.size() == 0 && exchange_->parser->keep_alive();
+    return !is_reuse_forbidden_ && exchange_ && exchange_->request_done &&
+           exchange_->answer_done && exchange_->buffer.size() == 0 &&
+           exchange_->parser->keep_alive();
 }
 
 bool upstream_connection::idle_open()
--- a/src/transport/upstream_pool.cpp
+++ b/src/transport/upstream_pool.cpp
@@ -29,7 +29,7 @@
 
 upstream_pool::connection_ptr
 upstream_pool::take_idle(const state::endpoint& upstream, reuse_policy policy,
-                         state::time_point now)
+                         std::string_view request_id, state::time_point now)
 {
     const auto found = idle_.find(upstream);
     if (found == idle_.end()) {
@@ -38,9 +38,15 @@
     const auto limit = policy == reuse_policy::any_idle ? options_.idle_limit
                                                         : options_.recent_limit;
     auto& list = found->second;
-    while (!list.empty() && now - list.back()->idle_since <= limit) {
-        auto it = std::move(list.back());
-        list.pop_back();
+    for (auto n = list.size(); n > 0; --n) {
+        if (now - list[n - 1]->idle_since > limit) {
+            break;
+        }
+        if (list[n - 1]->may_repeat_answer(request_id)) {
+            continue;
+        }
+        auto it = std::move(list[n - 1]);
+        list.erase(list.begin() + static_cast<std::ptrdiff_t>(n - 1));
         if (!may_be_closed(*it, now) && it->idle_open()) {
             return it;
         }
@@ -50,9 +56,10 @@
 
 upstream_pool::connection_ptr
 upstream_pool::acquire(const chosen_upstream& upstream, reuse_policy policy,
-                       state::time_point deadline, error_code& ec)
+                       std::string_view request_id, state::time_point deadline,
+                       error_code& ec)
 {
-    if (auto it = take_idle(upstream.address, policy,
+    if (auto it = take_idle(upstream.address, policy, request_id,
                             std::chrono::steady_clock::now())) {
         it->max_connections = upstream.max_connections;
         return it;
