Close a connection of the store's client that has bytes behind an answer

Callers of http_client saw a call fail that the server had answered: bytes that came behind an answer in one read were dropped with the buffer, the connection was kept, and the rest of these bytes was read as the answer to the next call. Now such a connection is closed.

http_client.bytes_behind_an_answer_spoil_the_next_one failed before and passes, with the three others of http_client and http_server.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -72,7 +72,9 @@
         return http_failure{ec, true};
     }
     http_answer answer = parser.release();
-    if (answer.keep_alive() && idle_.size() < max_idle_connections) {
+    // Bytes behind the answer belong to no call.
+    if (answer.keep_alive() && buf.size() == 0 &&
+        idle_.size() < max_idle_connections) {
         stream->expires_never();
         idle_.push_back(std::move(stream));
     }
--- a/test/transport/http_server_test.cpp
+++ b/test/transport/http_server_test.cpp
@@ -4,6 +4,7 @@
 #include "fakes/fiber_thread.hpp"
 #include "fakes/raw_upstream.hpp"
 #include "fakes/request_path.hpp"
+#include "fakes/scripted_upstream.hpp"
 
 #include <oriolegrade/transport/http_client.hpp>
 #include <oriolegrade/transport/http_server.hpp>
@@ -65,4 +66,23 @@
     EXPECT_EQ(got.value().body(), "");
 }
 
+// Bytes behind an answer were dropped, and the rest of them was read as the
+// answer to the next call.
+TEST(http_client, bytes_behind_an_answer_spoil_the_next_one)
+{
+    static test::scripted_upstream server(test::fiber_context());
+    const auto extra = test::answer_text("extra");
+    server.add({.bytes = test::answer_text("one") + extra.substr(0, 20),
+                .late = extra.substr(20)});
+    server.add({test::answer_text("two")});
+    transport::http_client client(test::fiber_context(), server.address(), {});
+    for (const auto* due : {"one", "two"}) {
+        const auto got = client.call(
+            transport::make_request(boost::beast::http::verb::get, "/x", {}),
+            std::chrono::seconds(1));
+        ASSERT_TRUE(got) << due;
+        EXPECT_EQ(got.value().body(), due);
+    }
+}
+
 } // namespace
