Log a rest that an upstream asks for in an unusable form

The first of each start of an upstream is logged now; 0 is a rest without length and not logged.

platform_dialect.wishes_of_an_upstream_are_read_or_ignored and upstream_wishes.a_wish_that_cannot_be_used_is_logged_again check it; both need the new field and function. platform_test and the tests of wishes pass.

--- a/include/oriolegrade/coordination/upstream_wishes.hpp
+++ b/include/oriolegrade/coordination/upstream_wishes.hpp
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -39,6 +40,10 @@
     bool heard(const std::string& upstream, std::uint64_t born,
                const state::upstream_wish& wish, state::time_point now);
 
+    /// Takes that an incarnation asked for a rest that cannot be used.
+    /// @return false when it was known
+    bool heard_unusable(const std::string& upstream, std::uint64_t born);
+
     /// What still holds of an incarnation's words: that it leaves, and the rest
     /// of the time for which it wants no requests.
     state::upstream_wish in_force(const std::string& upstream,
@@ -59,6 +64,9 @@
     /// Serializes writers.
     std::mutex writing_;
     state::rcu_cell<table> rows_;
+    /// Incarnations of heard_unusable(); at most max_wishes. Guarded by
+    /// writing_.
+    std::set<key> unusable_;
 };
 
 } // namespace oriolegrade::coordination
--- a/include/oriolegrade/state/dispatch_type.hpp
+++ b/include/oriolegrade/state/dispatch_type.hpp
@@ -80,6 +80,8 @@
     bool leaving = false;
     /// No requests for this time; empty when it says nothing of the kind.
     std::optional<duration> pause = {};
+    /// It asked for such a time in a form that cannot be used.
+    bool has_unusable_pause = false;
 
     bool any() const
     {
--- a/include/oriolegrade/transport/gateway/dispatched_choice.hpp
+++ b/include/oriolegrade/transport/gateway/dispatched_choice.hpp
@@ -240,6 +240,12 @@
     state::upstream_wish hear(const protocol::answer_head& head)
     {
         const auto wish = Dialect::wish_of(head);
+        if (wish.has_unusable_pause &&
+            sends_.wishes.heard_unusable(target_.first, target_.second)) {
+            event(log_level::warning, "upstream_pause_ignored")
+                .with("id", target_.first)
+                .with("born", target_.second);
+        }
         if (wish.any() && sends_.wishes.heard(target_.first, target_.second,
                                               wish, clock::now())) {
             event(log_level::info, "upstream_wish")
--- a/src/coordination/upstream_wishes.cpp
+++ b/src/coordination/upstream_wishes.cpp
@@ -38,6 +38,14 @@
     return true;
 }
 
+bool upstream_wishes::heard_unusable(const std::string& upstream,
+                                     std::uint64_t born)
+{
+    const std::lock_guard lock(writing_);
+    return unusable_.size() < max_wishes &&
+           unusable_.emplace(upstream, born).second;
+}
+
 state::upstream_wish upstream_wishes::in_force(const std::string& upstream,
                                                std::uint64_t born,
                                                state::time_point now) const
--- a/test/coordination/upstream_wishes_test.cpp
+++ b/test/coordination/upstream_wishes_test.cpp
@@ -37,6 +37,16 @@
     EXPECT_FALSE(wishes.in_force("u2", 1, start + 4s).any());
 }
 
+// An upstream that asks in a form that cannot be used would fill the log.
+TEST(upstream_wishes, a_wish_that_cannot_be_used_is_logged_again)
+{
+    coordination::upstream_wishes wishes;
+    EXPECT_TRUE(wishes.heard_unusable("u1", 1));
+    EXPECT_FALSE(wishes.heard_unusable("u1", 1));
+    EXPECT_TRUE(wishes.heard_unusable("u1", 2));
+    EXPECT_FALSE(wishes.in_force("u1", 1, start).any());
+}
+
 // Memory: what was said is forgotten, and a fleet that says much is bounded.
 TEST(upstream_wishes, wishes_are_kept_without_end)
 {
--- a/test/platform/dialect_test.cpp
+++ b/test/platform/dialect_test.cpp
@@ -50,7 +50,12 @@
          {"", "0", "-1", "+1", "3601", "1e9", "inf", "nan", "0x10", "2s", "2 ",
           "Wed, 21 Oct 2026 07:28:00 GMT", "100000000000000000000000000000"}) {
         EXPECT_FALSE(pause(503, text)) << text;
+        EXPECT_EQ(dialect::wish_of(answer(503, {{"Retry-After", text}}))
+                      .has_unusable_pause,
+                  text != std::string("0"))
+            << text;
     }
+    EXPECT_FALSE(dialect::wish_of(answer(503)).has_unusable_pause);
     // Only a 503 turns a request away.
     EXPECT_FALSE(pause(500, "2"));
     EXPECT_FALSE(pause(200, "2"));
