Answer 502 after a refusal when an earlier send may have run

Callers of reads got 503, which says that the request has not run and never will, while an upstream had run it: the first send was refused after the second one beside it had lost its connection, or the second send was refused after the first had.

Cause: the run of two sends reported the first one's outcome alone, and the reply kept the status of the last refusal. Now the report covers both sends, and a reason that proves not-run is replaced by connection_lost when an earlier send may have run. Requests that must not repeat were not affected, as they end with the first send that may have run.

--- a/include/oriolegrade/coordination/attempt_policy.hpp
+++ b/include/oriolegrade/coordination/attempt_policy.hpp
@@ -63,6 +63,10 @@
 /// that proves not-run proves nothing about earlier attempts.
 state::run_outcome outcome_after(state::reply_reason reason, bool may_have_run);
 
+/// Reason to reply with after one or more attempts. One whose status promises
+/// that the request did not run is none when an earlier attempt may have run.
+state::reply_reason reason_after(state::reply_reason reason, bool may_have_run);
+
 /// Decides the step after an attempt. A request that may have run is resent
 /// only when its class makes that safe.
 attempt_decision decide_next(const attempt_context& context);
--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -335,9 +335,11 @@
             if (!answer.await_turn()) {
                 end_unanswered(line, answer);
             } else if (report.may_have_run) {
-                line.write(request_end::failed, state::name_of(report.reason));
+                const auto reason =
+                    coordination::reason_after(report.reason, true);
+                line.write(request_end::failed, state::name_of(reason));
                 shared_.metrics.count(request_end::failed, line.age());
-                send_reply(answer, report.reason, state::run_outcome::unknown);
+                send_reply(answer, reason, state::run_outcome::unknown);
             } else {
                 refuse(line, answer, unrun_reason(report.reason),
                        sends.refusal);
--- a/include/oriolegrade/transport/hedged_run.hpp
+++ b/include/oriolegrade/transport/hedged_run.hpp
@@ -137,6 +137,10 @@
         if (second_sink_.won()) {
             return *second_report_;
         }
+        if (second_report_) {
+            report.may_have_run =
+                report.may_have_run || second_report_->may_have_run;
+        }
         if (report.step == coordination::next_step::reply &&
             first.has_answer()) {
             first.pass_on_answer(report);
--- a/src/coordination/attempt_policy.cpp
+++ b/src/coordination/attempt_policy.cpp
@@ -66,6 +66,14 @@
                : outcome;
 }
 
+reply_reason reason_after(reply_reason reason, bool may_have_run)
+{
+    return may_have_run && state::reply_of(reason).outcome ==
+                               state::run_outcome::not_run
+               ? reply_reason::connection_lost
+               : reason;
+}
+
 attempt_decision decide_next(const attempt_context& context)
 {
     if (context.result == attempt_result::answered) {
--- a/test/fakes/gateway_bench.hpp
+++ b/test/fakes/gateway_bench.hpp
@@ -136,6 +136,24 @@
     return *benches.back();
 }
 
+/// Moves the stop so that only `left` remains until the moment.
+inline void
+begin_stop(gateway_bench& b,
+           state::time_point (coordination::drain_schedule::*moment)() const,
+           std::chrono::milliseconds left)
+{
+    const coordination::drain_schedule whole({}, b.shared.options.grace);
+    const auto until = (whole.*moment)().time_since_epoch();
+    b.shared.begin_stop(std::chrono::steady_clock::now() + left - until);
+}
+
+/// Booking whose time limit is longer than the grace.
+inline std::string slow_book()
+{
+    return "POST /slow/1 HTTP/1.1\r\nHost: x\r\nRequest-Id: q\r\n"
+           "Content-Length: 4\r\n\r\nbody";
+}
+
 } // namespace oriolegrade::test
 
 #endif
--- a/test/platform/gateway_worker_test.cpp
+++ b/test/platform/gateway_worker_test.cpp
@@ -12,9 +12,11 @@
 using namespace std::chrono_literals;
 using test::after_answer;
 using test::answer;
+using test::begin_stop;
 using test::fake_caller;
 using test::make_bench;
 using test::refusal;
+using test::slow_book;
 using bench = test::gateway_bench;
 
 TEST(gateway_worker, upstream_gets_host_identity_and_time)
@@ -612,23 +614,6 @@
     EXPECT_EQ(b.book().result_int(), 503U);
 }
 
-/// Moves the stop so that only `left` remains until the moment.
-void begin_stop(bench& b,
-                state::time_point (coordination::drain_schedule::*moment)()
-                    const,
-                std::chrono::milliseconds left)
-{
-    const coordination::drain_schedule whole({}, b.shared.options.grace);
-    const auto until = (whole.*moment)().time_since_epoch();
-    b.shared.begin_stop(std::chrono::steady_clock::now() + left - until);
-}
-
-std::string slow_book()
-{
-    return "POST /slow/1 HTTP/1.1\r\nHost: x\r\nRequest-Id: q\r\n"
-           "Content-Length: 4\r\n\r\nbody";
-}
-
 // Guards against requests that wait for a slot until the process ends: they are
 // cut off, although they did not run and their callers had time to return.
 TEST(gateway_worker, a_stopping_host_cuts_a_request_that_waits)
