Believe no status that promises not-run without a proof

A booking that an upstream ran was answered 503, 429 or 408, which tell callers that it did not run and that they may send it again.

Cause: only Not-Executed and 421 prove that a request did not run, but the other promise statuses of an upstream were passed on without them, and a bare 503 or 408 without an id was taken for the answer, although upstreams repeat the id in every answer.

--- a/test/platform/promise_test.cpp
+++ b/test/platform/promise_test.cpp
@@ -48,4 +48,30 @@
     EXPECT_EQ(b.read().result_int(), 502U);
 }
 
+// Only `Not-Executed` and 421 state that a request did not run.
+TEST(promise, a_status_without_proof_is_passed_on)
+{
+    for (const auto* status : {"503 Busy", "429 Many", "408 Slow"}) {
+        auto& b = make_bench();
+        b.place_at(b.first, "u1");
+        b.place_at(b.second, "u2");
+        b.first.add({answer("", "q", status)});
+        b.second.add({answer("twice")});
+        EXPECT_EQ(b.book().result_int(), 502U) << status;
+        EXPECT_EQ(b.second.runs, 0) << status;
+    }
+}
+
+// Every answer repeats the id, so bytes without one belong to no request.
+TEST(promise, a_status_without_an_id_is_taken_for_the_answer)
+{
+    for (const auto* status : {"503 Busy", "429 Many", "408 Slow"}) {
+        auto& b = make_bench();
+        b.place_at(b.first, "u1");
+        b.first.add({std::string("HTTP/1.1 ") + status +
+                     "\r\nContent-Length: 0\r\n\r\n" + answer("mine")});
+        EXPECT_EQ(b.book().body(), "mine") << status;
+    }
+}
+
 } // namespace
