Take a head with a status line inside for a lost answer

An upstream breaks off the copy of a refusal in its reason phrase or in a field, and the next answer follows on the connection: both parse as one head, a refusal that bears the id of the request in progress. The booking ran at a second upstream too.

Now an answer whose reason or field value holds a status line is lost, and its connection is closed.

promise.a_head_that_breaks_off_joins_the_next_answer: two upstreams ran the booking in two of three cases before, and in the third the caller got 503; passes now.

--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -53,6 +53,27 @@
            field == http::field::transfer_encoding;
 }
 
+/// True when a head broke off within the text and another answer follows it on
+/// the connection: together they would be one head, with the fields of both.
+bool holds_status_line(std::string_view text)
+{
+    constexpr std::string_view name = "HTTP/1.";
+    // A digit, a space and the first digit of the status.
+    constexpr std::size_t rest = 3;
+    const auto is_digit = [](char c) {
+        return c >= '0' && c <= '9';
+    };
+    for (auto n = text.find(name); n != std::string_view::npos;
+         n = text.find(name, n)) {
+        n += name.size();
+        if (n + rest <= text.size() && is_digit(text[n]) &&
+            text[n + 1] == ' ' && is_digit(text[n + 2])) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /// A transfer coding overrides a length (RFC 9112, section 6.3), so each has to
 /// be one that can be read.
 template <class Message>
@@ -60,7 +81,7 @@
 {
     const auto range = message.equal_range(http::field::transfer_encoding);
     return std::all_of(range.first, range.second, [&](const auto& it) {
-        return protocol::is_known_coding({it.value().data(), it.value().size()},
+        return protocol::is_known_coding(to_view(it.value()),
                                          message.version());
     });
 }
@@ -71,7 +92,7 @@
 {
     constexpr std::string_view key = "timeout=";
     const auto field = message[http::field::keep_alive];
-    const std::string_view text(field.data(), field.size());
+    const auto text = to_view(field);
     const auto n = text.find(key);
     if (n == std::string_view::npos) {
         return std::nullopt;
@@ -209,16 +230,23 @@
         ec = http::error::bad_transfer_encoding;
         return {};
     }
+    if (holds_status_line(to_view(message.reason()))) {
+        ec = http::error::bad_reason;
+        return {};
+    }
     protocol::answer_head head;
     head.status = static_cast<std::uint16_t>(message.result_int());
     if (const auto limit = keep_alive_limit(message)) {
         peer_idle_limit = *limit;
     }
     for (const auto& it : message) {
-        const std::string_view name(it.name_string().data(),
-                                    it.name_string().size());
+        const auto name = to_view(it.name_string());
+        if (holds_status_line(to_view(it.value()))) {
+            ec = http::error::bad_value;
+            return {};
+        }
         if (!is_framing(it.name()) && !protocol::is_hop_by_hop(name)) {
-            head.fields.add(name, {it.value().data(), it.value().size()});
+            head.fields.add(name, to_view(it.value()));
         }
     }
     head.framing.chunked = x.parser->chunked();
--- a/test/platform/promise_test.cpp
+++ b/test/platform/promise_test.cpp
@@ -74,4 +74,20 @@
     }
 }
 
+// The head of an earlier answer breaks off, and the next answer follows on the
+// same connection: together they look like one head with this request's id.
+TEST(promise, a_head_that_breaks_off_joins_the_next_answer)
+{
+    for (const auto* rest : {"421 Misdir", "503 Full\r\nNot-Executed: 1",
+                             "503 Full\r\nServer: "}) {
+        auto& b = make_bench();
+        b.place_at(b.first, "u1");
+        b.place_at(b.second, "u2");
+        b.first.add({std::string("HTTP/1.1 ") + rest + answer("mine")});
+        b.second.add({answer("twice")});
+        EXPECT_EQ(b.book().result_int(), 502U) << rest;
+        EXPECT_EQ(b.second.runs, 0) << rest;
+    }
+}
+
 } // namespace
