Read past as many copies as a connection may bring

A request that an upstream ran ended with 502 when three copies of earlier refusals came before its answer: the runner read past two, while a connection remembered up to 64 refusals. One bound serves both now: a connection is closed after eight answers that may come once more, and a request reads past so many.

promise.copies_of_several_refusals_end_a_request got 502 before and passes.

--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -333,12 +333,11 @@
     bool skip_strays(upstream_connection& connection,
                      const protocol::request_head& head)
     {
-        constexpr int most_strays = 2;
-        for (int n = 0; !Dialect::belongs(head, *answer_head_); ++n) {
+        for (std::size_t n = 0; !Dialect::belongs(head, *answer_head_); ++n) {
             if constexpr (send_recorder<Choice>) {
                 choice_.skipped_answer();
             }
-            if (n == most_strays || !read_past(connection) ||
+            if (n == max_repeated_answers || !read_past(connection) ||
                 !connection.expect_another()) {
                 return false;
             }
--- a/include/oriolegrade/transport/upstream_connection.hpp
+++ b/include/oriolegrade/transport/upstream_connection.hpp
@@ -21,6 +21,11 @@
 
 namespace oriolegrade::transport {
 
+/// Answers of one connection that may come once more. With so many it is closed
+/// after the last one, so a request reads past less than this before its own
+/// answer.
+inline constexpr std::size_t max_repeated_answers = 8;
+
 class upstream_connection
 {
 public:
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -32,9 +32,11 @@
 /// Interim answers before the final one. One or two are usual; an upstream in
 /// trouble may send them without end.
 constexpr int max_interim_answers = 8;
-/// Ids that a connection remembers. An upstream that refuses so often costs a
-/// new connection each time this is reached.
-constexpr std::size_t max_retryable_ids = 64;
+
+std::string_view to_view(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
 
 std::size_t hash_of(std::string_view text)
 {
@@ -295,8 +297,8 @@
 void upstream_connection::note_retryable_answer(std::string_view request_id)
 {
     retryable_ids_.push_back(hash_of(request_id));
-    is_reuse_forbidden_ =
-        request_id.empty() || retryable_ids_.size() == max_retryable_ids;
+    is_reuse_forbidden_ = is_reuse_forbidden_ || request_id.empty() ||
+                          retryable_ids_.size() == max_repeated_answers;
 }
 
 bool upstream_connection::may_repeat_answer(std::string_view request_id) const
--- a/test/platform/promise_test.cpp
+++ b/test/platform/promise_test.cpp
@@ -90,4 +90,18 @@
     }
 }
 
+// A connection may bring as many copies as it has brought refusals.
+TEST(promise, copies_of_several_refusals_end_a_request)
+{
+    auto& b = make_bench();
+    constexpr int refusals = 7;
+    std::string copies;
+    for (int n = 0; n < refusals; ++n) {
+        copies += refusal("Request-Id: r" + std::to_string(n) + "\r\n");
+    }
+    b.place_at(b.first, "u1");
+    b.first.add({copies + answer("mine")});
+    EXPECT_EQ(b.book().body(), "mine");
+}
+
 } // namespace
