Ask for no further place once the waiting has ended at a stop

At three quarters of the grace a stopping host refuses what waits for a place. A request whose upstream refused it after that asked for another place all the same and waited for it: the caller was refused up to a second later than it could be, in the last moments before the process ends perhaps not at all. And a request whose time ended while its connection was opened was still sent.

Now a choice that was told to stop waiting asks for nothing more, and the time is looked at again before a send.

--- a/include/oriolegrade/transport/gateway/dispatched_choice.hpp
+++ b/include/oriolegrade/transport/gateway/dispatched_choice.hpp
@@ -174,9 +174,9 @@
     /// Ends the wait for a place because the host stops.
     void stop_waiting()
     {
+        stopping_ = true;
         if (waiting_) {
-            waiting_->set(
-                state::place_refusal{state::place_refusal_reason::leaving, {}});
+            waiting_->set(leaving_refusal);
         }
     }
 
@@ -262,6 +262,10 @@
 
     bool get_place(state::send_kind kind)
     {
+        if (stopping_) {
+            sends_.refusal = leaving_refusal;
+            return false;
+        }
         // Counted before the wait: a send beside this one must know of it.
         ++sends_.runs;
         waiting_ = std::make_shared<place_wait>();
@@ -336,6 +340,8 @@
     /// Places of one send that are given back. Each one teaches the dispatcher,
     /// and a request names at most 16 upstreams that it has tried.
     static constexpr int most_given_back = 8;
+    static constexpr state::place_refusal leaving_refusal{
+        state::place_refusal_reason::leaving, {}};
 
     Placement& from_;
     request_sends& sends_;
@@ -350,6 +356,8 @@
     /// The request was given to the present place.
     bool sent_ = false;
     bool cancelled_ = false;
+    /// The host stops and waits for no further place.
+    bool stopping_ = false;
 };
 
 } // namespace oriolegrade::transport
--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -279,7 +279,7 @@
         if (cancelled_) {
             return state::attempt_result::caller_lost;
         }
-        if (!connection) {
+        if (!connection || past_deadline()) {
             return unsent();
         }
         active_ = connection.get();
--- a/test/platform/promise_test.cpp
+++ b/test/platform/promise_test.cpp
@@ -104,4 +104,20 @@
     EXPECT_EQ(b.book().body(), "mine");
 }
 
+// Another place would come when the process has ended.
+TEST(promise, a_stopping_host_waits_for_another_place)
+{
+    auto& b = make_bench();
+    b.place_at(b.first, "u1");
+    b.first.add({own_refusal, 300ms});
+    fake_caller caller(b.ioc, b.worker.address());
+    caller.send(test::slow_book());
+    boost::this_fiber::sleep_for(50ms);
+    test::begin_stop(b, &coordination::drain_schedule::wait_end, 100ms);
+    b.worker.drain();
+    const auto refused_at = std::chrono::steady_clock::now() + 250ms;
+    EXPECT_EQ(caller.receive().result_int(), 503U);
+    EXPECT_LT(std::chrono::steady_clock::now(), refused_at + 500ms);
+}
+
 } // namespace
