Let the stand-in upstreams repeat the request's id in refusals

The stand-in upstreams of the system tests answered 421 and 503 without Request-Id, whereas the users' servers repeat it in every answer.

fault_soak.refusal() now writes them all, with the id.

--- a/test/system/fault_soak.py
+++ b/test/system/fault_soak.py
@@ -43,6 +43,9 @@
 # A leaving upstream gets no request later than this, in seconds.
 DRAIN = 2.0
 GRACE = 6.0
+# Share of the refusals that repeat the id of the request. A refusal without an
+# id is not believed, so it tests nothing of what a refused request may do next.
+REPEATED = 0.9
 
 
 def free_port():
@@ -70,6 +73,12 @@
     return head.encode() + b"\r\n" + body
 
 
+def refusal(status, rid, fields=()):
+    """Answer to a request that does not run. It repeats the id like any other."""
+    own = [("Request-Id", rid)] if rid else []
+    return answer(status, b"", own + list(fields))
+
+
 async def serve(handler):
     port = free_port()
     server = await asyncio.start_server(handler, "127.0.0.1", port)
@@ -229,11 +238,13 @@
 
     async def run(self, writer, line, fields, body):
         rid = fields.get("request-id", "")
+        # Some servers repeat no id in refusals.
+        shown = rid if self.soak.words.random() < REPEATED else ""
         if fields.get("expect-instance") not in (None, self.name):
-            writer.write(answer(421, b"", [("Instance-Id", self.name)]))
+            writer.write(refusal(421, shown, [("Instance-Id", self.name)]))
             return
         if self.running >= SLOTS + 4 or self.mode == "shed":
-            writer.write(answer(503, b"", [("Not-Executed", "1")]))
+            writer.write(refusal(503, shown, [("Not-Executed", "1")]))
             return
         self.soak.note_run(rid, self, line)
         load = [("Server-Load", f"{self.running},0,{SLOTS}"), ("Request-Id", rid)]
@@ -340,6 +351,8 @@
         self.binary = binary
         self.seed = seed
         self.random = random.Random(seed)
+        # Draws of its own, so that the faults of a seed stay what they were.
+        self.words = random.Random(f"{seed} words")
         self.seconds = seconds
         self.dir = directory
         self.failures = []
--- a/test/system/faulty_upstreams.py
+++ b/test/system/faulty_upstreams.py
@@ -21,7 +21,7 @@
 import sys
 
 import fault_soak
-from fault_soak import answer, read_message
+from fault_soak import answer, read_message, refusal
 from planned_stop import (PlannedStop, WorkingUpstream, gateway_of_build,
                           run_and_report)
 
@@ -71,7 +71,7 @@
     async def run(self, writer, line, fields, body):
         rid = fields.get("request-id", "")
         if fields.get("expect-instance") not in (None, self.name):
-            writer.write(answer(421, b"", [("Instance-Id", self.name)]))
+            writer.write(refusal(421, rid, [("Instance-Id", self.name)]))
             return
         self.soak.note_run(rid, self, line)
         mode, *args = line.split(" ")[1].split("/")[2].split(":")
--- a/test/system/planned_stop.py
+++ b/test/system/planned_stop.py
@@ -22,7 +22,8 @@
 import time
 
 import fault_soak
-from fault_soak import GRACE, Gateway, Soak, Upstream, answer, read_message
+from fault_soak import (GRACE, Gateway, Soak, Upstream, answer, read_message,
+                        refusal)
 
 # Time limit and latency target of each kind, in milliseconds.
 KINDS = {"read": (1500, 500), "once": (2500, 1000), "upload": (8000, 1500)}
@@ -40,7 +41,7 @@
     async def run(self, writer, line, fields, body):
         rid = fields.get("request-id", "")
         if fields.get("expect-instance") not in (None, self.name):
-            writer.write(answer(421, b"", [("Instance-Id", self.name)]))
+            writer.write(refusal(421, rid, [("Instance-Id", self.name)]))
             return
         self.soak.note_run(rid, self, line)
         work = int(line.split(" ")[1].split("/")[2])
--- a/test/system/refusal_copies.py
+++ b/test/system/refusal_copies.py
@@ -20,7 +20,7 @@
 import sys
 
 import fault_soak
-from fault_soak import Upstream, answer, read_message
+from fault_soak import Upstream, answer, read_message, refusal
 from planned_stop import PlannedStop, gateway_of_build, run_and_report
 
 SEED = 41
@@ -77,20 +77,20 @@
     async def run(self, writer, line, fields, body):
         """Answers; returns the copy of a refusal that is still to come."""
         rid = fields.get("request-id", "")
-        own = [("Request-Id", rid)]
-        refusal = b""
+        refused = b""
         if fields.get("expect-instance") not in (None, self.name):
-            refusal = answer(421, b"", own + [("Instance-Id", self.name)])
+            refused = refusal(421, rid, [("Instance-Id", self.name)])
         elif self.soak.chance.random() < REFUSED:
-            refusal = answer(503, b"", own + [("Not-Executed", "1")])
-        if refusal:
+            refused = refusal(503, rid, [("Not-Executed", "1")])
+        if refused:
             self.soak.refusals += 1
-            writer.write(refusal)
+            writer.write(refused)
             await writer.drain()
-            return refusal if self.soak.chance.random() < COPIED else b""
+            return refused if self.soak.chance.random() < COPIED else b""
         self.soak.note_run(rid, self, line)
         await asyncio.sleep(self.soak.chance.uniform(0.005, 0.03))
-        writer.write(answer(200, rid.encode() * 20, [("Server-Stamp", self.name)] + own))
+        own = [("Server-Stamp", self.name), ("Request-Id", rid)]
+        writer.write(answer(200, rid.encode() * 20, own))
         await writer.drain()
         return b""
 
