Soak restarts at one address, copies of refusals and words of upstreams

The soak had no upstream that restarts under a new id at its address, no refusal that is written twice, and none that says it leaves or wants quiet.

Upstreams now restart (the old entry stays 0.5 to 2 s), refuse at random, leave with Server-Leaving, or refuse with Retry-After; four of five refusals have a copy, 1 to 300 ms later or in front of the next answer. The code for restarts and copies moved from refusal_copies.py to fault_soak.Upstream, which both tests use.

New check: a host that has brought a caller an answer with Server-Leaving sends that life of the upstream nothing 2 s later, in calm times, refused requests included. One upstream leaves in the calm at the end, so that each run looks at this; a run without a copy or such a look fails. refusal_copies.py fails without a copy too.

--- a/test/system/fault_soak.py
+++ b/test/system/fault_soak.py
@@ -8,7 +8,8 @@
 - one that was refused as unrun never runs;
 - a success is the whole answer of the upstream that ran the request;
 - rules in force never go back within one life of a process;
-- an upstream that left gets no request 2 s later, in calm times;
+- an upstream that left gets no request 2 s later, in calm times, and one whose
+  word that it leaves was heard gets none from the host that heard it;
 - a graceful stop cuts off no request that was read, in calm times;
 - after the faults, requests are served again.
 
@@ -46,6 +47,19 @@
 # Share of the refusals that repeat the id of the request. A refusal without an
 # id is not believed, so it tests nothing of what a refused request may do next.
 REPEATED = 0.9
+# Share of the refusals that are written twice, and the latest copy, in seconds.
+COPIED = 0.8
+LATEST_COPY = 0.3
+# Share of the requests that an upstream refuses while it refuses at random.
+REFUSED = 0.3
+# Time for which the entry of an ended process stays in the register, in seconds.
+OLD_ENTRY = (0.5, 2.0)
+# Time for which an upstream asks for quiet, in seconds.
+QUIET = (0.5, 2.0)
+# Mean time between two words of upstreams, in seconds. Three upstreams of five
+# restart, refuse, leave or want quiet at a time at most.
+WORD_STEP = 0.7
+WORDS_AT_ONCE = 3
 
 
 def free_port():
@@ -189,11 +203,27 @@
 
 
 class Upstream:
-    """Server of the platform: slots, identity, heartbeats and faults."""
+    """Server of the platform: slots, identity, heartbeats and faults.
+
+    It may restart under a new id at its address, on which its connections stay
+    open, and may write a refusal twice.
+    """
+
+    # Share of the refusals that are written twice, and of these the share whose
+    # copy comes in front of the next answer. The others come up to LATEST_COPY
+    # later.
+    copied = COPIED
+    copied_in_front = 0.5
 
     def __init__(self, soak, name):
         self.soak = soak
-        self.name = name
+        self.name = self.first_name = name
+        self.lives = 0
+        # What it says of itself: "", "refuse", "leaving" or "quiet".
+        self.word = ""
+        self.last_run = 0.0
+        # Copies that come in front of the next answer, by connection.
+        self.copies = {}
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.state = "ready"
@@ -228,28 +258,83 @@
         await self.write_entry()
         self.left_at = time.monotonic()
 
+    async def restart(self, old_entry):
+        """A new process at the address; the old entry stays for old_entry seconds."""
+        old = self.name
+        self.lives += 1
+        self.name = f"{self.first_name}-{self.lives}"
+        self.word = ""
+        self.born += 1
+        self.sequence = 0
+        await self.write_entry()
+        await asyncio.sleep(old_entry)
+        await self.soak.store.put("keyed.servers", old, None)
+
     async def handle(self, reader, writer):
         try:
             while True:
                 line, fields, body = await read_message(reader)
+                # An earlier refusal once more, where the next answer is due.
+                writer.write(self.copies.pop(writer, b""))
                 await self.run(writer, line, fields, body)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             writer.close()
+        self.copies.pop(writer, None)
+
+    async def refuse(self, writer, status, rid, fields):
+        """Refuses a request, at times with a copy."""
+        chance = self.soak.words
+        text = refusal(status, rid, fields)
+        self.soak.refusals += 1
+        writer.write(text)
+        await writer.drain()
+        if chance.random() >= self.copied:
+            return
+        self.soak.copies += 1
+        if chance.random() < self.copied_in_front:
+            self.copies[writer] = text
+            return
 
-    async def run(self, writer, line, fields, body):
+        def again():
+            if not writer.is_closing():
+                writer.write(text)
+
+        asyncio.get_running_loop().call_later(chance.uniform(0.001, LATEST_COPY), again)
+
+    async def turn_away(self, writer, fields):
+        """Refuses a request that the upstream does not want; True when it did."""
+        chance = self.soak.words
         rid = fields.get("request-id", "")
+        self.soak.note_arrival(rid, fields.get("expect-instance", self.name))
         # Some servers repeat no id in refusals.
-        shown = rid if self.soak.words.random() < REPEATED else ""
+        rid = rid if chance.random() < REPEATED else ""
+        unrun = [("Not-Executed", "1")]
         if fields.get("expect-instance") not in (None, self.name):
-            writer.write(refusal(421, shown, [("Instance-Id", self.name)]))
-            return
-        if self.running >= SLOTS + 4 or self.mode == "shed":
-            writer.write(refusal(503, shown, [("Not-Executed", "1")]))
+            await self.refuse(writer, 421, rid, [("Instance-Id", self.name)])
+        elif self.word == "quiet":
+            quiet = [("Retry-After", f"{chance.uniform(*QUIET):.2f}")]
+            await self.refuse(writer, 503, rid, unrun + quiet)
+        elif (self.running >= SLOTS + 4 or self.mode == "shed" or
+              self.word == "refuse" and chance.random() < REFUSED):
+            await self.refuse(writer, 503, rid, unrun)
+        else:
+            return False
+        return True
+
+    async def run(self, writer, line, fields, body):
+        if await self.turn_away(writer, fields):
             return
+        rid = fields.get("request-id", "")
+        # A restart meanwhile is not the process that runs the request.
+        name = self.name
+        self.last_run = time.monotonic()
         self.soak.note_run(rid, self, line)
         load = [("Server-Load", f"{self.running},0,{SLOTS}"), ("Request-Id", rid)]
+        if self.word == "leaving":
+            load.append(("Server-Leaving", "1"))
+            self.soak.said_leaving.add((rid, name))
         if self.mode == "errors" and self.soak.random.random() < 0.8:
-            writer.write(answer(500, b"", [("Server-Stamp", self.name), *load]))
+            writer.write(answer(500, b"", [("Server-Stamp", name), *load]))
             return
         self.running += 1
         await asyncio.sleep(self.soak.random.uniform(0.01, 0.06))
@@ -259,8 +344,8 @@
         if self.mode == "lose":
             writer.transport.abort()
             return
-        text = f"{rid}/{self.name}/".encode() * 20 + body
-        whole = answer(200, text, [("Server-Stamp", self.name), *load])
+        text = f"{rid}/{name}/".encode() * 20 + body
+        whole = answer(200, text, [("Server-Stamp", name), *load])
         if self.mode == "cut" and self.soak.random.random() < 0.5:
             writer.write(whole[: len(whole) // 2])
             await writer.drain()
@@ -362,6 +447,18 @@
         self.calm_since = time.monotonic()
         self.busy = 0
         self.faults = 0
+        self.refusals = 0
+        self.copies = 0
+        # Changes of what upstreams say of themselves, by kind, and those in progress.
+        self.said = dict.fromkeys(("restart", "refuse", "leaving", "quiet"), 0)
+        self.saying = set()
+        # The host and its life that got each request, the requests whose answer
+        # said that the upstream leaves, when each host first heard that of which
+        # life of an upstream, and requests in calm times from hosts that had.
+        self.asked = {}
+        self.said_leaving = set()
+        self.heard_leaving = {}
+        self.leave_checks = 0
         self.ended = False
         self.counts = {"served": 0, "other": 0}
 
@@ -382,6 +479,20 @@
         if late and self.is_calm():
             self.fail(f"request {rid} reached {upstream.name} after it had left")
 
+    def note_arrival(self, rid, life):
+        """A request for a life of an upstream arrives, whether it runs or not."""
+        host = self.asked.get(rid)
+        if not self.is_calm():
+            return
+        now = time.monotonic()
+        late = {name: now - at for name, at in self.heard_leaving.get(host, {}).items()
+                if now - at > DRAIN}
+        if any(it.name in late for it in self.upstreams):
+            self.leave_checks += 1
+        if life in late:
+            self.fail(f"request {rid} came to {life} from {host[0]}, which heard "
+                      f"{late[life]:.2f} s ago that it leaves")
+
     async def publish(self):
         """A new version: one more route, which tells what is in force."""
         self.version += 1
@@ -421,6 +532,7 @@
                 f"Content-Length: {len(body)}\r\n\r\n").encode() + body
         sent = None
         life = gateway.life
+        self.asked[rid] = (gateway.name, life)
         try:
             reader, writer = await asyncio.wait_for(
                 asyncio.open_connection("127.0.0.1", gateway.ports["front"]), 1
@@ -454,6 +566,9 @@
             self.counts["served"] += 1
             if got != f"{rid}/{stamp}/".encode() * 20 + body:
                 self.fail(f"request {rid} got another answer: {got[:60]!r}")
+            if (rid, stamp) in self.said_leaving:
+                heard = self.heard_leaving.setdefault(self.asked[rid], {})
+                heard.setdefault(stamp, time.monotonic())
             return
         self.counts["other"] += 1
         if status in (503, 429, 408, 421) and rid.startswith("once"):
@@ -513,6 +628,33 @@
                 # A calm spell, in which the promises with a time bound hold.
                 await asyncio.sleep(SETTLE + 3)
 
+    async def inject_words(self):
+        """Upstreams that restart, refuse, leave or want quiet, also in calm times.
+
+        They do not count as faults: all promises hold beside them.
+        """
+        round_left = []
+        while time.monotonic() - self.begun < self.seconds:
+            await asyncio.sleep(self.words.expovariate(1 / WORD_STEP))
+            upstream = self.words.choice(self.upstreams)
+            if upstream in self.saying or len(self.saying) >= WORDS_AT_ONCE:
+                continue
+            # In rounds of all kinds, so that a short run has each.
+            round_left = round_left or self.words.sample(list(self.said), len(self.said))
+            asyncio.ensure_future(self.say(upstream, round_left.pop()))
+
+    async def say(self, upstream, word):
+        self.saying.add(upstream)
+        self.said[word] += 1
+        if word != "restart":
+            upstream.word = word
+            await asyncio.sleep(self.words.uniform(0.5, 3.0))
+            upstream.word = ""
+        # Who has left comes back as another process.
+        if word in ("restart", "leaving") and upstream.left_at is None:
+            await upstream.restart(self.words.uniform(*OLD_ENTRY))
+        self.saying.discard(upstream)
+
     async def under(self, fault, gateway, upstream):
         if gateway in self.held or upstream in self.held:
             return
@@ -559,10 +701,16 @@
         tasks = [asyncio.ensure_future(self.caller(n)) for n in range(CALLERS)]
         tasks.append(asyncio.ensure_future(self.watch_rules()))
         tasks.append(asyncio.ensure_future(self.change_rules()))
-        await self.inject()
-        while self.busy:
+        await asyncio.gather(self.inject(), self.inject_words())
+        while self.busy or self.saying:
             await asyncio.sleep(0.1)
+        # One in use leaves in the calm at the end, where a host's memory of that can
+        # be judged for longer than between the faults.
+        max(self.upstreams, key=lambda it: it.last_run).word = "leaving"
         await self.check_recovery()
+        if not self.copies or not self.leave_checks:
+            self.fail(f"an empty run: {self.copies} copies of refusals, {self.leave_checks} "
+                      "requests from hosts that had heard that one leaves")
         self.ended = True
         await asyncio.gather(*tasks)
         for it in self.gateways:
@@ -593,7 +741,11 @@
             if it.process and it.process.returncode is None:
                 it.process.kill()
     print(f"seed {seed}: {soak.counts['served']} served, {soak.counts['other']} not, "
-          f"{soak.faults} faults, {len(soak.failures)} broken promises", flush=True)
+          f"{soak.faults} faults, "
+          f"{', '.join(f'{n} {word}' for word, n in soak.said.items())}, "
+          f"{soak.refusals} refusals, "
+          f"{soak.copies} copies, {soak.leave_checks} behind a leave, "
+          f"{len(soak.failures)} broken promises", flush=True)
     for it in soak.failures[:10]:
         print(f"  {it}", flush=True)
     if soak.failures:
--- a/test/system/refusal_copies.py
+++ b/test/system/refusal_copies.py
@@ -20,7 +20,7 @@
 import sys
 
 import fault_soak
-from fault_soak import Upstream, answer, read_message, refusal
+from fault_soak import Upstream, answer, read_message
 from planned_stop import PlannedStop, gateway_of_build, run_and_report
 
 SEED = 41
@@ -41,66 +41,34 @@
 class RestartingUpstream(Upstream):
     """One address; each start has another id and closes no connection."""
 
+    copied = COPIED
+    copied_in_front = 0.7
+
     async def start(self):
-        self.first_name = self.name
-        self.lives = 0
-        self.old = []
         # Without a proxy, which would hide when a connection ends.
         _, self.port = await fault_soak.serve(self.handle)
         asyncio.ensure_future(self.beat())
 
-    async def restart(self):
-        old = self.name
-        self.lives += 1
-        self.name = f"{self.first_name}-{self.lives}"
-        self.born += 1
-        self.sequence = 0
-        await self.write_entry()
-        await asyncio.sleep(OLD_ENTRY)
-        await self.soak.store.put("keyed.servers", old, None)
-
-    async def handle(self, reader, writer):
-        try:
-            copy = b""
-            while True:
-                line, fields, body = await read_message(reader)
-                # An earlier refusal once more, where the next answer is due.
-                writer.write(copy)
-                copy = await self.run(writer, line, fields, body)
-                if copy and self.soak.chance.random() < 0.3:
-                    await asyncio.sleep(self.soak.chance.choice((0.001, 0.02)))
-                    writer.write(copy)
-                    copy = b""
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            writer.close()
-
     async def run(self, writer, line, fields, body):
-        """Answers; returns the copy of a refusal that is still to come."""
         rid = fields.get("request-id", "")
-        refused = b""
         if fields.get("expect-instance") not in (None, self.name):
-            refused = refusal(421, rid, [("Instance-Id", self.name)])
-        elif self.soak.chance.random() < REFUSED:
-            refused = refusal(503, rid, [("Not-Executed", "1")])
-        if refused:
-            self.soak.refusals += 1
-            writer.write(refused)
-            await writer.drain()
-            return refused if self.soak.chance.random() < COPIED else b""
+            await self.refuse(writer, 421, rid, [("Instance-Id", self.name)])
+            return
+        if self.soak.chance.random() < REFUSED:
+            await self.refuse(writer, 503, rid, [("Not-Executed", "1")])
+            return
         self.soak.note_run(rid, self, line)
         await asyncio.sleep(self.soak.chance.uniform(0.005, 0.03))
         own = [("Server-Stamp", self.name), ("Request-Id", rid)]
         writer.write(answer(200, rid.encode() * 20, own))
         await writer.drain()
-        return b""
 
 
 class RefusalCopies(PlannedStop):
     def __init__(self, binary, directory, seed):
         super().__init__(binary, directory)
-        self.chance = random.Random(seed)
+        self.chance = self.words = random.Random(seed)
         self.numbers = iter(range(1, 1000000))
-        self.refusals = 0
 
     async def ask(self, kind):
         rid = f"{kind}-{next(self.numbers)}"
@@ -136,7 +104,7 @@
 
     async def restarts(self):
         while True:
-            asyncio.ensure_future(self.chance.choice(self.upstreams).restart())
+            asyncio.ensure_future(self.chance.choice(self.upstreams).restart(OLD_ENTRY))
             await asyncio.sleep(self.chance.uniform(0.1, 0.3))
 
     def note_run(self, rid, upstream, line):
@@ -150,6 +118,8 @@
         await asyncio.gather(*[self.caller() for _ in range(CALLERS)])
         restarting.cancel()
         total = sum(self.counts.values())
+        if not self.copies:
+            self.fail("no copy of a refusal in the whole run")
         if self.counts["served"] < SERVED_SHARE * total:
             self.fail(f"{self.counts['served']} of {total} served")
 
@@ -160,7 +130,8 @@
 
     def summary():
         return (f"refusal copies: seed {seed}, {test.counts['served']} served, "
-                f"{test.counts['other']} not, {test.refusals} refusals; ")
+                f"{test.counts['other']} not, {test.refusals} refusals, "
+                f"{test.copies} copies; ")
 
     run_and_report(test, test.run(), summary)
 
