--- a/test/fakes/request_path.hpp
+++ b/test/fakes/request_path.hpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <boost/fiber/operations.hpp>
 #include <gtest/gtest.h>
 
 #include <array>
@@ -60,9 +61,22 @@
                           transport::fiber_yield(ec));
     }
 
+    /// Sends each byte apart, so that the peer reads them apart.
+    void send_apart(const std::string& bytes)
+    {
+        transport::error_code ec;
+        stream_.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+        for (std::size_t n = 0; n < bytes.size() && !ec; ++n) {
+            asio::async_write(stream_, asio::buffer(&bytes[n], 1),
+                              transport::fiber_yield(ec));
+            boost::this_fiber::yield();
+        }
+    }
+
     answer_type receive(transport::error_code& ec)
     {
         http::response_parser<http::string_body> parser;
+        parser.header_limit(longest_answer_head);
         stream_.expires_after(5s);
         http::async_read(stream_, buffer_, parser, transport::fiber_yield(ec));
         return parser.release();
@@ -72,6 +86,7 @@
     answer_type receive_head()
     {
         http::response_parser<http::string_body> parser;
+        parser.header_limit(longest_answer_head);
         parser.skip(true);
         transport::error_code ec;
         stream_.expires_after(5s);
@@ -139,6 +154,9 @@
     }
 
 private:
+    /// Above the longest head that is passed on.
+    static constexpr std::uint32_t longest_answer_head = 64 * 1024;
+
     transport::tcp_stream stream_;
     boost::beast::flat_buffer buffer_;
 };
--- a/test/fakes/scripted_upstream.hpp
+++ b/test/fakes/scripted_upstream.hpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/fiber/operations.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <deque>
 #include <string>
@@ -38,6 +39,8 @@
     std::chrono::milliseconds endless_pause{1};
     /// Sent in front of the next answer on this connection.
     std::string late = {};
+    /// Number of bytes, the last ones of the answer, that are sent apart.
+    std::size_t apart = 0;
 };
 
 class scripted_upstream
@@ -55,6 +58,12 @@
         script_.push_back(std::move(step));
     }
 
+    /// Forgets the steps that are left.
+    void clear()
+    {
+        script_.clear();
+    }
+
     state::endpoint address() const
     {
         return listener_.address();
@@ -104,8 +113,7 @@
             }
             const auto bytes = late + step.bytes;
             late = step.late;
-            boost::asio::async_write(stream, boost::asio::buffer(bytes),
-                                     transport::fiber_yield(ec));
+            write(stream, bytes, std::min(step.apart, bytes.size()), ec);
             endless += step.endless.empty() ? 0 : 1;
             while (!step.endless.empty() && !ec) {
                 boost::asio::async_write(stream,
@@ -120,6 +128,24 @@
         }
     }
 
+    static void write(transport::tcp_stream& stream, const std::string& bytes,
+                      std::size_t apart, transport::error_code& ec)
+    {
+        const auto at_once = bytes.size() - apart;
+        boost::asio::async_write(stream,
+                                 boost::asio::buffer(bytes.data(), at_once),
+                                 transport::fiber_yield(ec));
+        if (apart > 0 && !ec) {
+            stream.socket().set_option(boost::asio::ip::tcp::no_delay(true),
+                                       ec);
+        }
+        for (auto n = at_once; n < bytes.size() && !ec; ++n) {
+            boost::asio::async_write(stream, boost::asio::buffer(&bytes[n], 1),
+                                     transport::fiber_yield(ec));
+            boost::this_fiber::yield();
+        }
+    }
+
     std::deque<upstream_step> script_;
     transport::listener listener_;
 };
