--- a/test/platform/http_cases_test.cpp
+++ b/test/platform/http_cases_test.cpp
@@ -811,6 +811,8 @@
     feed(caller, row.bytes, how);
     const auto got = receive_final(caller, row);
     expect_status(got.result_int(), row.status);
+    // A request that waits for a place is refused only at its deadline.
+    EXPECT_EQ(b.places.requests.size(), row.forwarded.empty() ? 0U : 1U);
     EXPECT_EQ(b.first.runs - runs, row.forwarded.empty() ? 0 : 1);
     if (!row.forwarded.empty()) {
         const auto& sent = b.first.last;
@@ -839,4 +841,435 @@
                        ::testing::Values(feeding::at_once, feeding::apart)),
     name_of_row);
 
+struct upstream_case
+{
+    std::string name;
+    /// RFC and section.
+    std::string rule;
+    std::string must_not;
+    std::string bytes;
+    unsigned status = 200;
+    std::string body = "one";
+    due_fields fields = {};
+    /// Fields that are not passed on.
+    std::vector<std::string> absent = {};
+    after_answer after = after_answer::keep_open;
+    /// The default is a request that must not repeat, so that an answer that
+    /// cannot be taken shows.
+    std::string request = post_of(1);
+    then caller = then::stays;
+};
+
+std::ostream& operator<<(std::ostream& out, const upstream_case& it)
+{
+    return out << it.name;
+}
+
+const std::string stamp = "Server-Stamp: x\r\nRequest-Id: q\r\n";
+const std::string sized = "Content-Length: 3\r\n";
+const std::string in_chunks = "Transfer-Encoding: chunked\r\n";
+const std::string chunk_of_one = "3\r\none\r\n0\r\n\r\n";
+
+std::string ok(const std::string& fields, const std::string& body = "one")
+{
+    return "HTTP/1.1 200 OK\r\n" + stamp + fields + "\r\n" + body;
+}
+
+/// An answer whose head has n bytes, filled by one field.
+std::string answer_head_of(std::size_t n)
+{
+    const auto rest = ok(sized + "X-Filler: \r\n", "").size();
+    return ok(sized + "X-Filler: " + std::string(n - rest, 'x') + "\r\n");
+}
+
+/// An answer whose head has at most n bytes, in as many fields as it holds.
+std::string answer_head_of_many(std::size_t n)
+{
+    const std::string field = "a:\r\n";
+    auto fields = sized;
+    while (ok(fields + field, "").size() <= n) {
+        fields += field;
+    }
+    return ok(fields);
+}
+
+std::vector<upstream_case> interim_cases()
+{
+    const std::string final = "it is taken for the answer";
+    const std::string end = " Interim\r\n\r\n";
+    return {
+        {"interim_100", "RFC 9110, 15.2.1", final,
+         "HTTP/1.1 100" + end + ok(sized)},
+        {"interim_102", "RFC 9110, 15.2", final,
+         "HTTP/1.1 102" + end + ok(sized)},
+        {"interim_103_with_fields",
+         "RFC 8297, 2",
+         "its fields are kept",
+         "HTTP/1.1 103 Hints\r\nLink: </a>\r\nContent-Length: 9\r\n\r\n" +
+             ok(sized),
+         200,
+         "one",
+         {},
+         {"Link"}},
+        {"interim_199", "RFC 9110, 15.2", final,
+         "HTTP/1.1 199" + end + ok(sized)},
+        {"interim_101_unasked", "RFC 9110, 7.8",
+         "bytes of another protocol are read as an answer",
+         "HTTP/1.1 101 Switching\r\nConnection: upgrade\r\n"
+         "Upgrade: x\r\n\r\n" +
+             ok(sized),
+         502, ""},
+        {"status_of_two_digits", "RFC 9112, 4", "it is passed on",
+         "HTTP/1.1 20 OK\r\n" + stamp + sized + "\r\none", 502, ""},
+        {"no_reason_phrase", "RFC 9112, 4", "it is refused",
+         "HTTP/1.1 200 \r\n" + stamp + sized + "\r\none"},
+        {"unknown_status", "RFC 9110, 15", "it is changed",
+         "HTTP/1.1 299 Odd\r\n" + stamp + sized + "\r\none", 299},
+    };
+}
+
+std::vector<upstream_case> bodiless_cases()
+{
+    const std::string head = "HEAD /read/1 HTTP/1.1\r\n" + host + "\r\n";
+    const std::string rest = "bytes of a body reach the next answer";
+    const std::string none = "HTTP/1.1 204 None\r\n" + stamp;
+    const std::string same = "HTTP/1.1 304 Same\r\n" + stamp;
+    return {
+        {"head_in_chunks",
+         "RFC 9110, 9.3.2",
+         rest,
+         ok(in_chunks, ""),
+         200,
+         "",
+         {},
+         {},
+         after_answer::keep_open,
+         head},
+        {"head_with_length",
+         "RFC 9110, 9.3.2",
+         rest,
+         ok(sized, ""),
+         200,
+         "",
+         {{"Content-Length", "3"}},
+         {},
+         after_answer::keep_open,
+         head},
+        {"head_with_body",
+         "RFC 9112, 6.3",
+         rest,
+         ok(sized),
+         200,
+         "",
+         {{"Content-Length", "3"}},
+         {},
+         after_answer::keep_open,
+         head},
+        {"no_content_in_chunks",
+         "RFC 9112, 6.1",
+         rest,
+         none + in_chunks + "\r\n0\r\n\r\n",
+         204,
+         "",
+         {},
+         {"Transfer-Encoding", "Content-Length"}},
+        {"no_content_with_body",
+         "RFC 9110, 8.6",
+         rest,
+         none + sized + "\r\none",
+         204,
+         "",
+         {},
+         {"Transfer-Encoding", "Content-Length"}},
+        {"not_modified_in_chunks",
+         "RFC 9112, 6.3",
+         rest,
+         same + in_chunks + "\r\n",
+         304,
+         "",
+         {},
+         {},
+         after_answer::keep_open,
+         get("")},
+        {"not_modified_with_body",
+         "RFC 9112, 6.3",
+         rest,
+         same + sized + "\r\none",
+         304,
+         "",
+         {{"Content-Length", "3"}},
+         {},
+         after_answer::keep_open,
+         get("")},
+    };
+}
+
+std::vector<upstream_case> framing_cases()
+{
+    const std::string old = "HTTP/1.0 200 OK\r\n" + stamp;
+    const std::string old_get = "GET /read/1 HTTP/1.0\r\n" + host;
+    const std::string whole = "a part of it looks whole";
+    const std::string ends = "it ends at two places";
+    const std::string reused = "the connection is used again";
+    return {
+        {"http_1_0_with_length", "RFC 9112, 9.3", reused,
+         old + sized + "\r\none"},
+        {"http_1_0_that_keeps",
+         "RFC 9112, 9.3",
+         "a field of the hop is kept",
+         old + "Connection: keep-alive\r\n" + sized + "\r\none",
+         200,
+         "one",
+         {},
+         {"Connection"}},
+        {"http_1_0_without_length",
+         "RFC 9112, 6.3",
+         whole,
+         old + "\r\none",
+         200,
+         "one",
+         {},
+         {},
+         after_answer::close},
+        {"http_1_0_in_chunks", "RFC 9112, 6.1", ends,
+         old + in_chunks + "\r\n" + chunk_of_one, 502, ""},
+        {"body_to_the_end",
+         "RFC 9112, 6.3",
+         whole,
+         ok(""),
+         200,
+         "one",
+         {},
+         {},
+         after_answer::close},
+        {"body_to_the_end_for_http_1_0",
+         "RFC 9112, 7",
+         "the caller gets chunks",
+         ok(""),
+         200,
+         "one",
+         {},
+         {"Transfer-Encoding"},
+         after_answer::close,
+         old_get + "Connection: keep-alive\r\n\r\n",
+         then::closes},
+        {"chunks_for_http_1_0",
+         "RFC 9112, 7",
+         "the caller gets chunks",
+         ok(in_chunks, chunk_of_one),
+         200,
+         "one",
+         {},
+         {"Transfer-Encoding"},
+         after_answer::keep_open,
+         old_get + "Connection: keep-alive\r\n\r\n",
+         then::closes},
+        {"chunks", "RFC 9112, 7.1", whole, ok(in_chunks, chunk_of_one)},
+        {"empty_chunks", "RFC 9112, 7.1", whole, ok(in_chunks, "0\r\n\r\n"),
+         200, ""},
+        {"chunk_extensions", "RFC 9112, 7.1.1", "they become content",
+         ok(in_chunks, "1;a=b\r\no\r\n2;c=\"d;e\"\r\nne\r\n0;f\r\n\r\n")},
+        {"trailers",
+         "RFC 9110, 6.5.1",
+         "they become fields of the head",
+         ok(in_chunks + "Trailer: X-A\r\n",
+            "3\r\none\r\n0\r\nX-A: 1\r\nServer-Leaving: 1\r\n\r\n"),
+         200,
+         "one",
+         {},
+         {"X-A", "Server-Leaving", "Trailer"}},
+        {"chunks_cut",
+         "RFC 9112, 8",
+         whole,
+         ok(in_chunks, "3\r\none\r\n"),
+         502,
+         "",
+         {},
+         {},
+         after_answer::close},
+        {"length_cut",
+         "RFC 9112, 8",
+         whole,
+         ok("Content-Length: 4\r\n"),
+         502,
+         "",
+         {},
+         {},
+         after_answer::close},
+        {"chunk_size_signed", "RFC 9112, 7.1", ends,
+         ok(in_chunks, "+3\r\none\r\n0\r\n\r\n"), 502, ""},
+        {"chunk_size_beyond_64_bits", "RFC 9112, 7.1", ends,
+         ok(in_chunks, "10000000000000003\r\none\r\n0\r\n\r\n"), 502, ""},
+        // Section 6.3 lets a recipient take or refuse it.
+        {"length_twice",
+         "RFC 9112, 6.3",
+         ends,
+         ok(sized + sized),
+         200,
+         "one",
+         {{"Content-Length", "3"}}},
+        {"lengths_differ", "RFC 9112, 6.3", ends,
+         ok(sized + "Content-Length: 2\r\n"), 502, ""},
+        {"length_signed", "RFC 9112, 6.3", ends, ok("Content-Length: +3\r\n"),
+         502, ""},
+        {"length_and_chunks", "RFC 9112, 6.3", ends,
+         ok(sized + in_chunks, chunk_of_one), 502, ""},
+        {"coding_gzip", "RFC 9112, 6.1", ends,
+         ok("Transfer-Encoding: gzip, chunked\r\n", chunk_of_one), 502, ""},
+        {"surplus_bytes", "RFC 9112, 9.2", "they begin the next answer",
+         ok(sized, "one surplus")},
+        {"surplus_answer", "RFC 9112, 9.2", "it answers the next request",
+         ok(sized) + "HTTP/1.1 200 OK\r\nServer-Stamp: x\r\n" + sized +
+             "\r\nbad"},
+        {"connection_close",
+         "RFC 9112, 9.6",
+         reused,
+         ok(sized + "Connection: close\r\n"),
+         200,
+         "one",
+         {},
+         {"Connection"}},
+    };
+}
+
+std::vector<upstream_case> answer_field_cases()
+{
+    const std::string hop = "a field of the upstream's connection is passed on";
+    const std::string changed = "the field is lost or changed";
+    const std::string passed = "it is passed on";
+    const std::string odd = "!#$%&'*+-.^_`|~0A";
+    return {
+        {"connection_names_a_field",
+         "RFC 9110, 7.6.1",
+         hop,
+         ok(sized + "X-Hop: 1\r\nConnection: x-hop\r\nX-End: 2\r\n"),
+         200,
+         "one",
+         {{"X-End", "2"}},
+         {"X-Hop", "Connection"}},
+        {"connection_names_fields_in_a_list",
+         "RFC 9110, 7.6.1",
+         hop,
+         ok(sized + "Connection: , X-A ,\tx-b,\r\nX-A: 1\r\nX-B: 2\r\n"
+                    "Connection: X-C\r\nX-C: 3\r\nX-AB: 4\r\n"),
+         200,
+         "one",
+         {{"X-AB", "4"}},
+         {"X-A", "X-B", "X-C"}},
+        {"other_hop_by_hop_fields",
+         "RFC 9110, 7.6.1",
+         hop,
+         ok(sized + "Keep-Alive: timeout=5\r\nUpgrade: h2c\r\n"
+                    "Proxy-Connection: keep-alive\r\n"),
+         200,
+         "one",
+         {},
+         {"Keep-Alive", "Upgrade", "Proxy-Connection"}},
+        {"odd_field_name",
+         "RFC 9110, 5.1",
+         changed,
+         ok(sized + odd + ": v\r\n"),
+         200,
+         "one",
+         {{odd, "v"}}},
+        {"empty_value",
+         "RFC 9110, 5.5",
+         changed,
+         ok(sized + "X-A:\r\n"),
+         200,
+         "one",
+         {{"X-A", ""}}},
+        {"value_outside_ascii",
+         "RFC 9110, 5.5",
+         changed,
+         ok(sized + "X-A: \x80\xff\r\n"),
+         200,
+         "one",
+         {{"X-A", "\x80\xff"}}},
+        {"field_in_two_lines",
+         "RFC 9110, 5.3",
+         "the order changes",
+         ok(sized + "X-A: 1\r\nX-B: 0\r\nx-a: 2\r\n"),
+         200,
+         "one",
+         {{"X-A", "1, 2"}}},
+        {"folded_value",
+         "RFC 9112, 5.2",
+         "the fold is passed on",
+         ok(sized + "X-A: a\r\n \tb\r\n"),
+         200,
+         "one",
+         {{"X-A", "a b"}}},
+        {"field_name_in_brackets", "RFC 9110, 5.1", passed,
+         ok(sized + "X(a): v\r\n"), 502, ""},
+        {"space_before_a_colon", "RFC 9112, 5.1", passed,
+         ok("X-A : 1\r\n" + sized), 502, ""},
+        {"bare_cr_in_a_value", "RFC 9112, 2.2", passed,
+         ok(sized + "X-A: a\rContent-Length: 1\r\n"), 502, ""},
+        {"bare_lf_in_a_value", "RFC 9112, 2.2", passed,
+         ok(sized + "X-A: a\nX-B: 1\r\n"), 502, ""},
+        {"head_below_the_limit", "RFC 9110, 5.4", "it is refused",
+         answer_head_of(max_answer_head - 1)},
+        {"head_at_the_limit", "RFC 9110, 5.4", "it is refused",
+         answer_head_of(max_answer_head)},
+        {"head_above_the_limit", "RFC 9110, 5.4", passed,
+         answer_head_of(max_answer_head + 1), 502, ""},
+        {"many_fields_at_the_limit", "RFC 9110, 5.4", "it is refused",
+         answer_head_of_many(max_answer_head)},
+        {"many_fields_above_the_limit", "RFC 9110, 5.4", passed,
+         answer_head_of_many(max_answer_head + 5), 502, ""},
+        // The library's container of fields holds no such value.
+        {"field_above_64_kb", "RFC 9110, 5.4", passed,
+         ok(sized + "X-A: " + std::string(70'000, 'x') + "\r\n"), 502, ""},
+    };
+}
+
+class upstream_message
+    : public ::testing::TestWithParam<std::tuple<upstream_case, feeding>>
+{};
+
+// An answer that is understood in another way than the upstream means it, or
+// than the caller does.
+TEST_P(upstream_message, is_misunderstood)
+{
+    const auto& row = std::get<upstream_case>(GetParam());
+    const auto how = std::get<feeding>(GetParam());
+    SCOPED_TRACE(row.rule + "; must not happen: " + row.must_not);
+    auto& b = shared_bench();
+    b.place_at(b.first, "u1");
+    test::upstream_step step{row.bytes, 0ms, row.after};
+    step.apart = how == feeding::apart ? most_apart : 0;
+    b.first.add(step);
+    fake_caller caller(b.ioc, b.worker.address());
+    caller.send(row.request);
+    const auto got = row.request.starts_with("HEAD ") ? caller.receive_head()
+                                                      : caller.receive();
+    EXPECT_EQ(got.result_int(), row.status);
+    constexpr unsigned first_error = 400;
+    if (row.status < first_error) {
+        EXPECT_EQ(got.body(), row.body);
+        EXPECT_EQ(got["Request-Id"], "q");
+        expect_fields(got, row.fields, row.absent);
+    }
+    EXPECT_EQ(got.keep_alive(), row.caller == then::stays);
+    // The same upstream, whose connection is used again where that is safe.
+    b.first.clear();
+    b.first.add({answer("next", "n")});
+    expect_sound(b, caller, row.caller, b.first);
+}
+
+std::string name_of_answer(
+    const ::testing::TestParamInfo<std::tuple<upstream_case, feeding>>& it)
+{
+    return std::get<0>(it.param).name + "_" + name_of(std::get<1>(it.param));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    http_cases, upstream_message,
+    ::testing::Combine(::testing::ValuesIn(all_of<upstream_case>(
+                           {interim_cases(), bodiless_cases(), framing_cases(),
+                            answer_field_cases()})),
+                       ::testing::Values(feeding::at_once, feeding::apart)),
+    name_of_answer);
+
 } // namespace
