--- a/include/oriolegrade/protocol/request_parser.hpp
+++ b/include/oriolegrade/protocol/request_parser.hpp
@@ -45,6 +45,8 @@
 
     /// A longer body is an error (body_limit). Only before its first byte.
     void set_body_limit(std::uint64_t bytes);
+    /// True when the head tells that the body is longer than its limit.
+    bool body_too_long() const;
     /// Takes bytes of the body and copies its content to `buf`.
     body_part put_body(std::string_view bytes, std::span<char> buf,
                        boost::system::error_code& ec);
--- a/src/protocol/request_parser.cpp
+++ b/src/protocol/request_parser.cpp
@@ -79,6 +79,7 @@
     /// Method, target, host and fields. The framing follows from the parser.
     request_head head;
     bool head_method = false;
+    bool body_too_long = false;
     bool continue_expected = false;
     /// Major and minor version as two digits; 1.1 while the first line is not
     /// known, for an answer to bytes that are no request.
@@ -234,12 +235,25 @@
 void request_parser::set_body_limit(std::uint64_t bytes)
 {
     state_->body_limit(bytes);
+    // The library compares a length with the limit only while it reads the
+    // head, when the limit is not known yet.
+    const auto length = state_->content_length();
+    state_->body_too_long = length && *length > bytes;
+}
+
+bool request_parser::body_too_long() const
+{
+    return state_->body_too_long;
 }
 
 request_parser::body_part
 request_parser::put_body(std::string_view bytes, std::span<char> buf,
                          boost::system::error_code& ec)
 {
+    if (state_->body_too_long) {
+        ec = http::error::body_limit;
+        return {};
+    }
     if (state_->chunked() && !state_->chunk_begun &&
         bytes.size() < shortest_chunked_body) {
         return {};
--- a/src/transport/caller_stream.cpp
+++ b/src/transport/caller_stream.cpp
@@ -78,6 +78,11 @@
 
 std::size_t caller_request::read_some(std::span<char> buf, error_code& ec)
 {
+    // The caller need not send a body that will be refused.
+    if (parser_.body_too_long()) {
+        ec = http::error::body_limit;
+        return 0;
+    }
     if (continue_expected_ && !parser_.done()) {
         send_continue(ec);
     }
