--- a/src/protocol/request_parser.cpp
+++ b/src/protocol/request_parser.cpp
@@ -143,7 +143,9 @@
             head.host = to_view(value);
         }
         if (field == http::field::expect) {
-            continue_expected = boost::beast::iequals(value, "100-continue");
+            // RFC 9110, section 10.1.1: HTTP/1.0 has no interim answers.
+            continue_expected = version == http_1_1 &&
+                                boost::beast::iequals(value, "100-continue");
         }
         if (!is_framing(field) && !is_hop_by_hop(to_view(name))) {
             head.fields.add(to_view(name), to_view(value));
