--- a/include/oriolegrade/protocol/http_head.hpp
+++ b/include/oriolegrade/protocol/http_head.hpp
@@ -28,6 +28,9 @@
     void add(std::string_view name, std::string_view value);
     void set(header_field field, std::string_view value);
     void set(std::string_view name, std::string_view value);
+    /// Removes the fields whose names a list separated by commas contains, as
+    /// the value of a Connection field does.
+    void remove_listed(std::string_view names);
 
     /// Value of the first field of that name, ignoring case; or empty.
     std::optional<std::string_view> find(std::string_view name) const;
--- a/src/protocol/http_head.cpp
+++ b/src/protocol/http_head.cpp
@@ -40,6 +40,23 @@
     add(name, value);
 }
 
+void http_fields::remove_listed(std::string_view names)
+{
+    constexpr std::string_view separators = ", \t";
+    for (;;) {
+        const auto begin = names.find_first_not_of(separators);
+        if (begin == std::string_view::npos) {
+            return;
+        }
+        names.remove_prefix(begin);
+        const auto name = names.substr(0, names.find_first_of(separators));
+        names.remove_prefix(name.size());
+        std::erase_if(fields_, [&](const http_field& it) {
+            return same_field_name(it.name, name);
+        });
+    }
+}
+
 std::optional<std::string_view> http_fields::find(std::string_view name) const
 {
     for (const auto& it : fields_) {
--- a/src/protocol/request_parser.cpp
+++ b/src/protocol/request_parser.cpp
@@ -78,6 +78,8 @@
     std::size_t max_head_bytes = 0;
     /// Method, target, host and fields. The framing follows from the parser.
     request_head head;
+    /// Values of the Connection fields, each with a comma behind it.
+    std::string connection_options;
     bool head_method = false;
     bool body_too_long = false;
     bool continue_expected = false;
@@ -147,6 +149,9 @@
             continue_expected = version == http_1_1 &&
                                 boost::beast::iequals(value, "100-continue");
         }
+        if (field == http::field::connection) {
+            connection_options.append(to_view(value)).append(",");
+        }
         if (!is_framing(field) && !is_hop_by_hop(to_view(name))) {
             head.fields.add(to_view(name), to_view(value));
         }
@@ -227,6 +232,8 @@
 request_head request_parser::take_head()
 {
     auto out = std::move(state_->head);
+    // RFC 9110, section 7.6.1.
+    out.fields.remove_listed(state_->connection_options);
     out.framing.chunked = state_->chunked();
     if (const auto n = state_->content_length()) {
         out.framing.length = *n;
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -221,6 +221,11 @@
             head.fields.add(name, {it.value().data(), it.value().size()});
         }
     }
+    // RFC 9110, section 7.6.1.
+    const auto options = message.equal_range(http::field::connection);
+    for (auto it = options.first; it != options.second; ++it) {
+        head.fields.remove_listed({it->value().data(), it->value().size()});
+    }
     head.framing.chunked = x.parser->chunked();
     if (const auto n = x.parser->content_length()) {
         head.framing.length = *n;
