--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -196,7 +196,9 @@
         if (status >= first_final) {
             break;
         }
-        if (status < first_interim) {
+        // Nobody asks for another protocol (RFC 9110, section 7.8).
+        constexpr unsigned switching_protocols = 101;
+        if (status < first_interim || status == switching_protocols) {
             ec = http::error::bad_status;
             return {};
         }
