--- a/src/protocol/request_parser.cpp
+++ b/src/protocol/request_parser.cpp
@@ -112,8 +112,13 @@
 
     void on_request_impl(http::verb verb, string_view method,
                          string_view target, int version_in,
-                         error_code& /*ec*/) override
+                         error_code& ec) override
     {
+        // RFC 9112, section 3.2.3. A success would open a tunnel.
+        if (verb == http::verb::connect && target.starts_with('/')) {
+            ec = http::error::bad_target;
+            return;
+        }
         head.method = to_view(method);
         head.target = to_view(target);
         head_method = verb == http::verb::head;
