--- a/src/protocol/request_parser.cpp
+++ b/src/protocol/request_parser.cpp
@@ -78,7 +78,10 @@
     std::size_t max_head_bytes = 0;
     /// Method, target, host and fields. The framing follows from the parser.
     request_head head;
+    /// Values of the Connection fields, each with a comma behind it.
+    std::string connection_options;
     bool head_method = false;
+    bool body_too_long = false;
     bool continue_expected = false;
     /// Major and minor version as two digits; 1.1 while the first line is not
     /// known, for an answer to bytes that are no request.
@@ -109,8 +112,13 @@
 
     void on_request_impl(http::verb verb, string_view method,
                          string_view target, int version_in,
-                         error_code& /*ec*/) override
+                         error_code& ec) override
     {
+        // RFC 9112, section 3.2.3. A success would open a tunnel.
+        if (verb == http::verb::connect && target.starts_with('/')) {
+            ec = http::error::bad_target;
+            return;
+        }
         head.method = to_view(method);
         head.target = to_view(target);
         head_method = verb == http::verb::head;
@@ -142,7 +150,12 @@
             head.host = to_view(value);
         }
         if (field == http::field::expect) {
-            continue_expected = boost::beast::iequals(value, "100-continue");
+            // RFC 9110, section 10.1.1: HTTP/1.0 has no interim answers.
+            continue_expected = version == http_1_1 &&
+                                boost::beast::iequals(value, "100-continue");
+        }
+        if (field == http::field::connection) {
+            connection_options.append(to_view(value)).append(",");
         }
         if (!is_framing(field) && !is_hop_by_hop(to_view(name))) {
             head.fields.add(to_view(name), to_view(value));
@@ -224,6 +237,8 @@
 request_head request_parser::take_head()
 {
     auto out = std::move(state_->head);
+    // RFC 9110, section 7.6.1.
+    out.fields.remove_listed(state_->connection_options);
     out.framing.chunked = state_->chunked();
     if (const auto n = state_->content_length()) {
         out.framing.length = *n;
@@ -234,12 +249,25 @@
 void request_parser::set_body_limit(std::uint64_t bytes)
 {
     state_->body_limit(bytes);
+    // The library compares a length with the limit only while it reads the
+    // head, when the limit is not known yet.
+    const auto length = state_->content_length();
+    state_->body_too_long = length && *length > bytes;
+}
+
+bool request_parser::body_too_long() const
+{
+    return state_->body_too_long;
 }
 
 request_parser::body_part
 request_parser::put_body(std::string_view bytes, std::span<char> buf,
                          boost::system::error_code& ec)
 {
+    if (state_->body_too_long) {
+        ec = http::error::body_limit;
+        return {};
+    }
     if (state_->chunked() && !state_->chunk_begun &&
         bytes.size() < shortest_chunked_body) {
         return {};
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -28,6 +28,8 @@
 namespace {
 
 constexpr std::size_t read_buffer_bytes = 8 * 1024;
+/// Fields of an answer with the empty line. The library counts the first line
+/// apart.
 constexpr std::uint32_t max_answer_head_bytes = 32 * 1024;
 /// Interim answers before the final one. One or two are usual; an upstream in
 /// trouble may send them without end.
@@ -217,7 +219,9 @@
         if (status >= first_final) {
             break;
         }
-        if (status < first_interim) {
+        // Nobody asks for another protocol (RFC 9110, section 7.8).
+        constexpr unsigned switching_protocols = 101;
+        if (status < first_interim || status == switching_protocols) {
             ec = http::error::bad_status;
             return {};
         }
@@ -251,6 +255,11 @@
             head.fields.add(name, to_view(it.value()));
         }
     }
+    // RFC 9110, section 7.6.1.
+    const auto options = message.equal_range(http::field::connection);
+    for (auto it = options.first; it != options.second; ++it) {
+        head.fields.remove_listed({it->value().data(), it->value().size()});
+    }
     head.framing.chunked = x.parser->chunked();
     if (const auto n = x.parser->content_length()) {
         head.framing.length = *n;
