End a request, not the process, when an exception leaves its code

Callers saw their connections reset and the host gone when the code of one request threw: the exception left its fiber, and std::terminate ended the process with the requests of all other callers.

caller_session now catches what leaves prepare(), serve() or drop() of a front, writes one request_fault line with the id and the text, and lets the front answer: 503 internal_error_not_run when no send can have happened, 502 internal_error otherwise. A connection with an answer that has begun is reset. An exception outside of a request resets its connection only. Handlers do not wait, because the list of exceptions being handled belongs to the thread; so caught() returns the exception. forced_unwind passes through.

Of the two sends of a hedged read, each may fail on its own: the other one's answer goes to the caller and the exception to the log. When neither answers, the exception ends the request.

The counts hold when a step throws: sends.runs, the place (reported once, by the destructor at the latest), the connections of a listener, the fibers of a group, the list of sessions. A connection that was in the middle of an answer is destroyed with its exchange and is not used again.

--- a/include/oriolegrade/state/reply_reason.hpp
+++ b/include/oriolegrade/state/reply_reason.hpp
@@ -38,12 +38,14 @@
     no_upstream,
     not_ready,
     deadline_not_run,
+    internal_error,
+    internal_error_not_run,
 };
 
 template <>
 struct enum_names<reply_reason>
 {
-    static constexpr std::array<std::string_view, 24> value{
+    static constexpr std::array<std::string_view, 26> value{
         "no_route",
         "too_large",
         "limit",
@@ -68,6 +70,8 @@
         "no_upstream",
         "not_ready",
         "deadline_not_run",
+        "internal_error",
+        "internal_error_not_run",
     };
 };
 
@@ -78,7 +82,7 @@
     std::string_view text;
 };
 
-inline constexpr std::array<reply_row, 24> reply_table{{
+inline constexpr std::array<reply_row, 26> reply_table{{
     {404, run_outcome::not_run, "no route matches"},
     {413, run_outcome::not_run, "request body exceeds the route's limit"},
     {429, run_outcome::not_run, "rate or concurrency limit reached"},
@@ -103,6 +107,8 @@
     {503, run_outcome::not_run, "no upstream is available"},
     {503, run_outcome::not_run, "host has no configuration yet"},
     {504, run_outcome::not_run, "deadline passed before the request was sent"},
+    {502, run_outcome::unknown, "internal error of the host"},
+    {503, run_outcome::not_run, "internal error before the request was sent"},
 }};
 
 static_assert(reply_table.size() == enum_size<reply_reason>);
--- a/include/oriolegrade/transport/caller_session.hpp
+++ b/include/oriolegrade/transport/caller_session.hpp
@@ -14,10 +14,13 @@
 #include <oriolegrade/transport/caller_stream.hpp>
 #include <oriolegrade/transport/fiber_signal.hpp>
 #include <oriolegrade/transport/reply.hpp>
+#include <oriolegrade/transport/request_fault.hpp>
 #include <oriolegrade/transport/request_runner.hpp>
 
 #include <concepts>
+#include <exception>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace oriolegrade::transport {
@@ -43,6 +46,14 @@
     /// The request will not be served: an answer before it closed the
     /// connection, or its caller left.
     f.drop(plan, answer);
+    /// For the log.
+    {
+        f.request_id(head)
+        } -> std::convertible_to<std::string_view>;
+    /// An exception left one of prepare(), serve() and drop(); after prepare()
+    /// the plan is empty. Answers, unless an answer has begun: the connection
+    /// is reset when that one is incomplete.
+    f.fail(plan, head, request, answer);
 };
 
 /// @tparam Front a caller_front; may be incomplete where the session is named
@@ -86,6 +97,15 @@
     using run_order = coordination::run_order;
     using position = caller_connection::position;
 
+    /// A request that was read.
+    struct incoming_request
+    {
+        const protocol::request_head head;
+        std::optional<typename Front::request_plan> plan = {};
+        /// The exception that ended it.
+        std::exception_ptr fault = {};
+    };
+
     /// In the reactor: a fiber goes on to read when no other does.
     void on_input()
     {
@@ -111,10 +131,23 @@
 
     void spawn_reader()
     {
-        fibers_.spawn([this] {
-            read_loop();
+        give_up_after(caught([this] {
+            fibers_.spawn([this] {
+                read_loop();
+                ended_.notify();
+            });
+        }));
+    }
+
+    /// Ends the connection after an exception outside of a request: what has
+    /// been read and written is not known.
+    void give_up_after(const std::exception_ptr& fault)
+    {
+        if (fault) {
+            log_request_fault({}, fault);
+            connection_.reset();
             ended_.notify();
-        });
+        }
     }
 
     /// Lets another fiber read while this one runs a request.
@@ -125,6 +158,11 @@
     }
 
     void read_loop()
+    {
+        give_up_after(caught([this] { read_requests(); }));
+    }
+
+    void read_requests()
     {
         do {
             serve_next();
@@ -151,22 +189,25 @@
             return;
         }
         const count_guard guard(shared_.requests_in_flight);
-        const auto head = request.read_head(ec);
+        incoming_request in{request.read_head(ec)};
         if (ec) {
             reject(request, limits, ec);
             reading_ = false;
             return;
         }
-        auto plan = front_.prepare(head, request);
-        const auto order = plan.repeatable && !head.has_body()
+        in.fault =
+            caught([&] { in.plan.emplace(front_.prepare(in.head, request)); });
+        if (in.fault) {
+            in.plan.emplace();
+        }
+        const auto order = in.plan->repeatable && !in.head.has_body()
                                ? run_order::concurrent
                                : run_order::exclusive;
-        serve_read(plan, head, request, limits,
+        serve_read(in, request, limits,
                    connection_.add(order, !request.keep_alive()), order);
     }
 
-    void serve_read(typename Front::request_plan& plan,
-                    const protocol::request_head& head, caller_request& request,
+    void serve_read(incoming_request& in, caller_request& request,
                     const caller_io_limits& limits, position at,
                     run_order order)
     {
@@ -182,17 +223,37 @@
         if (order == run_order::concurrent) {
             release_reading();
         }
-        if (answer.is_abandoned()) {
-            front_.drop(plan, answer);
-        } else {
-            front_.serve(plan, head, request, answer);
-        }
+        run_request(in, request, answer);
         finish(at, request, answer);
         if (order == run_order::exclusive) {
             reading_ = false;
         }
     }
 
+    /// Serves or drops a request. No exception of it goes further.
+    void run_request(incoming_request& in, caller_request& request,
+                     caller_answer& answer)
+    {
+        if (!in.fault) {
+            in.fault = caught([&] {
+                if (answer.is_abandoned()) {
+                    front_.drop(*in.plan, answer);
+                } else {
+                    front_.serve(*in.plan, in.head, request, answer);
+                }
+            });
+        }
+        if (in.fault) {
+            const auto id = front_.request_id(in.head);
+            log_request_fault(id, in.fault);
+            // May fail for the same reason, for example lack of memory.
+            log_request_fault(id, caught([&] {
+                                  front_.fail(*in.plan, in.head, request,
+                                              answer);
+                              }));
+        }
+    }
+
     /// Goes on after an answer, or ends the connection.
     void finish(position at, const caller_request& request,
                 const caller_answer& answer)
--- a/include/oriolegrade/transport/entry_worker.hpp
+++ b/include/oriolegrade/transport/entry_worker.hpp
@@ -49,6 +49,8 @@
         /// Null when there is none.
         state::entry_ptr route;
         bool repeatable = false;
+        /// The request was given to a part that sends it.
+        bool may_have_run = false;
     };
 
     const caller_io_limits& io_limits() const
@@ -57,10 +59,15 @@
     }
     request_plan prepare(const protocol::request_head& head,
                          const caller_request& request) const;
-    void serve(const request_plan& plan, const protocol::request_head& head,
+    void serve(request_plan& plan, const protocol::request_head& head,
                caller_request& request, caller_answer& answer);
     /// Requests that are not served leave no trace: their callers know.
     void drop(const request_plan&, const caller_answer&) {}
+    static std::string_view request_id(const protocol::request_head& head);
+    /// An exception ended the request.
+    static void fail(const request_plan& plan,
+                     const protocol::request_head& head,
+                     const caller_request& request, caller_answer& answer);
 
 private:
     void reply_status(std::string_view target, caller_answer& answer);
--- a/include/oriolegrade/transport/fiber_signal.hpp
+++ b/include/oriolegrade/transport/fiber_signal.hpp
@@ -59,7 +59,6 @@
     template <class Body>
     void spawn(Body body)
     {
-        ++running_;
         spawn_fiber([this, body = std::move(body)]() mutable {
             {
                 // Destroys what the body holds before the fiber counts as
@@ -70,6 +69,8 @@
             --running_;
             ended_.notify();
         });
+        // After the only step that can throw; the fiber has not begun.
+        ++running_;
     }
 
     std::size_t running() const
--- a/include/oriolegrade/transport/gateway/dispatched_choice.hpp
+++ b/include/oriolegrade/transport/gateway/dispatched_choice.hpp
@@ -12,6 +12,7 @@
 #include <oriolegrade/transport/event_log.hpp>
 #include <oriolegrade/transport/gateway/gateway_metrics.hpp>
 #include <oriolegrade/transport/gateway/placement_client.hpp>
+#include <oriolegrade/transport/request_fault.hpp>
 
 #include <chrono>
 #include <functional>
@@ -81,9 +82,9 @@
     {}
     ~dispatched_choice()
     {
-        if (number_ != 0) {
-            end(state::send_result::cancelled, nullptr, {});
-        }
+        log_request_fault(sends_.request_id, caught([this] {
+                              end(state::send_result::cancelled, nullptr, {});
+                          }));
     }
 
     dispatched_choice(const dispatched_choice&) = delete;
@@ -231,9 +232,11 @@
     /// Reports the end of the present place.
     void end_place(const state::send_report& report)
     {
+        // Reported once, even when a step throws.
+        const auto number = std::exchange(number_, 0);
         sends_.metrics.count(report.result);
+        from_.report(number, report);
         sends_.results.push_back(report.result);
-        from_.report(std::exchange(number_, 0), report);
     }
 
     /// Takes what an answer says of its upstream.
@@ -262,10 +265,11 @@
 
     bool get_place(state::send_kind kind)
     {
-        // Counted before the wait: a send beside this one must know of it.
-        ++sends_.runs;
         waiting_ = std::make_shared<place_wait>();
         number_ = from_.ask(request_for(kind), waiting_);
+        // Counted before the wait: a send beside this one must know of it; and
+        // behind what can throw, for the destructor takes it back.
+        ++sends_.runs;
         const auto answer = waiting_->wait_until(sends_.deadline);
         waiting_.reset();
         if (answer) {
@@ -318,6 +322,12 @@
         if (number_ == 0) {
             return;
         }
+        state::send_report report{result, took, {}};
+        if (head != nullptr) {
+            report.load = Dialect::load_of(*head);
+            report.wish = hear(*head);
+        }
+        // Behind what can throw: the destructor comes here again.
         const bool unrun = result == state::send_result::unreachable ||
                            result == state::send_result::refused ||
                            result == state::send_result::misdirected || !sent_;
@@ -325,11 +335,6 @@
             --sends_.runs;
         }
         sent_ = false;
-        state::send_report report{result, took, {}};
-        if (head != nullptr) {
-            report.load = Dialect::load_of(*head);
-            report.wish = hear(*head);
-        }
         end_place(report);
     }
 
--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -10,6 +10,7 @@
 #include <oriolegrade/transport/hedged_run.hpp>
 #include <oriolegrade/transport/listener.hpp>
 #include <oriolegrade/transport/reply.hpp>
+#include <oriolegrade/transport/request_fault.hpp>
 #include <oriolegrade/transport/request_runner.hpp>
 
 #include <boost/beast/http/error.hpp>
@@ -117,6 +118,8 @@
         /// Null when there is none.
         const state::traffic_route* route = nullptr;
         bool repeatable = false;
+        /// Set before the first send.
+        std::optional<request_sends> sends = {};
     };
 
     caller_io_limits io_limits() const
@@ -169,13 +172,11 @@
         if (plan.route == nullptr) {
             return refuse(line, answer, state::reply_reason::no_route, {});
         }
-        request_sends sends{std::string(line.request_id),
-                            state::choose_split_service(*plan.route, random_()),
-                            *plan.route,
-                            line.began,
-                            deadline_of(head, *plan.route, line.began),
-                            shared_.metrics,
-                            shared_.wishes};
+        auto& sends = plan.sends.emplace(request_sends{
+            std::string(line.request_id),
+            state::choose_split_service(*plan.route, random_()), *plan.route,
+            line.began, deadline_of(head, *plan.route, line.began),
+            shared_.metrics, shared_.wishes});
         line.service = sends.service;
         run(head, request, answer, sends, line);
     }
@@ -187,6 +188,38 @@
         end_unanswered(plan.line, answer);
     }
 
+    static std::string_view request_id(const protocol::request_head& head)
+    {
+        return Dialect::request_id(head);
+    }
+
+    /// An exception ended the request.
+    void fail(request_plan& plan, const protocol::request_head& head,
+              const caller_request& request, caller_answer& answer)
+    {
+        auto& line = plan.line;
+        line.request_id = Dialect::request_id(head);
+        line.began = request.arrival();
+        if (plan.sends) {
+            take_sends(*plan.sends, line);
+        }
+        line.turn_wait = answer.turn_wait();
+        if (answer.finished()) {
+            line.write(request_end::answered, "answered");
+            shared_.metrics.count(request_end::answered, line.age());
+        } else if (answer.started()) {
+            end_failed(line, state::reply_reason::internal_error);
+        } else if (!plan.sends || plan.sends->runs == 0) {
+            refuse(line, answer, state::reply_reason::internal_error_not_run,
+                   {});
+        } else if (answer.await_turn()) {
+            end_failed(line, state::reply_reason::internal_error);
+            send_reply(answer, state::reply_reason::internal_error);
+        } else {
+            end_unanswered(line, answer);
+        }
+    }
+
 private:
     /// A request in progress, for drain().
     struct active_request
@@ -239,8 +272,11 @@
     {
         session_type session(std::move(stream), *this, shared_);
         sessions_.insert(&session);
-        session.run();
+        const auto fault = caught([&] { session.run(); });
         sessions_.erase(&session);
+        if (fault) {
+            std::rethrow_exception(fault);
+        }
     }
 
     state::time_point deadline_of(const protocol::request_head& head,
@@ -313,14 +349,19 @@
         }
     }
 
-    void finish(const run_report& report, caller_answer& answer,
-                const request_sends& sends, request_line& line)
+    static void take_sends(const request_sends& sends, request_line& line)
     {
         line.sends = sends.tried;
         line.results = sends.results;
         line.connections = sends.connections;
         line.skipped_answers = sends.skipped_answers;
         line.first_placed = sends.first_placed;
+    }
+
+    void finish(const run_report& report, caller_answer& answer,
+                const request_sends& sends, request_line& line)
+    {
+        take_sends(sends, line);
         line.turn_wait = answer.turn_wait();
         if (report.caller_error == boost::beast::http::error::body_limit &&
             !answer.started()) {
@@ -335,8 +376,7 @@
             if (!answer.await_turn()) {
                 end_unanswered(line, answer);
             } else if (report.may_have_run) {
-                line.write(request_end::failed, state::name_of(report.reason));
-                shared_.metrics.count(request_end::failed, line.age());
+                end_failed(line, report.reason);
                 send_reply(answer, report.reason, state::run_outcome::unknown);
             } else {
                 refuse(line, answer, unrun_reason(report.reason),
@@ -349,6 +389,12 @@
         }
     }
 
+    void end_failed(const request_line& line, state::reply_reason reason)
+    {
+        line.write(request_end::failed, state::name_of(reason));
+        shared_.metrics.count(request_end::failed, line.age());
+    }
+
     void end_unanswered(request_line& line, const caller_answer& answer)
     {
         const auto end =
--- a/include/oriolegrade/transport/hedged_run.hpp
+++ b/include/oriolegrade/transport/hedged_run.hpp
@@ -6,12 +6,14 @@
 
 #include <oriolegrade/transport/fiber_signal.hpp>
 #include <oriolegrade/transport/request_context.hpp>
+#include <oriolegrade/transport/request_fault.hpp>
 #include <oriolegrade/transport/request_runner.hpp>
 
 #include <boost/asio/error.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -119,13 +121,16 @@
     hedged_run(const hedged_run&) = delete;
     hedged_run& operator=(const hedged_run&) = delete;
 
+    /// An exception in one of the two sends ends that send. It leaves run()
+    /// when the other one brought no answer, and is logged otherwise.
     run_report run()
     {
         runner first(pool_, route_, deadline_, body_, first_sink_,
                      first_choice_);
         first_ = &first;
         first_choice_.on_hedge([this](state::duration delay) { arm(delay); });
-        auto report = first.run(head_);
+        run_report report;
+        const auto fault = caught([&] { report = first.run(head_); });
         first_choice_.on_hedge({});
         first_ = nullptr;
         *armed_ = false;
@@ -134,9 +139,25 @@
             cancel(second_);
         }
         fibers_.join();
+        const auto id = Dialect::request_id(head_);
         if (second_sink_.won()) {
+            log_request_fault(id, fault);
+            if (second_fault_) {
+                std::rethrow_exception(second_fault_);
+            }
             return *second_report_;
         }
+        if (fault) {
+            log_request_fault(id, second_fault_);
+            std::rethrow_exception(fault);
+        }
+        const bool has_no_answer =
+            report.step == coordination::next_step::reply &&
+            !first.has_answer();
+        if (second_fault_ && has_no_answer) {
+            std::rethrow_exception(second_fault_);
+        }
+        log_request_fault(id, second_fault_);
         if (report.step == coordination::next_step::reply &&
             first.has_answer()) {
             first.pass_on_answer(report);
@@ -181,7 +202,15 @@
         timer_.async_wait([this, armed = armed_](error_code ec) {
             // The run may have ended after the timer had expired.
             if (!ec && *armed) {
-                fibers_.spawn([this] { run_second(); });
+                // An exception must not reach the reactor.
+                second_fault_ = caught([this] {
+                    fibers_.spawn([this] {
+                        if (const auto fault =
+                                caught([this] { run_second(); })) {
+                            second_fault_ = fault;
+                        }
+                    });
+                });
             }
         });
     }
@@ -197,7 +226,7 @@
         runner second(pool_, route, deadline_, second_body_, second_sink_,
                       choice);
         second_ = &second;
-        second_report_ = second.run(head_);
+        second_fault_ = caught([&] { second_report_ = second.run(head_); });
         second_ = nullptr;
     }
 
@@ -217,6 +246,7 @@
     runner* first_ = nullptr;
     runner* second_ = nullptr;
     std::optional<run_report> second_report_;
+    std::exception_ptr second_fault_;
     bool cancelled_ = false;
     fiber_group fibers_;
 };
--- a/src/transport/caller_stream.cpp
+++ b/src/transport/caller_stream.cpp
@@ -143,6 +143,9 @@
         ec = boost::asio::error::operation_aborted;
         return;
     }
+    // An earlier start may have thrown halfway.
+    message_ = {};
+    remaining_.reset();
     const auto version = request_.version();
     message_.version(version);
     message_.result(head.status);
--- a/src/transport/entry_worker.cpp
+++ b/src/transport/entry_worker.cpp
@@ -126,8 +126,7 @@
     answer.finish(ec);
 }
 
-void entry_worker::serve(const request_plan& plan,
-                         const protocol::request_head& head,
+void entry_worker::serve(request_plan& plan, const protocol::request_head& head,
                          caller_request& request, caller_answer& answer)
 {
     if (head.target.starts_with(status_prefix)) {
@@ -166,6 +165,7 @@
     }
     context.deadline = deadline_of(head, route, request.arrival());
     context.head = head;
+    plan.may_have_run = true;
     if (route.request == state::request_class::non_idempotent) {
         once_path_.serve(context, request, answer);
     } else {
@@ -173,6 +173,24 @@
     }
 }
 
+std::string_view entry_worker::request_id(const protocol::request_head& head)
+{
+    return protocol::own_dialect::request_id(head);
+}
+
+void entry_worker::fail(const request_plan& plan,
+                        const protocol::request_head& head,
+                        const caller_request& /*request*/,
+                        caller_answer& answer)
+{
+    if (answer.started()) {
+        return;
+    }
+    refuse(head, answer,
+           plan.may_have_run ? reply_reason::internal_error
+                             : reply_reason::internal_error_not_run);
+}
+
 void entry_worker::proxy_idempotent(const request_context& context,
                                     caller_request& request,
                                     caller_answer& answer)
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -5,6 +5,7 @@
 #include <oriolegrade/transport/event_log.hpp>
 #include <oriolegrade/transport/fiber_scheduler.hpp>
 #include <oriolegrade/transport/fiber_yield.hpp>
+#include <oriolegrade/transport/request_fault.hpp>
 
 #include <boost/asio/socket_base.hpp>
 #include <boost/fiber/operations.hpp>
@@ -52,12 +53,19 @@
 {
     error_code ec;
     stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
-    ++self->open;
     auto shared = std::make_shared<tcp_stream>(std::move(stream));
-    spawn_fiber([self, shared] {
-        self->on_connection(std::move(*shared));
-        --self->open;
-    });
+    // Without memory for a fiber the connection is closed.
+    log_request_fault({}, caught([&] {
+                          spawn_fiber([self, shared] {
+                              log_request_fault({}, caught([&] {
+                                                    self->on_connection(
+                                                        std::move(*shared));
+                                                }));
+                              --self->open;
+                          });
+                          // After what can throw; the fiber has not begun.
+                          ++self->open;
+                      }));
 }
 
 void listener::shared_state::accept_loop(
--- a/test/fakes/fake_placement.hpp
+++ b/test/fakes/fake_placement.hpp
@@ -7,6 +7,7 @@
 #include <oriolegrade/transport/gateway/placement_client.hpp>
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -19,6 +20,9 @@
                       const std::shared_ptr<transport::place_wait>& wait)
     {
         requests.push_back(request);
+        if (on_ask) {
+            on_ask();
+        }
         const auto number = ++last_;
         if (answers.empty()) {
             // Without a scripted answer the request stays queued.
@@ -32,11 +36,17 @@
     void report(std::uint64_t number, const state::send_report& report)
     {
         reports[number].push_back(report.result);
+        if (on_report) {
+            on_report();
+        }
         if (report.wish.any()) {
             wishes.push_back(report.wish);
         }
     }
 
+    /// Called for each request and report if set; may throw.
+    std::function<void()> on_ask;
+    std::function<void()> on_report;
     std::deque<state::place_answer> answers;
     std::vector<state::place_request> requests;
     std::map<std::uint64_t, std::vector<state::send_result>> reports;
--- a/test/fakes/gateway_bench.hpp
+++ b/test/fakes/gateway_bench.hpp
@@ -13,14 +13,33 @@
 
 #include <oriolegrade/transport/gateway/gateway_worker.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
 namespace oriolegrade::test {
 
-using worker_type =
-    transport::gateway_worker<platform::dialect, fake_placement>;
+/// Dialect of the platform that can throw between the head and the body of an
+/// answer.
+struct hooked_dialect : platform::dialect
+{
+    /// Called for the head of each answer to its request if set; may throw.
+    inline static std::function<void()> on_answer;
+
+    static bool is_sound(const protocol::answer_head& answer)
+    {
+        if (on_answer) {
+            on_answer();
+        }
+        return platform::dialect::is_sound(answer);
+    }
+};
+
+using worker_type = transport::gateway_worker<hooked_dialect, fake_placement>;
+
+/// Refuses connections: no test listens on a reserved port.
+inline constexpr state::endpoint closed_address{0x7f000001, 1};
 
 /// Whole answer of an upstream to the request with the id.
 /// @param fields additional header fields, each terminated by CRLF
