Tell an unknown outcome when the second send of a read is lost

A caller was told that its read had not run (503, not-run) although the second send had reached an upstream and was lost: the first send had reached nobody and waited for another place until the deadline, and only its report counted.

The report of the second send now decides when the first one has neither an answer nor a send that may have run. gateway_worker.a_lost_hedge_is_called_unrun saw 503 and not-run before the change, and sees 502 and unknown.

--- a/include/oriolegrade/transport/hedged_run.hpp
+++ b/include/oriolegrade/transport/hedged_run.hpp
@@ -158,6 +158,10 @@
             std::rethrow_exception(second_fault_);
         }
         log_request_fault(id, second_fault_);
+        if (second_report_ && second_report_->may_have_run &&
+            !report.may_have_run && has_no_answer) {
+            return *second_report_;
+        }
         if (report.step == coordination::next_step::reply &&
             first.has_answer()) {
             first.pass_on_answer(report);
--- a/test/platform/gateway_worker_test.cpp
+++ b/test/platform/gateway_worker_test.cpp
@@ -574,6 +574,25 @@
     EXPECT_EQ(b.places.requests.size(), 2U);
 }
 
+// The first send reached nobody and waits for another place, while the second
+// one is lost. The caller was told that nothing ran.
+TEST(gateway_worker, a_lost_hedge_is_called_unrun)
+{
+    auto& b = make_bench();
+    b.places.answers.push_back(
+        state::place{"u1", test::closed_address, 10, 20ms, 1});
+    b.second.add({"", 0ms, after_answer::close});
+    b.places.on_ask = [&b, n = 0]() mutable {
+        if (++n == 3) {
+            b.place_at(b.second, "u2");
+        }
+    };
+    const auto got = b.read();
+    EXPECT_EQ(b.second.runs, 1);
+    EXPECT_EQ(got.result_int(), 502U);
+    EXPECT_EQ(test::outcome_of(got), "unknown");
+}
+
 TEST(gateway_worker, caller_that_leaves_ends_the_send)
 {
     auto& b = make_bench();
