--- a/test/system/odd_http.py
+++ b/test/system/odd_http.py
@@ -231,10 +231,12 @@
                     continue
                 if not await self.serve_one(incoming, writer, line, fields):
                     break
-        except (Cut, ConnectionError, asyncio.CancelledError):
+        except (Cut, OSError, asyncio.CancelledError):
             pass
         except Malformed as error:
             self.soak.fail(f"{self.name} got bytes that are no request: {error}")
+        except Exception as error:
+            self.soak.fail(f"{self.name} failed in the test: {error!r}")
         writer.close()
 
     async def read_body(self, incoming, fields):
@@ -582,6 +584,8 @@
 
     async def leave(self, connection, chance):
         await asyncio.sleep(chance.choice((0.001, 0.01, 0.05, 0.2)))
+        if connection.writer.is_closing():
+            return
         connection.left = True
         self.happened["left"] += 1
         if chance.random() < 0.5:
