Name the soak's changes of upstreams by usual terms

The restarts, refusals, leaves and requests for quiet of the soak were called words. They are changes now, and what an upstream does with requests is its condition.

--- a/test/system/fault_soak.py
+++ b/test/system/fault_soak.py
@@ -8,8 +8,8 @@
 - one that was refused as unrun never runs;
 - a success is the whole answer of the upstream that ran the request;
 - rules in force never go back within one life of a process;
-- an upstream that left gets no request 2 s later, in calm times, and one whose
-  word that it leaves was heard gets none from the host that heard it;
+- an upstream that left, or that a host read Server-Leaving from, gets no request
+  (from that host) 2 s later, in calm times;
 - a graceful stop cuts off no request that was read, in calm times;
 - after the faults, requests are served again.
 
@@ -56,10 +56,10 @@
 OLD_ENTRY = (0.5, 2.0)
 # Time for which an upstream asks for quiet, in seconds.
 QUIET = (0.5, 2.0)
-# Mean time between two words of upstreams, in seconds. Three upstreams of five
+# Mean time between two changes of upstreams, in seconds. Three upstreams of five
 # restart, refuse, leave or want quiet at a time at most.
-WORD_STEP = 0.7
-WORDS_AT_ONCE = 3
+CHANGE_STEP = 0.7
+CHANGES_AT_ONCE = 3
 
 
 def free_port():
@@ -219,8 +219,8 @@
         self.soak = soak
         self.name = self.first_name = name
         self.lives = 0
-        # What it says of itself: "", "refuse", "leaving" or "quiet".
-        self.word = ""
+        # How it treats requests: "", "refuse", "leaving" or "quiet".
+        self.condition = ""
         self.last_run = 0.0
         # Copies that come in front of the next answer, by connection.
         self.copies = {}
@@ -263,7 +263,7 @@
         old = self.name
         self.lives += 1
         self.name = f"{self.first_name}-{self.lives}"
-        self.word = ""
+        self.condition = ""
         self.born += 1
         self.sequence = 0
         await self.write_entry()
@@ -283,7 +283,7 @@
 
     async def refuse(self, writer, status, rid, fields):
         """Refuses a request, at times with a copy."""
-        chance = self.soak.words
+        chance = self.soak.change_random
         text = refusal(status, rid, fields)
         self.soak.refusals += 1
         writer.write(text)
@@ -303,7 +303,7 @@
 
     async def turn_away(self, writer, fields):
         """Refuses a request that the upstream does not want; True when it did."""
-        chance = self.soak.words
+        chance = self.soak.change_random
         rid = fields.get("request-id", "")
         self.soak.note_arrival(rid, fields.get("expect-instance", self.name))
         # Some servers repeat no id in refusals.
@@ -311,11 +311,11 @@
         unrun = [("Not-Executed", "1")]
         if fields.get("expect-instance") not in (None, self.name):
             await self.refuse(writer, 421, rid, [("Instance-Id", self.name)])
-        elif self.word == "quiet":
+        elif self.condition == "quiet":
             quiet = [("Retry-After", f"{chance.uniform(*QUIET):.2f}")]
             await self.refuse(writer, 503, rid, unrun + quiet)
         elif (self.running >= SLOTS + 4 or self.mode == "shed" or
-              self.word == "refuse" and chance.random() < REFUSED):
+              self.condition == "refuse" and chance.random() < REFUSED):
             await self.refuse(writer, 503, rid, unrun)
         else:
             return False
@@ -330,7 +330,7 @@
         self.last_run = time.monotonic()
         self.soak.note_run(rid, self, line)
         load = [("Server-Load", f"{self.running},0,{SLOTS}"), ("Request-Id", rid)]
-        if self.word == "leaving":
+        if self.condition == "leaving":
             load.append(("Server-Leaving", "1"))
             self.soak.said_leaving.add((rid, name))
         if self.mode == "errors" and self.soak.random.random() < 0.8:
@@ -437,7 +437,7 @@
         self.seed = seed
         self.random = random.Random(seed)
         # Draws of its own, so that the faults of a seed stay what they were.
-        self.words = random.Random(f"{seed} words")
+        self.change_random = random.Random(f"{seed} changes")
         self.seconds = seconds
         self.dir = directory
         self.failures = []
@@ -449,9 +449,9 @@
         self.faults = 0
         self.refusals = 0
         self.copies = 0
-        # Changes of what upstreams say of themselves, by kind, and those in progress.
-        self.said = dict.fromkeys(("restart", "refuse", "leaving", "quiet"), 0)
-        self.saying = set()
+        # Changes of upstreams by kind, and the upstreams that are in one.
+        self.changes = dict.fromkeys(("restart", "refuse", "leaving", "quiet"), 0)
+        self.changing = set()
         # The host and its life that got each request, the requests whose answer
         # said that the upstream leaves, when each host first heard that of which
         # life of an upstream, and requests in calm times from hosts that had.
@@ -628,32 +628,34 @@
                 # A calm spell, in which the promises with a time bound hold.
                 await asyncio.sleep(SETTLE + 3)
 
-    async def inject_words(self):
+    async def inject_changes(self):
         """Upstreams that restart, refuse, leave or want quiet, also in calm times.
 
         They do not count as faults: all promises hold beside them.
         """
         round_left = []
         while time.monotonic() - self.begun < self.seconds:
-            await asyncio.sleep(self.words.expovariate(1 / WORD_STEP))
-            upstream = self.words.choice(self.upstreams)
-            if upstream in self.saying or len(self.saying) >= WORDS_AT_ONCE:
+            await asyncio.sleep(self.change_random.expovariate(1 / CHANGE_STEP))
+            upstream = self.change_random.choice(self.upstreams)
+            if upstream in self.changing or len(self.changing) >= CHANGES_AT_ONCE:
                 continue
             # In rounds of all kinds, so that a short run has each.
-            round_left = round_left or self.words.sample(list(self.said), len(self.said))
-            asyncio.ensure_future(self.say(upstream, round_left.pop()))
-
-    async def say(self, upstream, word):
-        self.saying.add(upstream)
-        self.said[word] += 1
-        if word != "restart":
-            upstream.word = word
-            await asyncio.sleep(self.words.uniform(0.5, 3.0))
-            upstream.word = ""
+            if not round_left:
+                round_left = list(self.changes)
+                self.change_random.shuffle(round_left)
+            asyncio.ensure_future(self.change(upstream, round_left.pop()))
+
+    async def change(self, upstream, kind):
+        self.changing.add(upstream)
+        self.changes[kind] += 1
+        if kind != "restart":
+            upstream.condition = kind
+            await asyncio.sleep(self.change_random.uniform(0.5, 3.0))
+            upstream.condition = ""
         # Who has left comes back as another process.
-        if word in ("restart", "leaving") and upstream.left_at is None:
-            await upstream.restart(self.words.uniform(*OLD_ENTRY))
-        self.saying.discard(upstream)
+        if kind in ("restart", "leaving") and upstream.left_at is None:
+            await upstream.restart(self.change_random.uniform(*OLD_ENTRY))
+        self.changing.discard(upstream)
 
     async def under(self, fault, gateway, upstream):
         if gateway in self.held or upstream in self.held:
@@ -701,12 +703,12 @@
         tasks = [asyncio.ensure_future(self.caller(n)) for n in range(CALLERS)]
         tasks.append(asyncio.ensure_future(self.watch_rules()))
         tasks.append(asyncio.ensure_future(self.change_rules()))
-        await asyncio.gather(self.inject(), self.inject_words())
-        while self.busy or self.saying:
+        await asyncio.gather(self.inject(), self.inject_changes())
+        while self.busy or self.changing:
             await asyncio.sleep(0.1)
         # One in use leaves in the calm at the end, where a host's memory of that can
         # be judged for longer than between the faults.
-        max(self.upstreams, key=lambda it: it.last_run).word = "leaving"
+        max(self.upstreams, key=lambda it: it.last_run).condition = "leaving"
         await self.check_recovery()
         if not self.copies or not self.leave_checks:
             self.fail(f"an empty run: {self.copies} copies of refusals, {self.leave_checks} "
@@ -742,7 +744,7 @@
                 it.process.kill()
     print(f"seed {seed}: {soak.counts['served']} served, {soak.counts['other']} not, "
           f"{soak.faults} faults, "
-          f"{', '.join(f'{n} {word}' for word, n in soak.said.items())}, "
+          f"{', '.join(f'{n} {kind}' for kind, n in soak.changes.items())}, "
           f"{soak.refusals} refusals, "
           f"{soak.copies} copies, {soak.leave_checks} behind a leave, "
           f"{len(soak.failures)} broken promises", flush=True)
--- a/test/system/refusal_copies.py
+++ b/test/system/refusal_copies.py
@@ -67,7 +67,7 @@
 class RefusalCopies(PlannedStop):
     def __init__(self, binary, directory, seed):
         super().__init__(binary, directory)
-        self.chance = self.words = random.Random(seed)
+        self.chance = self.change_random = random.Random(seed)
         self.numbers = iter(range(1, 1000000))
 
     async def ask(self, kind):
