--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -28,8 +28,6 @@
 namespace {
 
 constexpr std::size_t read_buffer_bytes = 8 * 1024;
-/// Fields of an answer with the empty line. The library counts the first line
-/// apart.
 constexpr std::uint32_t max_answer_head_bytes = 32 * 1024;
 /// Interim answers before the final one. One or two are usual; an upstream in
 /// trouble may send them without end.
@@ -196,9 +194,7 @@
         if (status >= first_final) {
             break;
         }
-        // Nobody asks for another protocol (RFC 9110, section 7.8).
-        constexpr unsigned switching_protocols = 101;
-        if (status < first_interim || status == switching_protocols) {
+        if (status < first_interim) {
             ec = http::error::bad_status;
             return {};
         }
