Close by half after an answer that breaks off visibly

Found by odd_http.py. A caller that had sent two requests ahead and read slowly lost the whole answer to the first one, which had been written to it, when the upstream broke off the second one.

Cause: the connection was reset after each unfinished answer. Only an answer without length and chunks needs that, as its end looks like its completion. After others the connection is closed by half and read until the caller closes, like after the last answer of a stopping host.

--- a/include/oriolegrade/transport/caller_session.hpp
+++ b/include/oriolegrade/transport/caller_session.hpp
@@ -261,7 +261,12 @@
         if (!connection_.await_turn(at)) {
             return;
         }
-        if (!answer.finished()) {
+        if (!answer.finished() && answer.shows_its_end()) {
+            // A reset would destroy answers before this one that the caller has
+            // not received.
+            linger_ = true;
+            connection_.end();
+        } else if (!answer.finished()) {
             connection_.reset();
         } else if (!answer.keeps_connection()) {
             linger_ = linger_ || !request.done() ||
--- a/include/oriolegrade/transport/caller_stream.hpp
+++ b/include/oriolegrade/transport/caller_stream.hpp
@@ -119,6 +119,12 @@
     {
         return finished_;
     }
+    /// The caller sees when the connection ends before the answer does: it has
+    /// a length or chunks, and the caller still takes it.
+    bool shows_its_end() const
+    {
+        return is_framed_ && !is_abandoned();
+    }
     /// The connection may carry another request after this answer.
     bool keeps_connection() const
     {
@@ -179,6 +185,8 @@
     bool finished_ = false;
     /// The answer has a body by its method and status.
     bool has_body_ = true;
+    /// Its head has been started, and it does not end with the connection.
+    bool is_framed_ = false;
     protocol::http_fields added_;
     /// Body bytes that the head promises and that are not written yet; empty
     /// for a chunked answer.
--- a/src/transport/caller_stream.cpp
+++ b/src/transport/caller_stream.cpp
@@ -166,6 +166,8 @@
     // they say of a body.
     has_body_ = !request_.is_head() && head.status != no_content &&
                 head.status != not_modified;
+    is_framed_ =
+        !has_body_ || head.framing.length || version != protocol::http_1_0;
     if (!has_body_) {
         if (head.framing.length && head.status != no_content) {
             message_.content_length(*head.framing.length);
