Show that a wake-up from another thread can be lost

Cause: Boost.Fiber's dispatcher looks at the fibers that other threads woke, then calls pick_next(), which polls the reactor. A wake-up between the two posts its handler to that poll, which consumes it, and suspend_until() waits.

--- a/test/transport/fiber_scheduler_test.cpp
+++ b/test/transport/fiber_scheduler_test.cpp
@@ -94,6 +94,21 @@
     });
 }
 
+// The scheduler has looked at what other threads woke before it polls the
+// reactor, and the poll consumes the event that tells of a wake-up.
+TEST(fiber_scheduler, a_wake_up_during_a_poll_is_lost)
+{
+    on_fiber_thread([](asio::io_context& ioc) {
+        fibers::promise<void> promise;
+        auto future = promise.get_future();
+        asio::post(ioc,
+                   [&] { std::thread([&] { promise.set_value(); }).join(); });
+        const auto began = std::chrono::steady_clock::now();
+        future.wait_for(2s);
+        EXPECT_LT(std::chrono::steady_clock::now() - began, 1s);
+    });
+}
+
 // Guards against busy fibers that keep the reactor from being served.
 TEST(fiber_scheduler, busy_fibers_do_not_starve_sockets)
 {
