--- a/src/transport/admin_api.cpp
+++ b/src/transport/admin_api.cpp
@@ -4,6 +4,7 @@
 
 #include <oriolegrade/protocol/admin_json.hpp>
 #include <oriolegrade/protocol/base64.hpp>
+#include <oriolegrade/protocol/beast_view.hpp>
 #include <oriolegrade/protocol/http_head.hpp>
 #include <oriolegrade/protocol/record_json.hpp>
 
@@ -19,10 +20,7 @@
 
 using coordination::publish_outcome;
 
-std::string_view to_view(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
+using protocol::to_view;
 
 /// Compares without telling by its duration where the texts differ.
 bool same_secret(std::string_view a, std::string_view b)
