Remove the fields that Connection names in one pass

Each name walked all fields, so a head of 32 KB with thousands of both cost their product in comparisons. The names are collected first; the fields that remain are the same.

--- a/src/protocol/http_head.cpp
+++ b/src/protocol/http_head.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <set>
 
 namespace oriolegrade::protocol {
 
@@ -14,6 +15,17 @@
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c + ('a' - 'A')) : c;
 }
 
+/// Order of field names, which ignores case.
+struct field_name_less
+{
+    bool operator()(std::string_view a, std::string_view b) const
+    {
+        return std::lexicographical_compare(
+            a.begin(), a.end(), b.begin(), b.end(),
+            [](char x, char y) { return lower(x) < lower(y); });
+    }
+};
+
 } // namespace
 
 bool same_field_name(std::string_view a, std::string_view b)
@@ -43,16 +55,18 @@
 void http_fields::remove_listed(std::string_view names)
 {
     constexpr std::string_view separators = ", \t";
-    for (;;) {
-        const auto begin = names.find_first_not_of(separators);
-        if (begin == std::string_view::npos) {
-            return;
-        }
-        names.remove_prefix(begin);
+    // A head may have thousands of fields and name as many.
+    std::set<std::string_view, field_name_less> listed;
+    for (auto n = names.find_first_not_of(separators);
+         n != std::string_view::npos; n = names.find_first_not_of(separators)) {
+        names.remove_prefix(n);
         const auto name = names.substr(0, names.find_first_of(separators));
+        listed.insert(name);
         names.remove_prefix(name.size());
+    }
+    if (!listed.empty()) {
         std::erase_if(fields_, [&](const http_field& it) {
-            return same_field_name(it.name, name);
+            return listed.contains(it.name);
         });
     }
 }
