--- a/include/oriolegrade/transport/upstream_connection.hpp
+++ b/include/oriolegrade/transport/upstream_connection.hpp
@@ -114,7 +114,6 @@
     /// Hashes of the ids of note_retryable_answer(). Two ids with one hash cost
     /// a new connection.
     std::vector<std::size_t> retryable_ids_;
-    bool is_reuse_forbidden_ = false;
 
     state::endpoint address_;
     const std::uint64_t number_;
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -252,7 +252,7 @@
     // RFC 9110, section 7.6.1.
     const auto options = message.equal_range(http::field::connection);
     for (auto it = options.first; it != options.second; ++it) {
-        head.fields.remove_listed({it->value().data(), it->value().size()});
+        head.fields.remove_listed(to_view(it->value()));
     }
     head.framing.chunked = x.parser->chunked();
     if (const auto n = x.parser->content_length()) {
@@ -300,8 +300,6 @@
 void upstream_connection::note_retryable_answer(std::string_view request_id)
 {
     retryable_ids_.push_back(hash_of(request_id));
-    is_reuse_forbidden_ = is_reuse_forbidden_ || request_id.empty() ||
-                          retryable_ids_.size() == max_repeated_answers;
 }
 
 bool upstream_connection::may_repeat_answer(std::string_view request_id) const
@@ -322,7 +320,8 @@
 
 bool upstream_connection::reusable() const
 {
-    return !is_reuse_forbidden_ && exchange_ && exchange_->request_done &&
+    return retryable_ids_.size() < max_repeated_answers &&
+           !may_repeat_answer({}) && exchange_ && exchange_->request_done &&
            exchange_->answer_done && exchange_->buffer.size() == 0 &&
            exchange_->parser->keep_alive();
 }
