Let a stand-in upstream say whether it has a proxy

Five system tests repeated the start of an upstream without a proxy; it is an attribute of fault_soak.Upstream now. The checks are unchanged.

--- a/test/system/double_runs.py
+++ b/test/system/double_runs.py
@@ -63,10 +63,7 @@
 class EndingUpstream(Upstream):
     """Ends connections, or refuses, at the point that is drawn for each request."""
 
-    async def start(self):
-        # Without a proxy, which would turn a reset into a close.
-        _, self.port = await fault_soak.serve(self.handle)
-        asyncio.ensure_future(self.beat())
+    proxied = False
 
     def draw(self):
         """The fault of the next request, or nothing."""
--- a/test/system/fault_soak.py
+++ b/test/system/fault_soak.py
@@ -209,6 +209,9 @@
     open, and may write a refusal twice.
     """
 
+    # A proxy in front injects faults. It turns a reset into a close and delays the
+    # end of a connection, so tests that look at these go without it.
+    proxied = True
     # Share of the refusals that are written twice, and of these the share whose
     # copy comes in front of the next answer. The others come up to LATEST_COPY
     # later.
@@ -233,9 +236,10 @@
         self.proxy = None
 
     async def start(self):
-        _, port = await serve(self.handle)
-        self.proxy = Proxy(port)
-        _, self.port = await serve(self.proxy.handle)
+        _, self.port = await serve(self.handle)
+        if self.proxied:
+            self.proxy = Proxy(self.port)
+            _, self.port = await serve(self.proxy.handle)
         asyncio.ensure_future(self.beat())
 
     async def write_entry(self):
--- a/test/system/faulty_upstreams.py
+++ b/test/system/faulty_upstreams.py
@@ -52,10 +52,7 @@
 class OddUpstream(WorkingUpstream):
     """Answers in the way that the path names: /KIND/MODE/..."""
 
-    async def start(self):
-        # Without a proxy, which would turn a reset into a close.
-        _, self.port = await fault_soak.serve(self.handle)
-        asyncio.ensure_future(self.beat())
+    proxied = False
 
     async def handle(self, reader, writer):
         try:
--- a/test/system/leaving_callers.py
+++ b/test/system/leaving_callers.py
@@ -28,10 +28,7 @@
 class WatchingUpstream(Upstream):
     """Works for a time, and notes when the connection ends meanwhile."""
 
-    async def start(self):
-        # Without a proxy, which would delay the end of a connection.
-        _, self.port = await fault_soak.serve(self.handle)
-        asyncio.ensure_future(self.beat())
+    proxied = False
 
     async def handle(self, reader, writer):
         try:
--- a/test/system/odd_http.py
+++ b/test/system/odd_http.py
@@ -215,10 +215,7 @@
 class OddUpstream(Upstream):
     """Answers sound requests plainly and odd ones as drawn from their id."""
 
-    async def start(self):
-        # Without a proxy, which would turn a reset into a close.
-        _, self.port = await fault_soak.serve(self.handle)
-        asyncio.ensure_future(self.beat())
+    proxied = False
 
     async def handle(self, reader, writer):
         incoming = Incoming(reader, False)
--- a/test/system/refusal_copies.py
+++ b/test/system/refusal_copies.py
@@ -44,10 +44,7 @@
     copied = COPIED
     copied_in_front = 0.7
 
-    async def start(self):
-        # Without a proxy, which would hide when a connection ends.
-        _, self.port = await fault_soak.serve(self.handle)
-        asyncio.ensure_future(self.beat())
+    proxied = False
 
     async def run(self, writer, line, fields, body):
         rid = fields.get("request-id", "")
