--- a/include/oriolegrade/protocol/beast_view.hpp
+++ b/include/oriolegrade/transport/beast_view.hpp
@@ -1,19 +1,19 @@
 // Texts of Beast as those of the standard library.
 
-#ifndef ORIOLEGRADE_PROTOCOL_BEAST_VIEW_HPP
-#define ORIOLEGRADE_PROTOCOL_BEAST_VIEW_HPP
+#ifndef ORIOLEGRADE_TRANSPORT_BEAST_VIEW_HPP
+#define ORIOLEGRADE_TRANSPORT_BEAST_VIEW_HPP
 
 #include <boost/beast/core/string_type.hpp>
 
 #include <string_view>
 
-namespace oriolegrade::protocol {
+namespace oriolegrade::transport {
 
 inline std::string_view to_view(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
 }
 
-} // namespace oriolegrade::protocol
+} // namespace oriolegrade::transport
 
 #endif
--- a/src/protocol/request_parser.cpp
+++ b/src/protocol/request_parser.cpp
@@ -2,7 +2,6 @@
 
 #include <oriolegrade/protocol/request_parser.hpp>
 
-#include <oriolegrade/protocol/beast_view.hpp>
 #include <oriolegrade/protocol/chunk_limits.hpp>
 
 #include <boost/asio/buffer.hpp>
@@ -20,6 +19,11 @@
 
 namespace {
 
+std::string_view to_view(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
 /// Fields that the head carries in members of its own.
 bool is_framing(http::field field)
 {
--- a/src/transport/admin_api.cpp
+++ b/src/transport/admin_api.cpp
@@ -4,9 +4,9 @@
 
 #include <oriolegrade/protocol/admin_json.hpp>
 #include <oriolegrade/protocol/base64.hpp>
-#include <oriolegrade/protocol/beast_view.hpp>
 #include <oriolegrade/protocol/http_head.hpp>
 #include <oriolegrade/protocol/record_json.hpp>
+#include <oriolegrade/transport/beast_view.hpp>
 
 #include <openssl/crypto.h>
 
@@ -20,8 +20,6 @@
 
 using coordination::publish_outcome;
 
-using protocol::to_view;
-
 /// Compares without telling by its duration where the texts differ.
 bool same_secret(std::string_view a, std::string_view b)
 {
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -2,8 +2,8 @@
 
 #include <oriolegrade/transport/upstream_connection.hpp>
 
-#include <oriolegrade/protocol/beast_view.hpp>
 #include <oriolegrade/protocol/request_encoder.hpp>
+#include <oriolegrade/transport/beast_view.hpp>
 #include <oriolegrade/transport/fiber_yield.hpp>
 #include <oriolegrade/transport/first_chunk.hpp>
 
@@ -34,8 +34,6 @@
 /// trouble may send them without end.
 constexpr int max_interim_answers = 8;
 
-using protocol::to_view;
-
 std::size_t hash_of(std::string_view text)
 {
     return std::hash<std::string_view>()(text);
