Keep a wake-up from another thread that falls into a poll

Cause: the scheduler looks at its remote queue, then calls pick_next(), which polls the reactor. A wake-up that another thread makes in between puts its fiber into the remote queue, and the poll consumes the handler that notify() posted for it. suspend_until() then sleeps with a fiber that is ready.

notify() sets a flag too, and suspend_until() returns at once with it set, so that the scheduler looks at the remote queue again. A flag that is older than that look costs one pass. No thread spins: the flag is taken when it is read.

--- a/src/transport/fiber_scheduler.cpp
+++ b/src/transport/fiber_scheduler.cpp
@@ -14,6 +14,7 @@
 #include <boost/fiber/operations.hpp>
 #include <boost/fiber/scheduler.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <memory>
 
@@ -66,11 +67,15 @@
         if (limit < armed_until_) {
             arm(limit);
         }
-        ioc_->run_one();
+        // The scheduler looks at its remote queue again before it sleeps.
+        if (!notified_.exchange(false, std::memory_order_acquire)) {
+            ioc_->run_one();
+        }
     }
 
     void notify() noexcept override
     {
+        notified_.store(true, std::memory_order_release);
         asio::post(*ioc_, [] {});
     }
 
@@ -96,6 +101,10 @@
     asio::steady_timer timer_;
     /// Expiry of the wait under way; max() without one.
     time_point armed_until_ = time_point::max();
+    /// Set by another thread that wakes a fiber of this one. The poll of
+    /// pick_next consumes the handler that notify() posts, after the scheduler
+    /// has looked at its remote queue.
+    std::atomic<bool> notified_ = false;
     fibers::scheduler::ready_queue_type ready_;
 };
 
