--- a/bench/coordination/picking_model.hpp
+++ b/bench/coordination/picking_model.hpp
@@ -4,6 +4,8 @@
 #ifndef ORIOLEGRADE_BENCH_COORDINATION_PICKING_MODEL_HPP
 #define ORIOLEGRADE_BENCH_COORDINATION_PICKING_MODEL_HPP
 
+#include "seeded_random.hpp"
+
 #include <oriolegrade/coordination/picker.hpp>
 #include <oriolegrade/coordination/subset.hpp>
 
@@ -16,30 +18,8 @@
 
 namespace oriolegrade::bench {
 
-using state::duration;
 using state::time_point;
 
-/// splitmix64
-struct seeded_random
-{
-    std::uint64_t state;
-
-    std::uint64_t next()
-    {
-        std::uint64_t x = (state += 0x9e3779b97f4a7c15);
-        x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9;
-        x = (x ^ (x >> 27U)) * 0x94d049bb133111eb;
-        return x ^ (x >> 31U);
-    }
-
-    duration exponential(duration mean)
-    {
-        return duration(static_cast<std::int64_t>(
-            -std::log(1.0 - coordination::uniform(*this)) *
-            static_cast<double>(mean.count())));
-    }
-};
-
 enum class report_mode : std::uint8_t
 {
     /// True at the time of the response.
