Take targets in absolute form

Callers that sent a target in absolute form got 404: "GET http://x/read/1" was looked up among the routes as a path. RFC 9112, section 3.2.2, demands that each server accepts this form, and that its authority goes before the Host field.

Cause: nothing took the target apart; the parser hands it on as it came.

Ruled out: a change in the parser. Its request is what the caller sent, and the usual origin form would pay for it; now a look at the first character ends the work. Ruled out too: any scheme. Only http and https name something that a host of ours could serve; other schemes match no route, as before.

protocol/request_target turns the form into the origin form, with path and query unchanged, and takes the authority for the host; protocol/forwarding decides what becomes of a request before a route is looked up. Userinfo and an authority that is not valid get 400, and the connection stays: the framing is sound. A CONNECT keeps its target, or a path would open a tunnel. oriole-entry and oriole-gateway get both through caller_request.

--- a/include/oriolegrade/transport/caller_stream.hpp
+++ b/include/oriolegrade/transport/caller_stream.hpp
@@ -48,6 +48,13 @@
     ///         the caller gets a reply
     protocol::request_head read_head(error_code& ec);
 
+    /// Why the host answers the request itself; empty when it may be forwarded.
+    /// To be called after read_head().
+    std::optional<state::reply_reason> refusal() const
+    {
+        return refusal_;
+    }
+
     /// Refuses bodies above the limit: read_some() fails with
     /// boost::beast::http::error::body_limit.
     void set_body_limit(std::uint64_t bytes);
@@ -88,6 +95,7 @@
     protocol::request_parser parser_;
     state::time_point arrival_{};
     bool continue_expected_ = false;
+    std::optional<state::reply_reason> refusal_;
 };
 
 /// Writes one answer when it is its turn. Until finish() the caller can tell
--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -169,6 +169,9 @@
         if (stop && !stop->accepts(line.began)) {
             return refuse(line, answer, state::reply_reason::shutting_down, {});
         }
+        if (const auto reason = request.refusal()) {
+            return refuse(line, answer, *reason, {});
+        }
         if (plan.route == nullptr) {
             return refuse(line, answer, state::reply_reason::no_route, {});
         }
--- a/src/transport/caller_stream.cpp
+++ b/src/transport/caller_stream.cpp
@@ -2,6 +2,7 @@
 
 #include <oriolegrade/transport/caller_stream.hpp>
 
+#include <oriolegrade/protocol/forwarding.hpp>
 #include <oriolegrade/transport/fiber_yield.hpp>
 
 #include <boost/asio/error.hpp>
@@ -59,7 +60,9 @@
     }
     arrival_ = input.arrival();
     continue_expected_ = parser_.continue_expected();
-    return parser_.take_head();
+    auto head = parser_.take_head();
+    refusal_ = protocol::prepare_forwarding(head);
+    return head;
 }
 
 void caller_request::set_body_limit(std::uint64_t bytes)
--- a/src/transport/entry_worker.cpp
+++ b/src/transport/entry_worker.cpp
@@ -135,6 +135,9 @@
     if (!plan.configuration) {
         return refuse(head, answer, reply_reason::not_ready);
     }
+    if (const auto reason = request.refusal()) {
+        return refuse(head, answer, *reason);
+    }
     if (!plan.route) {
         return refuse(head, answer, reply_reason::no_route);
     }
--- a/test/fakes/request_reader.hpp
+++ b/test/fakes/request_reader.hpp
@@ -6,6 +6,7 @@
 
 #include <oriolegrade/protocol/request_encoder.hpp>
 #include <oriolegrade/protocol/request_parser.hpp>
+#include <oriolegrade/protocol/request_target.hpp>
 
 #include <algorithm>
 #include <array>
@@ -82,6 +83,8 @@
         protocol::request_head head;
         if (!ec) {
             head = parser.take_head();
+            // A target that is refused stays as it was sent.
+            protocol::to_origin_form(head);
             request = head.method + " " + head.target + " " + head.host;
             for (const auto& it : head.fields) {
                 request += "|" + it.name + "=" + it.value;
--- a/test/transport/entry_worker_test.cpp
+++ b/test/transport/entry_worker_test.cpp
@@ -98,6 +98,26 @@
     });
 }
 
+// Guards against a target in absolute form that reaches no route, or that
+// reaches the upstream as it came.
+TEST(entry_worker, a_target_in_absolute_form_is_not_found)
+{
+    on_bench([](bench& b) {
+        b.script({answer_text("one")});
+        fake_caller caller(b.ioc, b.worker.address());
+        caller.send("GET http://y/read/1?a HTTP/1.1\r\nHost: x\r\n\r\n");
+        EXPECT_EQ(caller.receive().body(), "one");
+        EXPECT_EQ(b.first.targets.size() + b.second.targets.size(), 1U);
+        const auto& upstream = b.first.runs > 0 ? b.first : b.second;
+        EXPECT_EQ(upstream.targets.back(), "/read/1?a");
+        caller.send("GET http://u@y/read/1 HTTP/1.1\r\nHost: x\r\n\r\n");
+        const auto refused = caller.receive();
+        EXPECT_EQ(refused.result_int(), 400U);
+        EXPECT_EQ(outcome_of(refused), "not-run");
+        EXPECT_EQ(b.runs(), 1);
+    });
+}
+
 // Guards against a body that ends short of its length reaching the caller as
 // complete: an idempotent request is tried elsewhere.
 TEST(entry_worker, short_body_of_idempotent_request_is_retried)
