Hold the bound of an answer's head however its bytes arrive

Callers got answers whose heads were longer than the bound of 32 KiB: the library takes the fields that come with the status line, and then as many bytes as its limit allows.

Cause: what Beast's header_limit counts depends on how the bytes arrive.

Ruled out: a lower limit of the library, which would refuse heads below the bound; counting the bytes that async_read_header reports, since the length of a status line cannot be told from its reason phrase (an empty one reads as the usual text); and waiting for the whole head before any byte is parsed, since bytes that are no answer would be waited for until the deadline.

upstream_connection reads a head itself and counts what the library takes: the status line is at most 8 KiB (so far 32 KiB, or less, by arrival), the fields behind it 32 KiB, for interim heads too. The buffer holds 40 KiB as before, and with it the memory of a head is bounded.

--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -7,6 +7,7 @@
 #include <oriolegrade/transport/fiber_yield.hpp>
 #include <oriolegrade/transport/first_chunk.hpp>
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_cat.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -28,8 +29,13 @@
 
 namespace {
 
-constexpr std::size_t read_buffer_bytes = 8 * 1024;
+/// Bound of a status line with its end.
+constexpr std::uint32_t max_status_line_bytes = 8 * 1024;
+/// Bound of the fields of an answer's head with the empty line behind them.
 constexpr std::uint32_t max_answer_head_bytes = 32 * 1024;
+/// Memory for bytes that were received and not taken.
+constexpr std::uint32_t read_buffer_bytes =
+    max_status_line_bytes + max_answer_head_bytes;
 /// Interim answers before the final one. One or two are usual; an upstream in
 /// trouble may send them without end.
 constexpr int max_interim_answers = 8;
@@ -72,6 +78,75 @@
     return false;
 }
 
+std::string_view text_of(const beast::flat_buffer& buf)
+{
+    const auto data = buf.cdata();
+    return {static_cast<const char*>(data.data()), data.size()};
+}
+
+/// Reads bytes of an answer behind those in the buffer.
+/// @param begun bytes of the answer have been taken from the buffer
+void read_more(tcp_stream& stream, beast::flat_buffer& buf, bool begun,
+               error_code& ec)
+{
+    constexpr std::size_t least = 512;
+    const auto step = std::min(std::max(least, buf.capacity() - buf.size()),
+                               buf.max_size() - buf.size());
+    if (step == 0) {
+        ec = http::error::buffer_overflow;
+        return;
+    }
+    buf.commit(stream.async_read_some(buf.prepare(step), fiber_yield(ec)));
+    if (ec == boost::asio::error::eof) {
+        ec = begun || buf.size() > 0 ? http::error::partial_message
+                                     : http::error::end_of_stream;
+    }
+}
+
+/// Bytes of the status line with its end; of all the text while that has not
+/// come.
+std::size_t status_line_size(std::string_view text)
+{
+    const auto end = text.find('\n');
+    return end == std::string_view::npos ? text.size() : end + 1;
+}
+
+/// Reads one head. What the library's own limit counts depends on how the bytes
+/// arrive: with the status line or without, and without the fields that came
+/// together with that.
+template <class Parser>
+void read_answer_head(tcp_stream& stream, beast::flat_buffer& buf,
+                      Parser& parser, error_code& ec)
+{
+    std::size_t status_line = 0;
+    std::size_t taken = 0;
+    if (buf.size() == 0) {
+        read_more(stream, buf, false, ec);
+    }
+    while (!ec) {
+        // The library takes nothing before the whole status line is there.
+        if (taken == 0) {
+            status_line = status_line_size(text_of(buf));
+        }
+        const auto n = parser.put(buf.cdata(), ec);
+        buf.consume(n);
+        taken += n;
+        const bool wants_more = ec == http::error::need_more;
+        if (ec && !wants_more) {
+            return;
+        }
+        if (status_line > max_status_line_bytes ||
+            taken > status_line + max_answer_head_bytes) {
+            ec = http::error::header_limit;
+        } else if (wants_more) {
+            ec = {};
+            read_more(stream, buf, taken > 0, ec);
+        } else if (parser.is_header_done()) {
+            return;
+        }
+    }
+}
+
 /// A transfer coding overrides a length (RFC 9112, section 6.3), so each has to
 /// be one that can be read.
 template <class Message>
@@ -121,7 +196,7 @@
     void start_parser()
     {
         parser.emplace();
-        parser->header_limit(max_answer_head_bytes);
+        parser->header_limit(read_buffer_bytes);
         parser->body_limit(boost::none);
         parser->skip(head_method);
         body_begun = false;
@@ -133,7 +208,7 @@
     const bool head_method;
     std::optional<http::response_parser<http::buffer_body>> parser;
     /// Grows to the size of the largest head; holds unread answer bytes.
-    beast::flat_buffer buffer{max_answer_head_bytes + read_buffer_bytes};
+    beast::flat_buffer buffer{read_buffer_bytes};
     /// Bytes of the answer's body were asked for.
     bool body_begun = false;
     bool request_done = false;
@@ -202,7 +277,7 @@
 {
     auto& x = *exchange_;
     for (int interim = 0;; ++interim) {
-        http::async_read_header(stream_, x.buffer, *x.parser, fiber_yield(ec));
+        read_answer_head(stream_, x.buffer, *x.parser, ec);
         if (ec) {
             return {};
         }
--- a/test/platform/http_cases_test.cpp
+++ b/test/platform/http_cases_test.cpp
@@ -30,6 +30,8 @@
 /// line does not count: RFC 9110, section 5.4, leaves such a bound to the
 /// recipient.
 constexpr std::size_t max_answer_head = 32 * 1024;
+/// The bound of that line.
+constexpr std::size_t max_status_line = 8 * 1024;
 /// Bytes at the end of a long message that are sent apart. A write takes some
 /// 20 us, and a whole head of 32 KB would take longer than its route allows.
 constexpr std::size_t most_apart = 512;
@@ -956,6 +958,31 @@
     return ok(fields + "b:" + std::string(rest % field.size(), 'x') + "\r\n");
 }
 
+/// An answer whose status line has n bytes, and whose section is the longest.
+std::string with_status_line_of(std::size_t n)
+{
+    const std::string line = "HTTP/1.1 200 OK\r\n";
+    const auto reason = n - std::string("HTTP/1.1 200 \r\n").size();
+    return "HTTP/1.1 200 " + std::string(reason, 'r') + "\r\n" +
+           answer_head_of(max_answer_head).substr(line.size());
+}
+
+/// The same answer with an empty reason phrase.
+std::string without_reason(const std::string& answer)
+{
+    const std::string line = "HTTP/1.1 200 OK\r\n";
+    return "HTTP/1.1 200 \r\n" + answer.substr(line.size());
+}
+
+/// An interim answer whose header section has n bytes, filled by one field.
+std::string interim_head_of(std::size_t n)
+{
+    const std::string begin = "X-Filler: ";
+    const std::string end = "\r\n\r\n";
+    return "HTTP/1.1 103 Hints\r\n" + begin +
+           std::string(n - begin.size() - end.size(), 'x') + end;
+}
+
 std::vector<upstream_case> interim_cases()
 {
     const std::string final = "it is taken for the answer";
@@ -1297,6 +1324,23 @@
          answer_head_of_many(max_answer_head)},
         {"many_fields_above_the_limit", "RFC 9110, 5.4", passed,
          answer_head_of_many(max_answer_head + 1), 502, ""},
+        {"head_without_reason_at_the_limit", "RFC 9110, 5.4", "it is refused",
+         without_reason(answer_head_of(max_answer_head))},
+        {"head_without_reason_above_the_limit", "RFC 9110, 5.4", passed,
+         without_reason(answer_head_of(max_answer_head + 1)), 502, ""},
+        {"status_line_at_the_limit", "RFC 9112, 4", "it is refused",
+         with_status_line_of(max_status_line)},
+        {"status_line_above_the_limit", "RFC 9112, 4", passed,
+         with_status_line_of(max_status_line + 1), 502, ""},
+        {"interim_head_at_the_limit", "RFC 9110, 5.4", "it is refused",
+         interim_head_of(max_answer_head) + ok(sized)},
+        {"interim_head_above_the_limit", "RFC 9110, 5.4", passed,
+         interim_head_of(max_answer_head + 1) + ok(sized), 502, ""},
+        {"head_at_the_limit_behind_an_interim_one", "RFC 9110, 5.4",
+         "it is refused",
+         interim_head_of(1000) + answer_head_of(max_answer_head)},
+        {"head_above_the_limit_behind_an_interim_one", "RFC 9110, 5.4", passed,
+         interim_head_of(1000) + answer_head_of(max_answer_head + 1), 502, ""},
         // The library's container of fields holds no such value.
         {"field_above_64_kb", "RFC 9110, 5.4", passed,
          ok(sized + "X-A: " + std::string(70'000, 'x') + "\r\n"), 502, ""},
