--- a/test/platform/http_cases_test.cpp
+++ b/test/platform/http_cases_test.cpp
@@ -30,6 +30,8 @@
 /// line does not count: RFC 9110, section 5.4, leaves such a bound to the
 /// recipient.
 constexpr std::size_t max_answer_head = 32 * 1024;
+/// The bound of that line.
+constexpr std::size_t max_status_line = 8 * 1024;
 /// Bytes at the end of a long message that are sent apart. A write takes some
 /// 20 us, and a whole head of 32 KB would take longer than its route allows.
 constexpr std::size_t most_apart = 512;
@@ -349,6 +351,50 @@
          "GET /read/1?a=http://y/|"},
         {"absolute_target_without_host", "RFC 9110, 4.2.1", "it is forwarded",
          with_target("http:///read/1"), any_refusal, ""},
+        {"absolute_target_of_https", "RFC 9112, 3.2.2", lost,
+         with_target("https://x/read/1"), 200, "GET /read/1|"},
+        {"absolute_target_with_port",
+         "RFC 9112, 3.2.2",
+         lost,
+         with_target("http://x:80/read/1"),
+         200,
+         "GET /read/1|",
+         {{"Host", "x:80"}}},
+        {"absolute_target_with_port_above_the_limit", "RFC 9112, 3.2.2",
+         "it is forwarded", with_target("http://x:65536/read/1"), 400, ""},
+        {"absolute_target_with_userinfo", "RFC 9110, 4.2.4", "it is forwarded",
+         with_target("http://u:p@x/read/1"), 400, ""},
+        {"absolute_target_with_bad_authority", "RFC 9110, 4.2.1",
+         "it is forwarded", with_target("http://[x/read/1"), 400, ""},
+        {"absolute_target_without_path", "RFC 9112, 3.2.1",
+         "it reaches another route", with_target("http://x?/read/1"), 404, ""},
+        {"absolute_target_of_another_scheme", "RFC 9110, 7.4",
+         "it is forwarded", with_target("ftp://x/read/1"), any_refusal, ""},
+        // The authority does not replace the field that each request has.
+        {"absolute_target_without_host_field",
+         "RFC 9112, 3.2",
+         "it is forwarded",
+         with_target("http://x/read/1", "Request-Id: q\r\n"),
+         400,
+         "",
+         {},
+         {},
+         then::closes},
+        {"absolute_target_of_http_1_0",
+         "RFC 9112, 3.2.2",
+         lost,
+         "GET http://x/read/1 HTTP/1.0\r\nRequest-Id: q\r\n\r\n",
+         200,
+         "GET /read/1|",
+         {{"Host", "x"}},
+         {},
+         then::closes},
+        {"absolute_target_of_connect", "RFC 9110, 9.3.6", "a tunnel opens",
+         "CONNECT http://x/read/1 HTTP/1.1\r\n" + host + "\r\n", any_refusal,
+         ""},
+        {"absolute_target_of_options", "RFC 9112, 3.2.4",
+         "it reaches the route of another path",
+         "OPTIONS http://x HTTP/1.1\r\n" + host + "\r\n", any_refusal, ""},
         {"target_without_slash", "RFC 9112, 3.2", "it is forwarded",
          with_target("read/1"), any_refusal, ""},
         {"target_with_query", "RFC 9112, 3.2.1", "the query is lost",
@@ -912,6 +958,31 @@
     return ok(fields + "b:" + std::string(rest % field.size(), 'x') + "\r\n");
 }
 
+/// An answer whose status line has n bytes, and whose section is the longest.
+std::string with_status_line_of(std::size_t n)
+{
+    const std::string line = "HTTP/1.1 200 OK\r\n";
+    const auto reason = n - std::string("HTTP/1.1 200 \r\n").size();
+    return "HTTP/1.1 200 " + std::string(reason, 'r') + "\r\n" +
+           answer_head_of(max_answer_head).substr(line.size());
+}
+
+/// The same answer with an empty reason phrase.
+std::string without_reason(const std::string& answer)
+{
+    const std::string line = "HTTP/1.1 200 OK\r\n";
+    return "HTTP/1.1 200 \r\n" + answer.substr(line.size());
+}
+
+/// An interim answer whose header section has n bytes, filled by one field.
+std::string interim_head_of(std::size_t n)
+{
+    const std::string begin = "X-Filler: ";
+    const std::string end = "\r\n\r\n";
+    return "HTTP/1.1 103 Hints\r\n" + begin +
+           std::string(n - begin.size() - end.size(), 'x') + end;
+}
+
 std::vector<upstream_case> interim_cases()
 {
     const std::string final = "it is taken for the answer";
@@ -1253,6 +1324,23 @@
          answer_head_of_many(max_answer_head)},
         {"many_fields_above_the_limit", "RFC 9110, 5.4", passed,
          answer_head_of_many(max_answer_head + 1), 502, ""},
+        {"head_without_reason_at_the_limit", "RFC 9110, 5.4", "it is refused",
+         without_reason(answer_head_of(max_answer_head))},
+        {"head_without_reason_above_the_limit", "RFC 9110, 5.4", passed,
+         without_reason(answer_head_of(max_answer_head + 1)), 502, ""},
+        {"status_line_at_the_limit", "RFC 9112, 4", "it is refused",
+         with_status_line_of(max_status_line)},
+        {"status_line_above_the_limit", "RFC 9112, 4", passed,
+         with_status_line_of(max_status_line + 1), 502, ""},
+        {"interim_head_at_the_limit", "RFC 9110, 5.4", "it is refused",
+         interim_head_of(max_answer_head) + ok(sized)},
+        {"interim_head_above_the_limit", "RFC 9110, 5.4", passed,
+         interim_head_of(max_answer_head + 1) + ok(sized), 502, ""},
+        {"head_at_the_limit_behind_an_interim_one", "RFC 9110, 5.4",
+         "it is refused",
+         interim_head_of(1000) + answer_head_of(max_answer_head)},
+        {"head_above_the_limit_behind_an_interim_one", "RFC 9110, 5.4", passed,
+         interim_head_of(1000) + answer_head_of(max_answer_head + 1), 502, ""},
         // The library's container of fields holds no such value.
         {"field_above_64_kb", "RFC 9110, 5.4", passed,
          ok(sized + "X-A: " + std::string(70'000, 'x') + "\r\n"), 502, ""},
