End a fiber, not the process, when an exception leaves it

Callers saw all connections of a host reset when the code of one stream between hosts, or of one maintenance loop, threw: the exception left its fiber, and std::terminate ended the process. Requests of callers were protected already (request_fault.hpp), all other fibers were not.

--- a/include/oriolegrade/transport/fiber_scheduler.hpp
+++ b/include/oriolegrade/transport/fiber_scheduler.hpp
@@ -19,7 +19,8 @@
 /// once per thread.
 void run_fibers(const std::function<void(boost::asio::io_context&)>& main);
 
-/// Starts a detached fiber on the calling thread's scheduler.
+/// Starts a detached fiber on the calling thread's scheduler. An exception that
+/// leaves the body ends the fiber and is logged.
 void spawn_fiber(std::function<void()> body);
 
 } // namespace oriolegrade::transport
--- a/include/oriolegrade/transport/fiber_signal.hpp
+++ b/include/oriolegrade/transport/fiber_signal.hpp
@@ -4,6 +4,7 @@
 #define ORIOLEGRADE_TRANSPORT_FIBER_SIGNAL_HPP
 
 #include <oriolegrade/transport/fiber_scheduler.hpp>
+#include <oriolegrade/transport/task_fault.hpp>
 
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
@@ -60,12 +61,12 @@
     void spawn(Body body)
     {
         spawn_fiber([this, body = std::move(body)]() mutable {
-            {
+            run_step("fiber", [&body] {
                 // Destroys what the body holds before the fiber counts as
                 // ended.
                 auto own = std::move(body);
                 own();
-            }
+            });
             --running_;
             ended_.notify();
         });
--- a/src/transport/fiber_scheduler.cpp
+++ b/src/transport/fiber_scheduler.cpp
@@ -4,6 +4,8 @@
 
 #include <oriolegrade/transport/fiber_scheduler.hpp>
 
+#include <oriolegrade/transport/task_fault.hpp>
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -120,7 +122,8 @@
 void spawn_fiber(std::function<void()> body)
 {
     fibers::fiber(fibers::launch::post, std::allocator_arg,
-                  fibers::fixedsize_stack(fiber_stack_bytes), std::move(body))
+                  fibers::fixedsize_stack(fiber_stack_bytes),
+                  [body = std::move(body)] { run_step("fiber", body); })
         .detach();
 }
 
--- a/src/transport/request_fault.cpp
+++ b/src/transport/request_fault.cpp
@@ -1,6 +1,7 @@
-// Log line of an exception that left the code of a request.
+// Log lines of exceptions.
 
 #include <oriolegrade/transport/request_fault.hpp>
+#include <oriolegrade/transport/task_fault.hpp>
 
 #include <oriolegrade/transport/event_log.hpp>
 
@@ -33,4 +34,13 @@
     }
 }
 
+void log_task_fault(std::string_view task, const std::exception_ptr& fault)
+{
+    if (fault) {
+        event(log_level::error, "task_fault")
+            .with("task", task)
+            .with("error", text_of(fault));
+    }
+}
+
 } // namespace oriolegrade::transport
