Drop interim answers that another answer joins

An interim answer that broke off in its head took in the head of the final answer. It was skipped as an interim answer, and the body that followed was read as the final answer: where it looked like a refusal, the request was sent again and ran twice.

--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -72,6 +72,16 @@
     return false;
 }
 
+/// True when an answer broke off within its head and another one followed.
+template <class Message>
+bool is_joined_head(const Message& message)
+{
+    return holds_status_line(to_view(message.reason())) ||
+           std::any_of(message.begin(), message.end(), [](const auto& it) {
+               return holds_status_line(to_view(it.value()));
+           });
+}
+
 /// A transfer coding overrides a length (RFC 9112, section 6.3), so each has to
 /// be one that can be read.
 template <class Message>
@@ -206,6 +216,11 @@
         if (ec) {
             return {};
         }
+        // Also of an interim answer: what it swallowed may be the final one.
+        if (is_joined_head(x.parser->get())) {
+            ec = http::error::bad_value;
+            return {};
+        }
         // Beast has a class only for the statuses that it names.
         constexpr unsigned first_interim = 100;
         constexpr unsigned first_final = 200;
@@ -228,10 +243,6 @@
         ec = http::error::bad_transfer_encoding;
         return {};
     }
-    if (holds_status_line(to_view(message.reason()))) {
-        ec = http::error::bad_reason;
-        return {};
-    }
     protocol::answer_head head;
     head.status = static_cast<std::uint16_t>(message.result_int());
     if (const auto limit = keep_alive_limit(message)) {
@@ -239,10 +250,6 @@
     }
     for (const auto& it : message) {
         const auto name = to_view(it.name_string());
-        if (holds_status_line(to_view(it.value()))) {
-            ec = http::error::bad_value;
-            return {};
-        }
         if (!is_framing(it.name()) && !protocol::is_hop_by_hop(name)) {
             head.fields.add(name, to_view(it.value()));
         }
