Keep copies of answers apart from HEAD

A copy of an answer to HEAD tells the length of a body that does not follow. Reading past it took the head of the next answer for that body, and the body of that answer for an answer. The reverse happened to a HEAD request that met the copy of an answer with a body. Where the body looked like a refusal, the request was sent again and ran twice.

A connection is not used again after HEAD, and HEAD does not read past answers of other requests: the send counts as lost. A HEAD request costs a connection.

--- a/include/oriolegrade/transport/upstream_connection.hpp
+++ b/include/oriolegrade/transport/upstream_connection.hpp
@@ -53,7 +53,8 @@
     std::size_t read_body(std::span<char> buf, error_code& ec);
 
     /// Prepares to read one more answer, after one that belonged to another
-    /// request. False when the connection carries no more answers.
+    /// request. False when the connection carries no more answers, or when
+    /// the next one cannot be found for certain.
     bool expect_another();
 
     /// Notes that the present request was answered and may be sent again. A
@@ -72,7 +73,7 @@
     bool request_sent() const;
 
     /// True when the answer was read to its end and the connection may carry
-    /// another request, but for those of may_repeat_answer().
+    /// another request, but for those of may_repeat_answer(). Never after HEAD.
     bool reusable() const;
 
     /// True when the idle connection is open and has no unread bytes.
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -294,7 +294,10 @@
 
 bool upstream_connection::expect_another()
 {
-    if (!exchange_->parser->is_done() || !exchange_->parser->keep_alive()) {
+    // The answer read past had no body for the parser, but may have one on the
+    // connection when it belonged to a request of another method.
+    if (exchange_->head_method || !exchange_->parser->is_done() ||
+        !exchange_->parser->keep_alive()) {
         return false;
     }
     exchange_->start_parser();
@@ -325,10 +328,12 @@
 
 bool upstream_connection::reusable() const
 {
+    // A copy of an answer to HEAD tells the length of a body that does not
+    // follow, and the next answer would be read as that body.
     return retryable_ids_.size() < max_repeated_answers &&
-           !may_repeat_answer({}) && exchange_ && exchange_->request_done &&
-           exchange_->answer_done && exchange_->buffer.size() == 0 &&
-           exchange_->parser->keep_alive();
+           !may_repeat_answer({}) && exchange_ && !exchange_->head_method &&
+           exchange_->request_done && exchange_->answer_done &&
+           exchange_->buffer.size() == 0 && exchange_->parser->keep_alive();
 }
 
 bool upstream_connection::idle_open()
