Believe no refusal behind the body of another answer

A copy whose body broke off took in the head of the answer that followed. That answer's body was read as an answer, and where it looked like a refusal of the request, the request was sent again and ran twice.

Where the next answer begins is certain only when the one before it had no body. A refusal that follows a body that was read past counts as a lost answer now. A true one is rare there and costs a 502, or another send of a repeatable request.

--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -313,6 +313,12 @@
             answer_head_.reset();
             return lost();
         }
+        // The body that was read past may have been a part of this request's
+        // answer, and this head a part of that answer's body.
+        if (read_past_body_ && Dialect::is_unrun(*answer_head_)) {
+            answer_head_.reset();
+            return lost();
+        }
         if (Dialect::is_unrun(*answer_head_) || is_fault(*answer_head_)) {
             connection->note_retryable_answer(Dialect::request_id(head));
         }
@@ -333,6 +339,7 @@
     bool skip_strays(upstream_connection& connection,
                      const protocol::request_head& head)
     {
+        read_past_body_ = false;
         for (std::size_t n = 0; !Dialect::belongs(head, *answer_head_); ++n) {
             if constexpr (send_recorder<Choice>) {
                 choice_.skipped_answer();
@@ -395,6 +402,7 @@
             total += n;
         } while (!ec && n > 0 && total < hold_back_bytes);
         connection.expires_at(deadline_);
+        read_past_body_ = read_past_body_ || total > 0;
         return !ec && n == 0;
     }
 
@@ -539,6 +547,9 @@
     /// Connection of the attempt in progress, or null.
     upstream_connection* active_ = nullptr;
     bool cancelled_ = false;
+    /// An answer with a body was read past in the present attempt. The body may
+    /// have broken off, with the next answer taken for its rest.
+    bool read_past_body_ = false;
     /// Part of an answer has been given to the sink; no retry after that.
     bool answer_started_ = false;
 };
