--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -147,6 +147,16 @@
     }
 }
 
+/// True when an answer broke off within its head and another one followed.
+template <class Message>
+bool is_joined_head(const Message& message)
+{
+    return holds_status_line(to_view(message.reason())) ||
+           std::any_of(message.begin(), message.end(), [](const auto& it) {
+               return holds_status_line(to_view(it.value()));
+           });
+}
+
 /// A transfer coding overrides a length (RFC 9112, section 6.3), so each has to
 /// be one that can be read.
 template <class Message>
@@ -281,6 +291,11 @@
         if (ec) {
             return {};
         }
+        // Also of an interim answer: what it swallowed may be the final one.
+        if (is_joined_head(x.parser->get())) {
+            ec = http::error::bad_value;
+            return {};
+        }
         // Beast has a class only for the statuses that it names.
         constexpr unsigned first_interim = 100;
         constexpr unsigned first_final = 200;
@@ -303,10 +318,6 @@
         ec = http::error::bad_transfer_encoding;
         return {};
     }
-    if (holds_status_line(to_view(message.reason()))) {
-        ec = http::error::bad_reason;
-        return {};
-    }
     protocol::answer_head head;
     head.status = static_cast<std::uint16_t>(message.result_int());
     if (const auto limit = keep_alive_limit(message)) {
@@ -314,10 +325,6 @@
     }
     for (const auto& it : message) {
         const auto name = to_view(it.name_string());
-        if (holds_status_line(to_view(it.value()))) {
-            ec = http::error::bad_value;
-            return {};
-        }
         if (!is_framing(it.name()) && !protocol::is_hop_by_hop(name)) {
             head.fields.add(name, to_view(it.value()));
         }
@@ -362,7 +369,10 @@
 
 bool upstream_connection::expect_another()
 {
-    if (!exchange_->parser->is_done() || !exchange_->parser->keep_alive()) {
+    // The answer read past had no body for the parser, but may have one on the
+    // connection when it belonged to a request of another method.
+    if (exchange_->head_method || !exchange_->parser->is_done() ||
+        !exchange_->parser->keep_alive()) {
         return false;
     }
     exchange_->start_parser();
@@ -393,10 +403,12 @@
 
 bool upstream_connection::reusable() const
 {
+    // A copy of an answer to HEAD tells the length of a body that does not
+    // follow, and the next answer would be read as that body.
     return retryable_ids_.size() < max_repeated_answers &&
-           !may_repeat_answer({}) && exchange_ && exchange_->request_done &&
-           exchange_->answer_done && exchange_->buffer.size() == 0 &&
-           exchange_->parser->keep_alive();
+           !may_repeat_answer({}) && exchange_ && !exchange_->head_method &&
+           exchange_->request_done && exchange_->answer_done &&
+           exchange_->buffer.size() == 0 && exchange_->parser->keep_alive();
 }
 
 bool upstream_connection::idle_open()
