--- a/test/system/fault_soak.py
+++ b/test/system/fault_soak.py
@@ -217,6 +217,8 @@
     # later.
     copied = COPIED
     copied_in_front = 0.5
+    # Time that it works on a request, in seconds.
+    work = (0.01, 0.06)
 
     def __init__(self, soak, name):
         self.soak = soak
@@ -341,7 +343,7 @@
             writer.write(answer(500, b"", [("Server-Stamp", name), *load]))
             return
         self.running += 1
-        await asyncio.sleep(self.soak.random.uniform(0.01, 0.06))
+        await asyncio.sleep(self.soak.random.uniform(*self.work))
         self.running -= 1
         if self.mode == "hang":
             await asyncio.sleep(3)
@@ -362,6 +364,9 @@
 class Gateway:
     """One process of the system."""
 
+    # Budget of extra sends for all hosts together.
+    bounds = {"retry_ratio": 0.2, "retry_window": "10s", "retry_slack": 50}
+
     def __init__(self, soak, number):
         self.soak = soak
         self.name = f"host-{number}"
@@ -381,8 +386,7 @@
             "listen": {k: f"127.0.0.1:{p}" for k, p in self.ports.items()},
             "seeds": seeds,
             "limits": {"cpu_share": 0.2, "cpu_cores": 1, "max_fds": 2000},
-            "bounds": {"retry_ratio": 0.2, "retry_window": "10s", "retry_slack": 50,
-                       "grace": f"{int(GRACE)}s"},
+            "bounds": {**self.bounds, "grace": f"{int(GRACE)}s"},
             "platform": {"address": f"127.0.0.1:{store}"},
         }
         self.path = self.soak.dir / f"{self.name}.json"
@@ -717,6 +721,10 @@
         if not self.copies or not self.leave_checks:
             self.fail(f"an empty run: {self.copies} copies of refusals, {self.leave_checks} "
                       "requests from hosts that had heard that one leaves")
+        await self.end(tasks)
+
+    async def end(self, tasks):
+        """Ends the callers, then the hosts, which have to run until then."""
         self.ended = True
         await asyncio.gather(*tasks)
         for it in self.gateways:
