Count an extra send when it gets its place

Callers could see a service get more extra sends than its budget: a host counted an extra send when it asked for a place, and the send went out after the wait in line. Two dispatchers that freeze with extra sends in line and wake together let these arrive beside those of the next window.

In virtual time, four hosts whose extra sends wait 2 s made 80 sends in 10 s where 48 are allowed.

The count moves to the time of the place (window_budget::postpone), for first places at any dispatcher. What is not placed is given back as before. Ruled out: the sum of the hosts' parts, which keeps to the budget without waits (host_budget.parts_of_all_hosts_exceed_the_budget_of_the_fleet).

host_budget.extra_sends_that_waited_join_those_of_the_next_window failed with 80 against 48 and passes.

--- a/include/oriolegrade/coordination/host_budget.hpp
+++ b/include/oriolegrade/coordination/host_budget.hpp
@@ -35,6 +35,12 @@
     bool admit(const std::string& service, state::send_kind kind,
                state::time_point now);
 
+    /// An extra send got its place and is sent now. It may have waited in line
+    /// for as long as a request may take, and servers count what arrives.
+    /// @param admitted_at time of the admit() that returned true
+    void placed(const std::string& service, state::time_point admitted_at,
+                state::time_point now);
+
     /// Refusal for a request whose extra send was not admitted.
     state::place_refusal refuse(std::uint64_t number) const;
 
--- a/include/oriolegrade/coordination/window_budget.hpp
+++ b/include/oriolegrade/coordination/window_budget.hpp
@@ -42,6 +42,11 @@
     /// @param taken_at time of the successful try_take()
     void refund(state::time_point taken_at, state::time_point now);
 
+    /// Counts an extra send at the time at which it is made, which may be a
+    /// wait for a place after the one at which it was reserved.
+    /// @param taken_at time of the successful try_take()
+    void postpone(state::time_point taken_at, state::time_point now);
+
     /// Share of the budget in use; above 1 after the request rate has fallen.
     double used(state::time_point now) const;
 
--- a/include/oriolegrade/transport/gateway/dispatch_router.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_router.hpp
@@ -86,7 +86,9 @@
     {
         state::place_request request;
         answer_callback done;
-        time_point asked_at;
+        /// When the budget counts it, if it is an extra send: when it was asked
+        /// for, and once it is placed, that time.
+        time_point counted_at;
         coordination::dispatcher_search search;
         stage at = stage::asked;
         /// Host asked last; empty for this host's own dispatcher.
--- a/src/coordination/host_budget.cpp
+++ b/src/coordination/host_budget.cpp
@@ -45,6 +45,12 @@
     return budget.try_take(usable_share, now);
 }
 
+void host_budget::placed(const std::string& service,
+                         state::time_point admitted_at, state::time_point now)
+{
+    budget_of(service).postpone(admitted_at, now);
+}
+
 state::place_refusal host_budget::refuse(std::uint64_t number) const
 {
     return {state::place_refusal_reason::budget,
--- a/src/coordination/window_budget.cpp
+++ b/src/coordination/window_budget.cpp
@@ -51,6 +51,12 @@
     it.extras -= it.extras > 0 ? 1 : 0;
 }
 
+void window_budget::postpone(state::time_point taken_at, state::time_point now)
+{
+    refund(taken_at, now);
+    ++buckets_.at(bucket_number(now)).extras;
+}
+
 double window_budget::used(state::time_point now) const
 {
     const auto number = bucket_number(now);
--- a/src/transport/gateway/dispatch_router.cpp
+++ b/src/transport/gateway/dispatch_router.cpp
@@ -345,6 +345,11 @@
         const auto& place = std::get<state::place>(what);
         it.at = stage::placed;
         it.upstream = place.upstream;
+        if (it.request.kind != state::send_kind::first) {
+            const auto now = clock::now();
+            budget_.placed(it.request.service, it.counted_at, now);
+            it.counted_at = now;
+        }
         const auto by = placing_position_of(it);
         placement_counters_.placed(it.request.service, by);
         if (by == placing_position::own) {
@@ -413,7 +418,7 @@
 void dispatch_router::return_budget(const request_state& it)
 {
     if (it.request.kind != state::send_kind::first) {
-        budget_.refund(it.request.service, it.asked_at, clock::now());
+        budget_.refund(it.request.service, it.counted_at, clock::now());
     }
 }
 
--- a/test/coordination/window_budget_test.cpp
+++ b/test/coordination/window_budget_test.cpp
@@ -149,6 +149,43 @@
     }
 }
 
+// Guards against a budget that is counted when a request asks for a place and
+// not when it is sent: two dispatchers freeze with extra sends in line, wake
+// together, and these sends arrive with those of the next window.
+TEST(host_budget, extra_sends_that_waited_join_those_of_the_next_window)
+{
+    constexpr std::size_t hosts = 4;
+    constexpr coordination::window_budget_options fleet{0.1, 48, 10s};
+    constexpr state::duration freeze = 2s;
+    std::vector<coordination::host_budget> parts(
+        hosts, coordination::host_budget(fleet, 0));
+    for (auto& it : parts) {
+        it.set_hosts(hosts);
+    }
+    std::deque<state::time_point> extras;
+    const auto send_all = [&](state::time_point asked, state::duration wait) {
+        for (auto& it : parts) {
+            int admitted = 0;
+            while (it.admit("s", state::send_kind::repeat, asked)) {
+                ++admitted;
+            }
+            for (int n = 0; n < admitted; ++n) {
+                it.placed("s", asked, asked + wait);
+                extras.push_back(asked + wait);
+            }
+        }
+    };
+    send_all(start, freeze);
+    for (auto at = start + freeze; at < start + 40s; at += 100ms) {
+        send_all(at, 0s);
+        while (!extras.empty() && at - extras.front() > fleet.window) {
+            extras.pop_front();
+        }
+        ASSERT_LE(static_cast<double>(extras.size()), fleet.slack)
+            << (at - start) / 1ms << " ms after the start";
+    }
+}
+
 // Guards against refused callers that all retry at once and meet the same full
 // slots.
 TEST(host_budget, refused_callers_retry_together)
