Ask no dispatcher again that owes an answer

A request could be asked of one dispatcher twice under one number. It was left out for its old view, was asked when that was over, said nothing for 80 ms, and was asked again at last because it had been the first with an old view. Both questions would be answered: the dispatcher then knows only the second, so the slot of the first place is not freed, and a refusal behind a place would give back the extra send of a request that is under way. Found by reading; the worker's wait takes only the first answer, so no request is sent twice by this.

A dispatcher that is late, lost or leaving is no longer the one with the old view (dispatcher_search::exclude takes the reason). The calls of exclude() in the tests of dispatcher_search name a reason; what they check is unchanged.

dispatcher_search_rules.a_dispatcher_that_owes_an_answer_is_asked_again failed for both reasons and passes.

--- a/include/oriolegrade/coordination/dispatcher_search.hpp
+++ b/include/oriolegrade/coordination/dispatcher_search.hpp
@@ -9,6 +9,7 @@
 #define ORIOLEGRADE_COORDINATION_DISPATCHER_SEARCH_HPP
 
 #include <oriolegrade/coordination/dispatcher_ranking.hpp>
+#include <oriolegrade/coordination/placement_counters.hpp>
 #include <oriolegrade/state/enum_names.hpp>
 #include <oriolegrade/state/host_member.hpp>
 #include <oriolegrade/state/time_type.hpp>
@@ -91,9 +92,14 @@
     }
 
     /// Skips the dispatcher, which returned no placement, in further steps.
-    void exclude(const std::string& host)
+    void exclude(const std::string& host, exclusion_reason reason)
     {
         excluded_.push_back(host);
+        // It may have been found stale before it was asked. One that owes its
+        // answer would place the request twice.
+        if (reason != exclusion_reason::stale && stale_host_ == host) {
+            stale_host_.clear();
+        }
     }
     /// Records that the view of the host, which may be the local one, is stale.
     void mark_stale(const std::string& host)
@@ -135,7 +141,8 @@
 
     state::time_point search_deadline_;
     std::vector<std::string> excluded_;
-    /// First host whose view was found stale.
+    /// First host whose view was found stale, without those that were asked and
+    /// have not answered.
     std::string stale_host_;
     bool local_tried_ = false;
     bool accept_stale_ = false;
--- a/src/transport/gateway/dispatch_router.cpp
+++ b/src/transport/gateway/dispatch_router.cpp
@@ -376,17 +376,18 @@
         it.search.mark_stale(shared_.options.self.name);
         return advance(number);
     }
-    const auto& service = it.request.service;
-    if (away.reason == state::place_refusal_reason::leaving) {
-        placement_counters_.excluded(service, exclusion_reason::leaving);
+    const auto reason = away.reason == state::place_refusal_reason::leaving
+                            ? exclusion_reason::leaving
+                            : exclusion_reason::stale;
+    placement_counters_.excluded(it.request.service, reason);
+    if (reason == exclusion_reason::leaving) {
         peers_.at(it.host).leaving = true;
         ranking_.failed(it.host, now);
     } else {
-        placement_counters_.excluded(service, exclusion_reason::stale);
         peers_.at(it.host).stale_until = now + stale_pause;
         it.search.mark_stale(it.host);
     }
-    it.search.exclude(it.host);
+    it.search.exclude(it.host, reason);
     advance(number);
 }
 
@@ -439,7 +440,7 @@
         auto& it = requests_.at(number);
         placement_counters_.excluded(it.request.service,
                                      exclusion_reason::lost);
-        it.search.exclude(host);
+        it.search.exclude(host, exclusion_reason::lost);
         advance(number);
     }
 }
@@ -462,7 +463,7 @@
             .with("host", it.host)
             .with("service", found->second.request.service);
     }
-    found->second.search.exclude(it.host);
+    found->second.search.exclude(it.host, exclusion_reason::late);
     advance(it.number);
 }
 
--- a/test/coordination/dispatcher_search_test.cpp
+++ b/test/coordination/dispatcher_search_test.cpp
@@ -15,6 +15,7 @@
 using namespace std::chrono_literals;
 using coordination::dispatcher_search;
 using coordination::dispatcher_state;
+using coordination::exclusion_reason;
 
 constexpr state::time_point start{1000s};
 constexpr state::duration time_left = 1200ms;
@@ -64,7 +65,7 @@
 {
     for (std::size_t n = 0; n < coordination::max_dispatchers_asked; ++n) {
         ASSERT_EQ(next_name(), order.at(n).name);
-        search.exclude(order.at(n).name);
+        search.exclude(order.at(n).name, exclusion_reason::leaving);
     }
     EXPECT_EQ(next_name(), "");
 }
@@ -77,7 +78,7 @@
     for (auto name = next_name(); !name.empty(); name = next_name()) {
         ++asked;
         now += 80ms;
-        search.exclude(name);
+        search.exclude(name, exclusion_reason::late);
     }
     EXPECT_EQ(asked, 4U);
     EXPECT_LT(now - start, time_left / 3);
@@ -89,7 +90,7 @@
 {
     search = dispatcher_search(start, 0ms);
     EXPECT_EQ(next_name(), order.at(0).name);
-    search.exclude(order.at(0).name);
+    search.exclude(order.at(0).name, exclusion_reason::late);
     EXPECT_EQ(next_name(), "");
 }
 
@@ -105,7 +106,7 @@
 TEST_F(dispatcher_search_rules, the_local_host_takes_its_position_in_the_order)
 {
     self = order.at(1).name;
-    search.exclude(order.at(0).name);
+    search.exclude(order.at(0).name, exclusion_reason::late);
     EXPECT_EQ(next_name(), "");
 }
 
@@ -125,12 +126,40 @@
     EXPECT_EQ(step.peer->name, order.at(0).name);
     EXPECT_TRUE(step.accept_stale);
     // The stale dispatcher does not answer either.
-    search.exclude(order.at(0).name);
+    search.exclude(order.at(0).name, exclusion_reason::late);
     const auto last = next();
     EXPECT_EQ(last.peer, nullptr);
     EXPECT_TRUE(last.accept_stale);
 }
 
+// Guards against two places for one request by one dispatcher: it was left out
+// for its stale view, was asked when that was over, owes the answer, and is
+// asked again because it was the first with a stale view.
+TEST_F(dispatcher_search_rules, a_dispatcher_that_owes_an_answer_is_asked_again)
+{
+    for (const auto reason : {exclusion_reason::late, exclusion_reason::lost}) {
+        search = dispatcher_search(start, time_left);
+        states[order.at(0).name] = dispatcher_state::stale;
+        ASSERT_EQ(next_name(), order.at(1).name);
+        search.exclude(order.at(1).name, exclusion_reason::late);
+        states.clear();
+        ASSERT_EQ(next_name(), order.at(0).name);
+        search.exclude(order.at(0).name, reason);
+        // The next one refuses for its stale view, as the local host does.
+        ASSERT_EQ(next_name(), order.at(2).name);
+        search.mark_stale(order.at(2).name);
+        search.exclude(order.at(2).name, exclusion_reason::stale);
+        now = start + time_left;
+        ASSERT_EQ(next_name(), "");
+        search.mark_stale(self);
+        const auto step = next();
+        EXPECT_TRUE(step.accept_stale);
+        ASSERT_NE(step.peer, nullptr);
+        EXPECT_EQ(step.peer->name, order.at(2).name);
+        now = start;
+    }
+}
+
 // A dispatcher that is often late is asked after those that answer in time, and
 // before the local host places its own requests.
 TEST_F(dispatcher_search_rules, a_late_dispatcher_is_asked_first_or_never)
@@ -141,7 +170,7 @@
         states[order.at(n).name] = dispatcher_state::silent;
     }
     EXPECT_EQ(next_name(), order.at(0).name);
-    search.exclude(order.at(0).name);
+    search.exclude(order.at(0).name, exclusion_reason::late);
     EXPECT_EQ(next_name(), "");
 }
 
