Close a connection after a request without an id

A caller that sent no Request-Id left its connection to the upstream in the pool. A late copy of its answer bears no id either, and was passed on as the answer to the next request on the connection (MIXED).

Where upstreams repeat ids, a connection is closed after a request without one. The users' servers refuse such a request, and after a refusal without an id the connection was closed before. Where they repeat none, as with the product's own fields, nothing changes.

--- a/include/oriolegrade/protocol/own_dialect.hpp
+++ b/include/oriolegrade/protocol/own_dialect.hpp
@@ -28,6 +28,10 @@
     {
         Dialect::is_unrun(received)
         } -> std::same_as<bool>;
+    /// True when upstreams repeat the ids of requests in their answers.
+    {
+        Dialect::repeats_ids
+        } -> std::convertible_to<bool>;
     /// Id of the request that upstreams repeat in their answers; empty for
     /// none.
     {
@@ -47,6 +51,8 @@
 
 struct own_dialect
 {
+    static constexpr bool repeats_ids = false;
+
     static void prepare(request_head& request, std::uint64_t ms_left,
                         std::string_view)
     {
--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -319,7 +319,11 @@
             answer_head_.reset();
             return lost();
         }
-        if (Dialect::is_unrun(*answer_head_) || is_fault(*answer_head_)) {
+        // Without an id nothing tells a copy from the next answer.
+        const bool unnamed =
+            Dialect::repeats_ids && Dialect::request_id(head).empty();
+        if (unnamed || Dialect::is_unrun(*answer_head_) ||
+            is_fault(*answer_head_)) {
             connection->note_retryable_answer(Dialect::request_id(head));
         }
         if (Dialect::is_unrun(*answer_head_)) {
--- a/include/oriolegrade/transport/upstream_connection.hpp
+++ b/include/oriolegrade/transport/upstream_connection.hpp
@@ -60,7 +60,7 @@
     /// Notes that the present request was answered and may be sent again. A
     /// copy of the answer may come at any later time, where the answer to
     /// another send of the request would be due.
-    /// @param request_id empty when upstreams repeat no id; a copy cannot be
+    /// @param request_id empty when the answer repeats no id; a copy cannot be
     ///        told from any answer then, so the connection is not used again
     void note_retryable_answer(std::string_view request_id);
     /// True when a copy of an answer to the request may come.
