Keep the loops of a gateway going after an exception in one round

Since fibers log what leaves them, it would only stop following, and go on with old rules and upstreams.

A step that concerns one request, service or waiter keeps no other one from its turn. A document that was read and not put in force is read again, and is not confirmed to other hosts meanwhile; a register taken in part counts as old and is read whole. A wait at the store that throws counts as unanswered, because the reader waits for it. An exception in a frame ends its dispatch stream only: the link opens another one, and the places of the session become free.

The dispatch streams have no test with a fake that throws yet.

--- a/include/oriolegrade/transport/gateway/dispatch_server.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_server.hpp
@@ -43,6 +43,7 @@
 
     void serve(server_stream& stream);
     void serve_dispatch(server_stream& stream);
+    void take_frames(session& own, server_stream& stream);
     void serve_view(server_stream& stream);
     void serve_source(server_stream& stream);
 
--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -95,12 +95,12 @@
             const auto schedule = shared_.drain();
             boost::this_fiber::sleep_until(schedule->wait_end());
             for (auto* it : active_) {
-                it->stop_waiting();
+                run_step("drain", [it] { it->stop_waiting(); });
             }
             boost::this_fiber::sleep_until(schedule->run_end());
             for (auto* it : active_) {
-                it->stop_waiting();
-                it->expire();
+                run_step("drain", [it] { it->stop_waiting(); });
+                run_step("drain", [it] { it->expire(); });
             }
         });
     }
@@ -264,7 +264,7 @@
     {
         for (;;) {
             boost::this_fiber::sleep_for(gateway_pool_interval);
-            pool_.close_expired(clock::now());
+            run_step("pool", [this] { pool_.close_expired(clock::now()); });
         }
     }
 
--- a/include/oriolegrade/transport/gateway/member_directory.hpp
+++ b/include/oriolegrade/transport/gateway/member_directory.hpp
@@ -90,24 +90,25 @@
     {
         // After a loss of all hosts the directory still names them, and
         // callers are waiting.
-        const bool was_read = read();
-        announce();
+        bool was_read = false;
+        run_step("members_read", [&] { was_read = read(); });
+        run_step("members_announce", [this] { announce(); });
         if (!was_read) {
-            read();
+            run_step("members_read", [this] { read(); });
         }
         boost::this_fiber::sleep_for(member_second_read);
         settled_ = true;
         if (is_seed_) {
-            read();
+            run_step("members_read", [this] { read(); });
         } else {
             boost::this_fiber::sleep_for(member_seed_lead + spread());
-            ask_or_read();
+            run_step("members_read", [this] { ask_or_read(); });
         }
         for (;;) {
-            announce();
-            record();
+            run_step("members_announce", [this] { announce(); });
+            run_step("members_record", [this] { record(); });
             boost::this_fiber::sleep_for(member_interval);
-            refresh();
+            run_step("members_read", [this] { refresh(); });
         }
     }
 
--- a/include/oriolegrade/transport/gateway/registry_follower.hpp
+++ b/include/oriolegrade/transport/gateway/registry_follower.hpp
@@ -100,15 +100,20 @@
     /// Runs for ever.
     void run()
     {
-        for (;;) {
+        repeat_for_ever("register", registry_retry, [this] {
             wait_for_use();
-            read();
+            if (!run_step("register_read", [this] { read(); })) {
+                // Part of the changes may have been taken: the whole register
+                // is read next, and nothing is placed on this view.
+                failed_ = true;
+                read_at_ = state::time_point::min();
+            }
             const auto done = std::exchange(waiting_, {});
-            on_read();
+            run_step("register_news", on_read);
             for (const auto& it : done) {
-                it();
+                run_step("register_refresh", it);
             }
-        }
+        });
     }
 
 private:
--- a/include/oriolegrade/transport/gateway/relayed_source.hpp
+++ b/include/oriolegrade/transport/gateway/relayed_source.hpp
@@ -161,7 +161,13 @@
     {
         const auto pending = std::make_shared<pending_wait>();
         spawn_fiber([this, pending, from, wait] {
-            pending->result = own_.wait_for_rules(from, wait);
+            run_step("rules_wait", [&] {
+                pending->result = own_.wait_for_rules(from, wait);
+            });
+            if (!pending->result) {
+                // The reader must not wait for ever for this call.
+                pending->result = state::source_failure::unreachable;
+            }
             pending->ended.notify();
         });
         const auto has_ended = [&] {
@@ -247,7 +253,9 @@
         }
         testing_ = true;
         spawn_fiber([this] {
-            const bool answers = own_.newest_rules().has_value();
+            bool answers = false;
+            run_step("store_test",
+                     [&] { answers = own_.newest_rules().has_value(); });
             testing_ = false;
             tested_at_ = clock::now();
             if (answers) {
--- a/include/oriolegrade/transport/gateway/rules_follower.hpp
+++ b/include/oriolegrade/transport/gateway/rules_follower.hpp
@@ -115,46 +115,46 @@
     void run()
     {
         auto retry = rules_first_retry;
-        for (;;) {
+        repeat_for_ever("rules", rules_last_retry, [&] {
             if (shared_.configured && !is_reader() && is_confirmed()) {
                 next_offset_.reset();
                 wait_for_lapse();
-                continue;
+                return;
             }
-            if (read()) {
+            if (read_or_forget()) {
                 retry = rules_first_retry;
-                continue;
+                return;
             }
             boost::this_fiber::sleep_for(retry);
             const auto longest = is_reader() || !shared_.configured
                                      ? rules_last_retry
                                      : rules_last_idle_retry;
             retry = std::min(retry * 2, longest);
-        }
+        });
     }
 
     /// Brings in versions that other hosts told of; runs for ever.
     void run_notices()
     {
-        for (;;) {
+        repeat_for_ever("rules_notices", rules_last_retry, [this] {
             noticed_.wait([this] { return behind(); });
             catch_up();
-        }
+        });
     }
 
     /// Asks other hosts while the store does not answer; runs for ever.
     void run_peers()
     {
-        for (;;) {
+        repeat_for_ever("rules_peers", rules_peer_interval, [this] {
             lost_.wait([this] { return failing_; });
             boost::this_fiber::sleep_for(rules_peer_interval);
             if (!failing_ || is_confirmed()) {
-                continue;
+                return;
             }
             if (const auto document = ask_peer({}, version_in_force())) {
                 take(*document, "peer");
             }
-        }
+        });
     }
 
 private:
@@ -190,6 +190,20 @@
         return is_reader() ? rules_wait : rules_idle_wait;
     }
 
+    /// A document that an exception kept out of force is read again, and is not
+    /// confirmed to other hosts meanwhile.
+    bool read_or_forget()
+    {
+        bool has_read = false;
+        const auto fault = caught([&] { has_read = read(); });
+        if (fault) {
+            next_offset_.reset();
+            read_at_ = std::min(read_at_, clock::now() - rules_fresh_limit);
+            std::rethrow_exception(fault);
+        }
+        return has_read;
+    }
+
     /// One read of the store; false when it failed.
     bool read()
     {
--- a/src/transport/gateway/dispatch_link.cpp
+++ b/src/transport/gateway/dispatch_link.cpp
@@ -52,6 +52,7 @@
     fiber_signal changed;
 
     void run();
+    void run_stream();
     bool read_frames(client_stream& from);
     void write_frames(const std::shared_ptr<client_stream>& to);
 };
@@ -98,23 +99,31 @@
     }
 }
 
-void dispatch_link::connection::run()
+void dispatch_link::connection::run_stream()
 {
     // Declared first, so that it outlives the streams.
     stream_client client(ioc, peer, {}, gateway_stream_limits());
     auto opened = client.open(dispatch_path, {}, open_limit);
     if (opened) {
         stream = std::make_shared<client_stream>(std::move(opened.value()));
-        unsent.insert(0, framed(protocol::encode_entry_frame(hello())));
         fiber_group writer;
-        writer.spawn([this, to = stream] { write_frames(to); });
-        read_frames(*stream);
+        run_step("dispatch_link", [&] {
+            unsent.insert(0, framed(protocol::encode_entry_frame(hello())));
+            writer.spawn([this, to = stream] { write_frames(to); });
+            read_frames(*stream);
+        });
         ending = true;
         changed.notify();
         stream->cancel();
         writer.join();
         stream.reset();
     }
+}
+
+void dispatch_link::connection::run()
+{
+    // A link that counts as running opens no other stream.
+    run_step("dispatch_link", [this] { run_stream(); });
     open = false;
     unsent.clear();
     running = false;
--- a/src/transport/gateway/dispatch_router.cpp
+++ b/src/transport/gateway/dispatch_router.cpp
@@ -122,7 +122,7 @@
 {
     for (const auto number : std::exchange(early_, {})) {
         if (requests_.contains(number)) {
-            advance(number);
+            run_step("dispatch_ask", [&] { advance(number); });
         }
     }
 }
@@ -303,7 +303,7 @@
 
 void dispatch_router::keep_links()
 {
-    for (;;) {
+    repeat_for_ever("dispatch_links", link_check_interval, [this] {
         members_changed_.wait_until(clock::now() + link_check_interval,
                                     [this] { return links_due_; });
         links_due_ = false;
@@ -326,7 +326,7 @@
             }
         }
         send_probes();
-    }
+    });
 }
 
 void dispatch_router::take_reply(std::uint64_t number,
@@ -435,7 +435,7 @@
         placement_counters_.excluded(it.request.service,
                                      exclusion_reason::lost);
         it.search.exclude(host);
-        advance(number);
+        run_step("dispatch_ask", [&] { advance(number); });
     }
 }
 
@@ -495,7 +495,7 @@
 
 void dispatch_router::run()
 {
-    for (;;) {
+    repeat_for_ever("dispatch_waits", answer_limit, [this] {
         changed_.wait([this] { return !waits_.empty(); });
         const auto until = waits_.front().until;
         changed_.wait_until(until, [] { return false; });
@@ -503,9 +503,9 @@
         while (!waits_.empty() && waits_.front().until <= now) {
             const auto it = waits_.front();
             waits_.pop_front();
-            note_late(it);
+            run_step("dispatch_ask", [&] { note_late(it); });
         }
-    }
+    });
 }
 
 } // namespace oriolegrade::transport
--- a/src/transport/gateway/dispatch_server.cpp
+++ b/src/transport/gateway/dispatch_server.cpp
@@ -126,7 +126,8 @@
         changed.notify();
         for (const auto& [number, request_id] :
              std::exchange(request_ids, {})) {
-            service.report_host_lost(request_id);
+            run_step("dispatch_session",
+                     [&] { service.report_host_lost(request_id); });
         }
     }
 };
@@ -167,35 +168,44 @@
     }
     const auto own = std::make_shared<session>(*this, service_);
     sessions_.insert(own);
-    own->send(protocol::rules_notice{shared_.rules.read()->rules().version,
-                                     confirmed_age()});
     fiber_group writer;
-    writer.spawn([own, &stream] { own->write(stream); });
+    // Whatever ends the session, its places become free below and the writer
+    // ends before its stream.
+    run_step("dispatch_session", [&] {
+        own->send(protocol::rules_notice{shared_.rules.read()->rules().version,
+                                         confirmed_age()});
+        writer.spawn([own, &stream] { own->write(stream); });
+        take_frames(*own, stream);
+    });
+    own->end();
+    sessions_.erase(own);
+    writer.join();
+}
+
+void dispatch_server::take_frames(session& own, server_stream& stream)
+{
     for (;;) {
         const auto bytes =
             read_message(stream, protocol::max_dispatch_frame_bytes);
         if (!bytes || !bytes.value()) {
-            break;
+            return;
         }
         const auto frame = protocol::decode_entry_frame(*bytes.value());
         if (!frame) {
             event(log_level::error, "entry_frame_malformed")
-                .with("host", own->host)
+                .with("host", own.host)
                 .with("findings", frame.error().to_text("frame"));
-            break;
+            return;
         }
         const auto* ask = std::get_if<protocol::numbered<state::place_request>>(
             &frame.value());
         if (ask != nullptr && shared_.stopping) {
-            own->send(protocol::numbered<state::place_refusal>{
+            own.send(protocol::numbered<state::place_refusal>{
                 ask->number, {state::place_refusal_reason::leaving, {}}});
             continue;
         }
-        std::visit([&](const auto& it) { own->take(it); }, frame.value());
+        std::visit([&](const auto& it) { own.take(it); }, frame.value());
     }
-    own->end();
-    sessions_.erase(own);
-    writer.join();
 }
 
 void dispatch_server::tell_rules_version(std::uint64_t version)
--- a/src/transport/gateway/dispatch_service.cpp
+++ b/src/transport/gateway/dispatch_service.cpp
@@ -302,16 +302,17 @@
 
 void dispatch_service::run()
 {
-    for (;;) {
+    repeat_for_ever("dispatch", poll_interval, [this] {
         busy_.wait([this] { return is_busy() || !refreshes_.empty(); });
         boost::this_fiber::sleep_for(poll_interval);
         const auto now = clock::now();
-        refuse_overdue_refreshes(now);
+        run_step("dispatch_refreshes", [&] { refuse_overdue_refreshes(now); });
+        // A service whose queue fails keeps no other one waiting.
         for (auto& it : queues_) {
-            poll(it.first, it.second, now);
+            run_step("dispatch_poll", [&] { poll(it.first, it.second, now); });
         }
         log_summaries(now);
-    }
+    });
 }
 
 } // namespace oriolegrade::transport
