End a forwarded request and a stream between hosts, not the process

An exception in a request that another host forwarded, in a claim or in the handler of a stream ended the process. A run that ended so also stayed in the table as running: repeats waited for it until their deadline.

The handler of a stream is a step now, and its stream is reset. A forwarded request without an answer gets 502 internal_error with the outcome unknown. The run is recorded as unknown, or as ran when an answer had begun. A claim whose step throws is answered as unresolved. A loop of a connection that throws closes it, and accept loops go on with the next connection.

Four cases of once_path and two of stream, with fakes that throw, pass. The loops of a connection and of a claim partition have no test with a fake that throws yet.

--- a/include/oriolegrade/transport/forward_server.hpp
+++ b/include/oriolegrade/transport/forward_server.hpp
@@ -4,6 +4,7 @@
 #ifndef ORIOLEGRADE_TRANSPORT_FORWARD_SERVER_HPP
 #define ORIOLEGRADE_TRANSPORT_FORWARD_SERVER_HPP
 
+#include <oriolegrade/protocol/once_messages.hpp>
 #include <oriolegrade/transport/entry_shared.hpp>
 #include <oriolegrade/transport/once_shared.hpp>
 #include <oriolegrade/transport/stream_server.hpp>
@@ -33,6 +34,9 @@
 private:
     void serve(server_stream& stream);
     void serve_forward(server_stream& stream);
+    template <body_source Source, answer_sink Sink>
+    void run_forwarded(const protocol::forward_request& request, Source& source,
+                       Sink& sink);
     void serve_claims(server_stream& stream);
     void serve_handover(server_stream& stream);
 
--- a/include/oriolegrade/transport/once_runner.hpp
+++ b/include/oriolegrade/transport/once_runner.hpp
@@ -9,8 +9,11 @@
 #include <oriolegrade/transport/fiber_result.hpp>
 #include <oriolegrade/transport/recording_sink.hpp>
 #include <oriolegrade/transport/reply.hpp>
+#include <oriolegrade/transport/request_fault.hpp>
 #include <oriolegrade/transport/upstream_runner.hpp>
 
+#include <exception>
+#include <string_view>
 #include <variant>
 
 namespace oriolegrade::transport {
@@ -53,6 +56,18 @@
     }
 }
 
+/// Answers a request of another host that an exception ended: it may have run.
+/// An answer that has begun is left to be reset.
+template <answer_sink Sink>
+void end_with_fault(Sink& sink, std::string_view request_id,
+                    const std::exception_ptr& fault)
+{
+    log_request_fault(request_id, fault);
+    if (!sink.started()) {
+        send_reply(sink, state::reply_reason::internal_error);
+    }
+}
+
 /// Runs the request that try_start() granted, and records its end.
 template <body_source Source, answer_sink Sink>
 void run_granted_request(upstream_runner& runner,
@@ -71,7 +86,17 @@
     recording_sink recorder(sink, [&](state::answer_ptr answer) {
         record({state::run_outcome::ran, std::move(answer)});
     });
-    const auto report = runner.run(context, source, recorder);
+    run_report report;
+    const auto fault =
+        caught([&] { report = runner.run(context, source, recorder); });
+    if (fault) {
+        // An entry left running would let repeats wait in vain, and be kept
+        // for ever. Whether a send came first is not known.
+        record({recorder.started() ? state::run_outcome::ran
+                                   : state::run_outcome::unknown,
+                nullptr});
+        std::rethrow_exception(fault);
+    }
     if (recorded) {
         return;
     }
--- a/src/transport/claim_service.cpp
+++ b/src/transport/claim_service.cpp
@@ -5,6 +5,7 @@
 #include <oriolegrade/state/partition.hpp>
 #include <oriolegrade/transport/fiber_scheduler.hpp>
 #include <oriolegrade/transport/forward_server.hpp>
+#include <oriolegrade/transport/task_fault.hpp>
 
 #include <boost/asio/post.hpp>
 
@@ -15,6 +16,17 @@
 /// A partition without claims for this time is no longer followed.
 constexpr std::chrono::seconds partition_idle_limit{60};
 constexpr std::chrono::seconds maintain_interval{30};
+/// Interval of rounds that fail.
+constexpr std::chrono::milliseconds fault_interval{200};
+
+/// An exception leaves the claim unresolved: it may have been written.
+template <std::invocable Step>
+void run_claim(const coordination::claim_callback& done, Step step)
+{
+    if (!run_step("claim", step)) {
+        done({});
+    }
+}
 
 } // namespace
 
@@ -30,8 +42,9 @@
                            coordination::claim_callback done)
 {
     boost::asio::post(ioc_, [this, what, limit, done = std::move(done)] {
-        spawn_fiber(
-            [this, what, limit, done] { submit_here(what, limit, done); });
+        spawn_fiber([this, what, limit, done] {
+            run_claim(done, [&] { submit_here(what, limit, done); });
+        });
     });
 }
 
@@ -39,7 +52,9 @@
                           coordination::claim_callback done)
 {
     boost::asio::post(ioc_, [this, what, done = std::move(done)] {
-        spawn_fiber([this, what, done] { write_here(what, done); });
+        spawn_fiber([this, what, done] {
+            run_claim(done, [&] { write_here(what, done); });
+        });
     });
 }
 
@@ -105,8 +120,12 @@
 void claim_service::pump(partition& it)
 {
     auto maintain_at = std::chrono::steady_clock::now() + maintain_interval;
-    while (it.claims->next_due() ||
-           std::chrono::steady_clock::now() - it.used < partition_idle_limit) {
+    const auto is_used = [&it] {
+        return it.claims->next_due() ||
+               std::chrono::steady_clock::now() - it.used <
+                   partition_idle_limit;
+    };
+    repeat_while(is_used, "claims", fault_interval, [&] {
         const auto due = it.claims->next_due();
         const auto wake = due ? std::min(*due, maintain_at) : maintain_at;
         it.has_news = false;
@@ -120,7 +139,7 @@
         if (next && *next <= now) {
             it.claims->pump(now);
         }
-    }
+    });
     it.running = false;
 }
 
--- a/src/transport/forward_server.cpp
+++ b/src/transport/forward_server.cpp
@@ -59,6 +59,7 @@
 
     void start(const protocol::answer_head& head, error_code& ec)
     {
+        started_ = true;
         check(stream_.respond(200), ec);
         if (!ec) {
             check(write_message(stream_, protocol::encode(to_forward(head))),
@@ -76,6 +77,11 @@
         stream_.finish();
     }
 
+    bool started() const
+    {
+        return started_;
+    }
+
 private:
     static void check(const stream_result<void>& result, error_code& ec)
     {
@@ -85,6 +91,7 @@
     }
 
     server_stream& stream_;
+    bool started_ = false;
 };
 
 } // namespace
@@ -133,9 +140,20 @@
         return;
     }
     const count_guard guard(shared_.requests_in_flight);
-    const auto& it = request.value();
     forwarded_body source(stream);
     forwarded_answer sink(stream);
+    const auto fault =
+        caught([&] { run_forwarded(request.value(), source, sink); });
+    if (fault) {
+        const auto head = head_of(request.value());
+        end_with_fault(sink, protocol::own_dialect::request_id(head), fault);
+    }
+}
+
+template <body_source Source, answer_sink Sink>
+void forward_server::run_forwarded(const protocol::forward_request& it,
+                                   Source& source, Sink& sink)
+{
     const auto conf = shared_.configuration.read();
     request_context context;
     context.head = head_of(it);
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -6,6 +6,7 @@
 #include <oriolegrade/transport/fiber_scheduler.hpp>
 #include <oriolegrade/transport/fiber_yield.hpp>
 #include <oriolegrade/transport/request_fault.hpp>
+#include <oriolegrade/transport/task_fault.hpp>
 
 #include <boost/asio/socket_base.hpp>
 #include <boost/fiber/operations.hpp>
@@ -71,22 +72,24 @@
 void listener::shared_state::accept_loop(
     const std::shared_ptr<shared_state>& self)
 {
-    while (!self->closed) {
-        if (self->open >= self->max_connections) {
-            boost::this_fiber::sleep_for(accept_pause);
-            continue;
-        }
-        tcp_stream stream(self->ioc);
-        error_code ec;
-        self->acceptor.async_accept(stream.socket(), fiber_yield(ec));
-        if (!ec) {
-            start(self, std::move(stream));
-        } else if (!self->closed) {
-            event(log_level::warning, "accept_failed")
-                .with("error", ec.message());
-            boost::this_fiber::sleep_for(accept_pause);
-        }
-    }
+    repeat_while([&] { return !self->closed; }, "accept", accept_pause,
+                 [&] {
+                     if (self->open >= self->max_connections) {
+                         boost::this_fiber::sleep_for(accept_pause);
+                         return;
+                     }
+                     tcp_stream stream(self->ioc);
+                     error_code ec;
+                     self->acceptor.async_accept(stream.socket(),
+                                                 fiber_yield(ec));
+                     if (!ec) {
+                         start(self, std::move(stream));
+                     } else if (!self->closed) {
+                         event(log_level::warning, "accept_failed")
+                             .with("error", ec.message());
+                         boost::this_fiber::sleep_for(accept_pause);
+                     }
+                 });
 }
 
 void listener::shared_state::accept_backlog(
--- a/src/transport/stream_client.cpp
+++ b/src/transport/stream_client.cpp
@@ -172,7 +172,7 @@
     bool written = false;
     fiber_signal ended;
     fibers_.spawn([&] {
-        write();
+        run_step("call_body", write);
         written = true;
         ended.notify();
     });
--- a/src/transport/stream_server.cpp
+++ b/src/transport/stream_server.cpp
@@ -5,6 +5,7 @@
 #include <oriolegrade/protocol/header_field.hpp>
 #include <oriolegrade/transport/event_log.hpp>
 #include <oriolegrade/transport/fiber_yield.hpp>
+#include <oriolegrade/transport/task_fault.hpp>
 
 #include <boost/fiber/operations.hpp>
 #include <nghttp2/nghttp2.h>
@@ -21,6 +22,8 @@
 /// Connections of one thread: about two per host of the largest fleet.
 constexpr std::size_t max_connections = 2048;
 constexpr int listen_backlog = 1024;
+/// Wait after a failed accept, for example when descriptors run out.
+constexpr std::chrono::milliseconds accept_pause{20};
 /// Time for the final GOAWAY to reach peers before their streams are cut.
 constexpr std::chrono::milliseconds final_goaway_time = 50ms;
 
@@ -93,23 +96,26 @@
 
 void stream_server::accept_loop()
 {
-    while (!stopping_) {
-        boost::asio::ip::tcp::socket socket(acceptor_.get_executor());
-        boost::system::error_code ec;
-        acceptor_.async_accept(socket, fiber_yield(ec));
-        if (stopping_) {
-            break;
-        }
-        drop_closed();
-        if (ec) {
-            event(log_level::warning, "stream_accept_failed")
-                .with("reason", ec.message());
-            // Out of descriptors, most likely: wait for connections to end.
-            boost::this_fiber::sleep_for(20ms);
-        } else if (is_welcome(socket)) {
-            start_session(std::move(socket));
-        }
-    }
+    repeat_while([this] { return !stopping_; }, "stream_accept", accept_pause,
+                 [this] {
+                     boost::asio::ip::tcp::socket socket(
+                         acceptor_.get_executor());
+                     boost::system::error_code ec;
+                     acceptor_.async_accept(socket, fiber_yield(ec));
+                     if (stopping_) {
+                         return;
+                     }
+                     drop_closed();
+                     if (ec) {
+                         event(log_level::warning, "stream_accept_failed")
+                             .with("reason", ec.message());
+                         // Out of descriptors, most likely: wait for
+                         // connections to end.
+                         boost::this_fiber::sleep_for(accept_pause);
+                     } else if (is_welcome(socket)) {
+                         start_session(std::move(socket));
+                     }
+                 });
 }
 
 bool stream_server::is_welcome(const boost::asio::ip::tcp::socket& socket) const
@@ -163,7 +169,7 @@
         static_cast<void>(facade.reply(403, ""));
         return;
     }
-    handler_(facade);
+    run_step(facade.path(), [&] { handler_(facade); });
     if (!facade.is_finished()) {
         stream->reset(NGHTTP2_INTERNAL_ERROR);
     }
--- a/src/transport/stream_session.cpp
+++ b/src/transport/stream_session.cpp
@@ -112,9 +112,19 @@
 void stream_session::start(fiber_group& group)
 {
     const auto self = shared_from_this();
-    group.spawn([self] { self->read_loop(); });
-    group.spawn([self] { self->write_loop(); });
-    group.spawn([self] { self->watch_loop(); });
+    const auto spawn = [&](std::string_view task,
+                           void (stream_session::*loop)()) {
+        group.spawn([self, task, loop] {
+            // Each loop ends the connection; streams must not wait for one
+            // that has ended.
+            if (!run_step(task, [&] { (*self.*loop)(); })) {
+                self->close();
+            }
+        });
+    };
+    spawn("stream_read", &stream_session::read_loop);
+    spawn("stream_write", &stream_session::write_loop);
+    spawn("stream_watch", &stream_session::watch_loop);
 }
 
 void stream_session::read_loop()
--- a/test/transport/once_path_test.cpp
+++ b/test/transport/once_path_test.cpp
@@ -11,6 +11,8 @@
 #include <boost/fiber/fiber.hpp>
 
 #include <map>
+#include <span>
+#include <stdexcept>
 #include <vector>
 
 namespace {
@@ -370,4 +372,134 @@
     });
 }
 
+/// Body of a request whose connection fails with an exception.
+struct throwing_body
+{
+    std::size_t read_some(std::span<char>, transport::error_code&)
+    {
+        throw std::runtime_error("made by a test");
+    }
+};
+
+/// Keeps the head of an answer.
+struct head_sink
+{
+    void start(const protocol::answer_head& it, transport::error_code&)
+    {
+        head = it;
+        begun = true;
+    }
+    void write(std::string_view, transport::error_code&) {}
+    void finish(transport::error_code&) {}
+    bool started() const
+    {
+        return begun;
+    }
+
+    protocol::answer_head head;
+    bool begun = false;
+};
+
+// Guards against a run that an exception ended and that stays in the table as
+// running: repeats waited for it until their deadline.
+TEST(once_path, fault_of_a_run_leaves_its_outcome_unknown)
+{
+    on_fleet([](fleet& f) {
+        // Kept until the process ends, as its maintenance goes on.
+        auto& runner = *new transport::upstream_runner(f.ioc, f.a.shared);
+        const auto held = f.a.once.incarnations.own();
+        const auto now = std::chrono::steady_clock::now();
+        const auto conf = f.a.shared.configuration.read();
+        transport::request_context context;
+        context.head.method = "POST";
+        context.head.target = "/book";
+        context.head.framing.length = 6;
+        context.route = conf->find_route("POST", "/book");
+        context.service = conf->find_service("s", std::nullopt);
+        context.deadline = now + 1s;
+        const transport::once_request request{
+            {state::request_id_kind::claim, state::random_identifier()},
+            state::random_identifier(),
+            0};
+        ASSERT_TRUE(held->used.reserve(request.id, request.fingerprint,
+                                       3'600'000,
+                                       held->authority.elapsed_ms(now)));
+        throwing_body body;
+        head_sink sink;
+        EXPECT_THROW(
+            transport::run_once(runner, *held, context, request, body, sink),
+            std::runtime_error);
+        transport::run_once(runner, *held, context, request, body, sink);
+        EXPECT_LT(std::chrono::steady_clock::now() - now, 500ms);
+        EXPECT_EQ(sink.head.status, 502U);
+        EXPECT_EQ(sink.head.fields.find(protocol::header_field::outcome),
+                  "unknown");
+        EXPECT_EQ(f.upstream.runs, 0);
+    });
+}
+
+// Guards against a forwarded request without an answer, and against a reply
+// behind an answer that has begun.
+TEST(once_path, fault_of_a_forwarded_request_is_answered)
+{
+    const auto fault = std::make_exception_ptr(std::runtime_error("x"));
+    head_sink fresh;
+    transport::end_with_fault(fresh, {}, fault);
+    EXPECT_EQ(fresh.head.status, 502U);
+    EXPECT_EQ(fresh.head.fields.find(protocol::header_field::outcome),
+              "unknown");
+    head_sink begun;
+    begun.begun = true;
+    transport::end_with_fault(begun, {}, fault);
+    EXPECT_EQ(begun.head.status, head_sink().head.status);
+}
+
+// Guards against a host that ends with the claims or the hand-over of another
+// one.
+TEST(once_path, fault_of_a_stream_between_hosts_ends_the_stream)
+{
+    on_fleet([](fleet& f) {
+        f.b.once.write_claim = [](const state::claim&, const auto&) {
+            throw std::runtime_error("made by a test");
+        };
+        transport::stream_client client(f.ioc, f.b.worker.forward_address(),
+                                        "fleet-key", {});
+        const protocol::claim_request claims{
+            0,
+            {{state::digest256{}, state::random_identifier(),
+              state::random_identifier(), 1000}}};
+        EXPECT_FALSE(client.call(transport::claims_path, {},
+                                 protocol::encode(claims), 1s));
+        f.upstream.add({answer_text("booked")});
+        EXPECT_EQ(f.book(f.b, f.token(f.b)).body(), "booked");
+        client.stop();
+    });
+}
+
+// Guards entry_worker::fail: a request that was given to a part that sends it
+// may have run.
+TEST(once_path, fault_of_a_claim_is_answered_as_unknown)
+{
+    on_fleet([](fleet& f) {
+        const auto submit = f.a.once.submit_claim;
+        f.a.once.submit_claim = [](const state::claim&, state::duration,
+                                   const auto&) {
+            throw std::runtime_error("made by a test");
+        };
+        fake_caller caller(f.ioc, f.a.worker.address());
+        const std::string fields = "Oriolegrade-Caller: shop\r\n";
+        const auto answer =
+            caller.post("/book", "carton", fields + "Idempotency-Key: 1\r\n");
+        EXPECT_EQ(answer.result_int(), 502U);
+        EXPECT_EQ(outcome_of(answer), "unknown");
+        f.a.once.submit_claim = submit;
+        f.upstream.add({answer_text("booked")});
+        EXPECT_EQ(
+            caller.post("/book", "carton", fields + "Idempotency-Key: 2\r\n")
+                .body(),
+            "booked");
+        EXPECT_EQ(f.a.shared.requests_in_flight, 0);
+    });
+}
+
 } // namespace
--- a/test/transport/stream_test.cpp
+++ b/test/transport/stream_test.cpp
@@ -13,6 +13,7 @@
 
 #include <atomic>
 #include <future>
+#include <stdexcept>
 
 namespace {
 
@@ -341,6 +342,45 @@
     });
 }
 
+// Guards against a process that ends with the exception of one handler, and
+// against a client that waits for its answer until the deadline.
+TEST(stream, fault_of_a_handler_resets_its_stream)
+{
+    test::on_fiber_thread([](asio::io_context& ioc) {
+        pair_of_ends ends(ioc, {}, [](server_stream& s) {
+            if (s.path() == "/fault") {
+                throw std::runtime_error("made by a test");
+            }
+            echo(s);
+        });
+        const auto began = std::chrono::steady_clock::now();
+        EXPECT_FALSE(ends.client.call("/fault", {}, "x", 5s));
+        EXPECT_LT(std::chrono::steady_clock::now() - began, 2s);
+        EXPECT_TRUE(ends.client.call("/", {}, "x", 1s));
+    });
+}
+
+// Guards against a server that takes no connection after a fault.
+TEST(stream, fault_of_one_connection_leaves_the_accept_loop)
+{
+    test::on_fiber_thread([](asio::io_context& ioc) {
+        stream_server server(open_port(ioc), "key", {}, echo);
+        int connections = 0;
+        server.admit_only([&](std::uint32_t) {
+            if (++connections == 1) {
+                throw std::runtime_error("made by a test");
+            }
+            return true;
+        });
+        server.start();
+        stream_client client(ioc, {loopback, server.port().value()}, "key", {});
+        EXPECT_FALSE(client.call("/", {}, "x", 1s));
+        EXPECT_TRUE(client.call("/", {}, "x", 1s));
+        client.stop();
+        server.stop(0ms);
+    });
+}
+
 // Guards against a shutdown that cuts streams in flight.
 TEST(stream, graceful_stop_finishes_streams_in_flight)
 {
