Keep the loops of entry and agent going after an exception in one round

An exception in a maintenance loop of oriole-entry or oriole-agent ended the process.

Each round is a step of its own now, with the usual time between rounds. The entry keeps a configuration only once it is in force; one that was kept before would not be sent again.

No test with a fake that throws covers these loops yet; the piece that they share is covered by task_fault.

--- a/src/transport/agent_audit.cpp
+++ b/src/transport/agent_audit.cpp
@@ -74,7 +74,7 @@
 
 void agent_audit::write_loop()
 {
-    for (;;) {
+    repeat_for_ever("audit", check_interval, [this] {
         added_.wait([this] { return buffer_.size() > 0; });
         if (const auto* batch = buffer_.due_batch(clock::now())) {
             const auto result =
@@ -84,7 +84,7 @@
         } else {
             boost::this_fiber::sleep_for(check_interval);
         }
-    }
+    });
 }
 
 std::vector<state::audit_event> agent_audit::recent(std::uint64_t from,
--- a/src/transport/agent_configuration.cpp
+++ b/src/transport/agent_configuration.cpp
@@ -64,13 +64,13 @@
 
 void agent_configuration::follow()
 {
-    for (;;) {
+    repeat_for_ever("configuration", retry_pause, [this] {
         while (!is_turn()) {
             turn_.wait_until(clock::now() + silence_check,
                              [this] { return is_turn(); });
         }
         read_once();
-    }
+    });
 }
 
 bool agent_configuration::is_turn() const
--- a/src/transport/agent_health.cpp
+++ b/src/transport/agent_health.cpp
@@ -293,7 +293,7 @@
 {
     while (!stopping_) {
         for (auto& it : batcher_.take_due(now())) {
-            send(std::move(it));
+            run_step("evidence", [&] { send(std::move(it)); });
         }
         send_.wait_until(batcher_.next_due());
     }
@@ -301,10 +301,13 @@
 
 void agent_health::ask_loop()
 {
-    while (!stopping_) {
+    const auto goes_on = [this] {
+        return !stopping_;
+    };
+    repeat_while(goes_on, "verdict_questions", ask_interval, [this] {
         if (verdicts_.empty()) {
             ask_.wait_until(state::time_point::max());
-            continue;
+            return;
         }
         ask_.wait_until(now() + ask_interval);
         if (verdicts_.expire(now())) {
@@ -316,7 +319,7 @@
             question.schema_version = key.schema_version;
             send(std::move(question));
         }
-    }
+    });
 }
 
 std::optional<state::endpoint>
@@ -346,7 +349,7 @@
     }
     ++calls_;
     fibers_.spawn([this, collector, batch = std::move(batch)] {
-        call_collector(*collector, batch);
+        run_step("evidence", [&] { call_collector(*collector, batch); });
         --calls_;
     });
 }
@@ -436,14 +439,17 @@
 
 void agent_health::tick_loop()
 {
-    while (!stopping_) {
+    const auto goes_on = [this] {
+        return !stopping_;
+    };
+    repeat_while(goes_on, "health", ask_interval, [this] {
         const auto pause = collectors_.next_advance_delay(now());
         const auto begin = now();
         tick_.wait_until(pause ? begin + *pause : state::time_point::max());
         if (!stopping_) {
             tick();
         }
-    }
+    });
 }
 
 void agent_health::tick()
@@ -492,8 +498,10 @@
                 const auto host = hosts->back();
                 hosts->pop_back();
                 ++counts_.verdicts_pushed;
-                (void)clients_.at(host)->call(push_verdict_path, {}, *bytes,
-                                              call_limit);
+                run_step("verdict_push", [&] {
+                    (void)clients_.at(host)->call(push_verdict_path, {}, *bytes,
+                                                  call_limit);
+                });
             }
         });
     }
--- a/src/transport/agent_membership.cpp
+++ b/src/transport/agent_membership.cpp
@@ -90,7 +90,7 @@
 void agent_membership::receive_loop()
 {
     std::array<char, protocol::max_datagram_bytes + 1> buf;
-    for (;;) {
+    repeat_for_ever("gossip_receive", receive_pause, [&] {
         udp::endpoint from;
         error_code ec;
         const auto n = socket_.async_receive_from(boost::asio::buffer(buf),
@@ -98,19 +98,19 @@
         if (ec) {
             // Errors of earlier sends arrive here too.
             boost::this_fiber::sleep_for(receive_pause);
-            continue;
+            return;
         }
         traffic_.received_bytes += n;
         ++traffic_.received_datagrams;
         if (n > 0 && is_health_datagram(buf[0])) {
             answer_health({buf.data(), n}, from);
-            continue;
+            return;
         }
         const auto message =
             protocol::decode_gossip({buf.data(), n}, settings_.fleet_key);
         if (!message) {
             ++traffic_.refused_datagrams;
-            continue;
+            return;
         }
         const state::endpoint source{from.address().to_v4().to_uint(),
                                      from.port()};
@@ -118,7 +118,7 @@
                               message.value()));
         dirty_ = true;
         dirtied_.notify();
-    }
+    });
 }
 
 void agent_membership::answer_health(std::string_view bytes,
@@ -147,28 +147,30 @@
 
 void agent_membership::tick_loop()
 {
-    for (;;) {
+    repeat_for_ever("gossip", refresh_interval, [this] {
         send(members_.tick(std::chrono::steady_clock::now(), random_));
         dirty_ = true;
         dirtied_.notify();
         boost::this_fiber::sleep_until(members_.next_deadline());
-    }
+    });
 }
 
 void agent_membership::host_list_loop()
 {
     for (;;) {
-        const auto answer = platform_.hosts();
-        if (const auto* list = std::get_if<state::host_list>(&answer)) {
-            members_.set_host_list(*list, std::chrono::steady_clock::now());
-        }
+        run_step("host_list", [this] {
+            const auto answer = platform_.hosts();
+            if (const auto* list = std::get_if<state::host_list>(&answer)) {
+                members_.set_host_list(*list, std::chrono::steady_clock::now());
+            }
+        });
         boost::this_fiber::sleep_for(host_list_interval);
     }
 }
 
 void agent_membership::refresh_loop()
 {
-    for (;;) {
+    repeat_for_ever("members", refresh_interval, [this] {
         dirtied_.wait([this] { return dirty_; });
         dirty_ = false;
         refresh_peers();
@@ -177,7 +179,7 @@
             on_refresh_();
         }
         boost::this_fiber::sleep_for(refresh_interval);
-    }
+    });
 }
 
 void agent_membership::send(
--- a/src/transport/agent_push.cpp
+++ b/src/transport/agent_push.cpp
@@ -122,7 +122,7 @@
 void agent_push::send_loop(receiver& it)
 {
     while (!it.stopped) {
-        send_waiting(it);
+        run_step("push", [&] { send_waiting(it); });
         boost::this_fiber::sleep_for(reconnect_pause);
     }
     it.client.stop();
--- a/src/transport/agent_snapshots.cpp
+++ b/src/transport/agent_snapshots.cpp
@@ -118,7 +118,12 @@
     }
     progress.asked = run->hosts.size();
     for (std::size_t n = 0; n < run->hosts.size(); ++n) {
-        spawn_fiber([this, run, n] { ask(run, n); });
+        spawn_fiber([this, run, n] {
+            run_step("snapshot_survey", [&] { ask(run, n); });
+            // The survey waits for each host that it asked.
+            ++run->progress.finished;
+            run->changed.notify();
+        });
     }
     run->changed.wait([&] {
         return progress.finished == progress.asked ||
@@ -166,14 +171,14 @@
     if (reply && reply.value().status == 200) {
         const auto offer = protocol::decode_snapshot_offer(reply.value().body);
         if (offer) {
+            // Nothing may throw between an offer and its address.
+            run->addresses.reserve(run->addresses.size() + 1);
             run->offers.push_back({host.name, host.data_centre,
                                    offer.value().next_offset,
                                    offer.value().digest});
             run->addresses.push_back(host.peer);
         }
     }
-    ++run->progress.finished;
-    run->changed.notify();
 }
 
 std::optional<state::configuration_snapshot>
@@ -243,7 +248,7 @@
         settings_.retention / 20, shortest_check, longest_check);
     for (;;) {
         boost::this_fiber::sleep_for(interval);
-        write_if_due();
+        run_step("snapshots", [this] { write_if_due(); });
     }
 }
 
--- a/src/transport/entry_feed.cpp
+++ b/src/transport/entry_feed.cpp
@@ -31,7 +31,7 @@
 void entry_feed::follow()
 {
     for (;;) {
-        read_updates();
+        run_step("feed", [this] { read_updates(); });
         boost::this_fiber::sleep_for(reconnect_pause);
     }
 }
@@ -70,14 +70,17 @@
             .with("findings", update.error().to_text("feed"));
         return false;
     }
+    // Kept only once it is in force: the next stream begins behind it.
+    auto content = content_;
     const auto result =
-        coordination::apply_feed_update(content_, update.value());
+        coordination::apply_feed_update(content, update.value());
     if (result == coordination::feed_result::gap) {
         return false;
     }
     if (result == coordination::feed_result::applied) {
-        services_.take_configuration(*content_);
-        shared_.configuration.publish(content_);
+        services_.take_configuration(*content);
+        shared_.configuration.publish(content);
+        content_ = content;
         event(log_level::info, "configuration_in_force")
             .with("next_offset", content_->next_offset())
             .with("changed", update.value().entries.size());
--- a/src/transport/entry_health.cpp
+++ b/src/transport/entry_health.cpp
@@ -87,7 +87,7 @@
     while (!stopping_) {
         queued_.wait([this] { return stopping_ || !queue_.empty(); });
         if (!stopping_) {
-            write_evidence();
+            run_step("evidence_stream", [this] { write_evidence(); });
             pause();
         }
     }
@@ -123,7 +123,7 @@
 void entry_health::verdict_loop()
 {
     while (!stopping_) {
-        read_verdicts();
+        run_step("verdict_stream", [this] { read_verdicts(); });
         start_expiry();
         pause();
     }
@@ -199,7 +199,10 @@
 
 void entry_health::expire_loop()
 {
-    while (!stopping_) {
+    const auto goes_on = [this] {
+        return !stopping_;
+    };
+    repeat_while(goes_on, "verdict_expiry", reconnect_pause, [this] {
         (void)expiry_.wait_until(
             next_expiry(), [this] { return stopping_ || expiry_changed_; });
         expiry_changed_ = false;
@@ -215,7 +218,7 @@
                 .with("service", set.service);
             set_verdicts_(set);
         }
-    }
+    });
 }
 
 } // namespace oriolegrade::transport
--- a/src/transport/entry_peers.cpp
+++ b/src/transport/entry_peers.cpp
@@ -28,7 +28,7 @@
 void entry_peers::follow()
 {
     for (;;) {
-        read_updates();
+        run_step("peers", [this] { read_updates(); });
         stream_.reset();
         boost::this_fiber::sleep_for(reconnect_pause);
     }
--- a/src/transport/service_control.cpp
+++ b/src/transport/service_control.cpp
@@ -162,7 +162,8 @@
 {
     for (;;) {
         boost::this_fiber::sleep_for(collect_interval);
-        collect(std::chrono::steady_clock::now());
+        run_step("evidence",
+                 [this] { collect(std::chrono::steady_clock::now()); });
     }
 }
 
--- a/src/transport/upstream_runner.cpp
+++ b/src/transport/upstream_runner.cpp
@@ -3,6 +3,7 @@
 #include <oriolegrade/transport/upstream_runner.hpp>
 
 #include <oriolegrade/transport/fiber_scheduler.hpp>
+#include <oriolegrade/transport/task_fault.hpp>
 
 #include <boost/fiber/operations.hpp>
 
@@ -30,7 +31,7 @@
 void upstream_runner::maintain()
 {
     auto next = std::chrono::steady_clock::now() + maintenance_interval;
-    for (;;) {
+    repeat_for_ever("maintenance", maintenance_interval, [&] {
         if (thread_.lines.wait_filled(next)) {
             boost::this_fiber::sleep_for(line_interval);
         }
@@ -41,7 +42,7 @@
             thread_.evidence->count_hanging(now);
             pool_.close_expired(now);
         }
-    }
+    });
 }
 
 } // namespace oriolegrade::transport
