Test how an entry answers a request that an exception ended

entry_worker::fail had no test. A front that throws before it gives the request to the entry shows the refusal: 503, not run without a key, unknown with a key that another attempt may have used; no upstream is called, and another caller is served. once_path.fault_of_a_claim_is_answered_as_unknown shows the other way: 502, unknown.

--- a/test/transport/entry_worker_test.cpp
+++ b/test/transport/entry_worker_test.cpp
@@ -14,6 +14,7 @@
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <stdexcept>
 #include <vector>
 
 namespace {
@@ -435,4 +436,81 @@
     });
 }
 
+/// Front of an entry that throws before a request is given to the entry.
+class throwing_front
+{
+public:
+    using request_plan = transport::entry_worker::request_plan;
+
+    explicit throwing_front(transport::entry_worker& worker)
+        : worker_(worker)
+    {}
+
+    transport::caller_io_limits io_limits() const
+    {
+        return worker_.io_limits();
+    }
+    request_plan prepare(const protocol::request_head& head,
+                         const transport::caller_request& request) const
+    {
+        return worker_.prepare(head, request);
+    }
+    void serve(request_plan& plan, const protocol::request_head& head,
+               transport::caller_request& request,
+               transport::caller_answer& answer)
+    {
+        if (faults > 0) {
+            --faults;
+            throw std::runtime_error("made by a test");
+        }
+        worker_.serve(plan, head, request, answer);
+    }
+    static void drop(const request_plan&, const transport::caller_answer&) {}
+    static std::string_view request_id(const protocol::request_head& head)
+    {
+        return transport::entry_worker::request_id(head);
+    }
+    static void fail(const request_plan& plan,
+                     const protocol::request_head& head,
+                     const transport::caller_request& request,
+                     transport::caller_answer& answer)
+    {
+        transport::entry_worker::fail(plan, head, request, answer);
+    }
+
+    int faults = 1;
+
+private:
+    transport::entry_worker& worker_;
+};
+
+// Guards against a request that was not sent and is called unknown, and
+// against a not-run for a key that another attempt may have used.
+TEST(entry_worker, fault_before_a_send_is_answered_as_not_run)
+{
+    on_bench([](bench& b) {
+        // Kept until the process ends: connections refer to it.
+        auto& front = *new throwing_front(b.worker);
+        auto& listener = *new transport::listener(
+            b.ioc, {0x7f000001, 0}, 10, [&](transport::tcp_stream stream) {
+                transport::caller_session session(std::move(stream), front,
+                                                  b.shared);
+                session.run();
+            });
+        b.script({answer_text("one")});
+        fake_caller caller(b.ioc, listener.address());
+        const auto plain = caller.get("/read");
+        EXPECT_EQ(plain.result_int(), 503U);
+        EXPECT_EQ(outcome_of(plain), "not-run");
+        front.faults = 1;
+        const auto keyed = caller.post("/book", "x", "Idempotency-Key: 1\r\n");
+        EXPECT_EQ(keyed.result_int(), 503U);
+        EXPECT_EQ(outcome_of(keyed), "unknown");
+        EXPECT_EQ(b.runs(), 0);
+        // The body was not read, so the connection of the second one ends.
+        fake_caller next(b.ioc, listener.address());
+        EXPECT_EQ(next.get("/read").body(), "one");
+    });
+}
+
 } // namespace
