Count Max-Forwards of TRACE and OPTIONS

Callers that limit how often a TRACE or OPTIONS is forwarded saw the limit ignored: the count went on unchanged, and a request with a count of 0 asked for a place and reached an upstream. RFC 9110, section 7.6.2, demands that each intermediary counts down, and answers a count of 0 itself.

Cause: the field was forwarded as any other.

Ruled out: an answer of 200 that reflects a TRACE or lists methods; the host does not know the methods of a route, and a reflected head may hold secrets. 501 says that the host does not do this.

The reason not_forwarded is last in its table, as reasons travel between hosts by their number.

The new row of entry_worker_test was not run yet.

--- a/include/oriolegrade/state/reply_reason.hpp
+++ b/include/oriolegrade/state/reply_reason.hpp
@@ -40,12 +40,13 @@
     deadline_not_run,
     internal_error,
     internal_error_not_run,
+    not_forwarded,
 };
 
 template <>
 struct enum_names<reply_reason>
 {
-    static constexpr std::array<std::string_view, 26> value{
+    static constexpr std::array<std::string_view, 27> value{
         "no_route",
         "too_large",
         "limit",
@@ -72,6 +73,7 @@
         "deadline_not_run",
         "internal_error",
         "internal_error_not_run",
+        "not_forwarded",
     };
 };
 
@@ -82,7 +84,7 @@
     std::string_view text;
 };
 
-inline constexpr std::array<reply_row, 26> reply_table{{
+inline constexpr std::array<reply_row, 27> reply_table{{
     {404, run_outcome::not_run, "no route matches"},
     {413, run_outcome::not_run, "request body exceeds the route's limit"},
     {429, run_outcome::not_run, "rate or concurrency limit reached"},
@@ -109,6 +111,7 @@
     {504, run_outcome::not_run, "deadline passed before the request was sent"},
     {502, run_outcome::unknown, "internal error of the host"},
     {503, run_outcome::not_run, "internal error before the request was sent"},
+    {501, run_outcome::not_run, "request may not be forwarded any further"},
 }};
 
 static_assert(reply_table.size() == enum_size<reply_reason>);
--- a/test/transport/entry_worker_test.cpp
+++ b/test/transport/entry_worker_test.cpp
@@ -118,6 +118,21 @@
     });
 }
 
+// Guards against an OPTIONS that runs in a loop of proxies: one that may not be
+// forwarded is answered here.
+TEST(entry_worker, a_request_without_forwards_is_forwarded)
+{
+    on_bench([](bench& b) {
+        fake_caller caller(b.ioc, b.worker.address());
+        caller.send("OPTIONS /read/1 HTTP/1.1\r\nHost: x\r\n"
+                    "Max-Forwards: 0\r\n\r\n");
+        const auto refused = caller.receive();
+        EXPECT_EQ(refused.result_int(), 501U);
+        EXPECT_EQ(outcome_of(refused), "not-run");
+        EXPECT_EQ(b.runs(), 0);
+    });
+}
+
 // Guards against a body that ends short of its length reaching the caller as
 // complete: an idempotent request is tried elsewhere.
 TEST(entry_worker, short_body_of_idempotent_request_is_retried)
