Answer a target that is too long with 414

Callers whose target filled the bound of a head got 431, which blames their header fields. RFC 9112, section 3, and RFC 9110, section 15.5.15, want 414.

Cause: one error for all heads above the bound, whatever filled it.

Ruled out: 414 for every first line that does not end within the bound. A method or a version without end is no long target, and stays 431 as before; so does a head whose first line ends within the bound.

request_parser tells that the bound was reached within the target, or within the version behind it, and caller_request chooses the reply. What it tells is part of what the parser's test and fuzz target compare, so it is the same however the bytes are split.

--- a/include/oriolegrade/protocol/request_parser.hpp
+++ b/include/oriolegrade/protocol/request_parser.hpp
@@ -39,6 +39,9 @@
     /// @param bytes received and not taken yet, from the first byte of the head
     /// @return the number of bytes taken, 0 while the head has not ended
     std::size_t put_head(std::string_view bytes, boost::system::error_code& ec);
+    /// True when the head is too long because of its target: the first line
+    /// does not end within the bound. To be called after header_limit.
+    bool target_too_long() const;
     bool head_done() const;
     /// Once, after head_done().
     request_head take_head();
--- a/include/oriolegrade/transport/caller_session.hpp
+++ b/include/oriolegrade/transport/caller_session.hpp
@@ -286,7 +286,7 @@
         if (!answer.await_turn()) {
             return;
         }
-        if (const auto reason = reply_for(ec)) {
+        if (const auto reason = request.reply_for(ec)) {
             linger_ = true;
             send_reply(answer, *reason);
         }
--- a/include/oriolegrade/transport/caller_stream.hpp
+++ b/include/oriolegrade/transport/caller_stream.hpp
@@ -48,6 +48,9 @@
     ///         the caller gets a reply
     protocol::request_head read_head(error_code& ec);
 
+    /// Reply for an error of read_head(), if there is one.
+    std::optional<state::reply_reason> reply_for(const error_code& ec) const;
+
     /// Why the host answers the request itself; empty when it may be forwarded.
     /// To be called after read_head().
     std::optional<state::reply_reason> refusal() const
@@ -205,9 +208,6 @@
         serializer_;
 };
 
-/// Reply for an error of caller_request::read_head(), if there is one.
-std::optional<state::reply_reason> reply_for(const error_code& ec);
-
 } // namespace oriolegrade::transport
 
 #endif
--- a/src/protocol/request_parser.cpp
+++ b/src/protocol/request_parser.cpp
@@ -44,6 +44,20 @@
     return ec == http::error::need_more ? boost::system::error_code() : ec;
 }
 
+/// True when the bytes that do not end a first line hold its method, and at
+/// most a version behind its target.
+bool is_filled_by_target(std::string_view line)
+{
+    constexpr std::string_view version_part = " HTTP/1.1\r";
+    const auto method_end = line.find(' ');
+    if (method_end == std::string_view::npos) {
+        return false;
+    }
+    const auto target_end = line.find(' ', method_end + 1);
+    return target_end == std::string_view::npos ||
+           line.size() - target_end <= version_part.size();
+}
+
 } // namespace
 
 /// Collects a request from the events of Beast's parser. Beast's own container
@@ -71,6 +85,8 @@
         }
         if (known.size() == max_head_bytes) {
             ec = http::error::header_limit;
+            target_too_long =
+                !first_line_checked_ && is_filled_by_target(known);
         }
         return 0;
     }
@@ -81,6 +97,7 @@
     /// Values of the Connection fields, each with a comma behind it.
     std::string connection_options;
     bool head_method = false;
+    bool target_too_long = false;
     bool body_too_long = false;
     bool continue_expected = false;
     /// Major and minor version as two digits; 1.1 while the first line is not
@@ -229,6 +246,11 @@
     return taken;
 }
 
+bool request_parser::target_too_long() const
+{
+    return state_->target_too_long;
+}
+
 bool request_parser::head_done() const
 {
     return state_->is_header_done();
--- a/src/transport/caller_stream.cpp
+++ b/src/transport/caller_stream.cpp
@@ -65,6 +65,23 @@
     return head;
 }
 
+std::optional<state::reply_reason>
+caller_request::reply_for(const error_code& ec) const
+{
+    if (ec == http::error::header_limit) {
+        return parser_.target_too_long()
+                   ? state::reply_reason::target_too_long
+                   : state::reply_reason::headers_too_large;
+    }
+    if (ec == http::error::end_of_stream) {
+        return std::nullopt;
+    }
+    if (ec.category() == make_error_code(http::error::bad_method).category()) {
+        return state::reply_reason::bad_request;
+    }
+    return std::nullopt;
+}
+
 void caller_request::set_body_limit(std::uint64_t bytes)
 {
     parser_.set_body_limit(bytes);
@@ -237,18 +254,4 @@
     finished_ = !ec;
 }
 
-std::optional<state::reply_reason> reply_for(const error_code& ec)
-{
-    if (ec == http::error::header_limit) {
-        return state::reply_reason::headers_too_large;
-    }
-    if (ec == http::error::end_of_stream) {
-        return std::nullopt;
-    }
-    if (ec.category() == make_error_code(http::error::bad_method).category()) {
-        return state::reply_reason::bad_request;
-    }
-    return std::nullopt;
-}
-
 } // namespace oriolegrade::transport
--- a/test/fakes/request_reader.hpp
+++ b/test/fakes/request_reader.hpp
@@ -106,6 +106,9 @@
         }
         if (ec) {
             out.error = ec.message();
+            if (parser.target_too_long()) {
+                out.error += " by the target";
+            }
             return out;
         }
         out.requests.push_back(request + body);
--- a/test/platform/http_cases_test.cpp
+++ b/test/platform/http_cases_test.cpp
@@ -239,6 +239,13 @@
     return with_target("/read/" + std::string(n - rest, 't'));
 }
 
+/// Target of a first line of n bytes.
+std::string target_of_line(std::size_t n)
+{
+    const std::string rest = "GET /read/ HTTP/1.1\r\n";
+    return "/read/" + std::string(n - rest.size(), 't');
+}
+
 std::string long_target(std::size_t n)
 {
     return "GET /read/" + std::string(n - with_target("/read/").size(), 't') +
@@ -443,6 +450,44 @@
          target_head_of(max_head), 200, long_target(max_head)},
         {"target_below_the_limit", "RFC 9112, 3", "it is refused",
          target_head_of(max_head - 1), 200, long_target(max_head - 1)},
+        // The line ends behind the bound, its target does not.
+        {"line_above_the_limit",
+         "RFC 9112, 3",
+         "the refusal names another reason",
+         with_target(target_of_line(max_head + 1)),
+         414,
+         "",
+         {},
+         {},
+         then::closes},
+        // A line at the bound leaves no room for fields.
+        {"line_at_the_limit",
+         "RFC 6585, 5",
+         "the refusal names another reason",
+         with_target(target_of_line(max_head)),
+         431,
+         "",
+         {},
+         {},
+         then::closes},
+        {"line_below_the_limit",
+         "RFC 6585, 5",
+         "the refusal names another reason",
+         with_target(target_of_line(max_head - 1)),
+         431,
+         "",
+         {},
+         {},
+         then::closes},
+        {"method_above_the_limit",
+         "RFC 9112, 3",
+         "the refusal names another reason",
+         with_method(std::string(max_head + 1, 'M')),
+         431,
+         "",
+         {},
+         {},
+         then::closes},
         {"target_above_the_limit",
          "RFC 9112, 3",
          "the refusal names another reason",
--- a/test/protocol/request_parser_test.cpp
+++ b/test/protocol/request_parser_test.cpp
@@ -75,6 +75,34 @@
     }
 }
 
+// A head that is too long was refused with the same reason whatever filled it.
+TEST(request_parser, a_long_target_is_taken_for_long_fields)
+{
+    const std::string begin = "GET /";
+    const std::string end = " HTTP/1.1\r\n";
+    const std::string fields = "Host: x\r\n\r\n";
+    const auto line_of = [&](std::size_t n) {
+        return begin + std::string(n - begin.size() - end.size(), 'a') + end +
+               fields;
+    };
+    const std::string by_target = "by the target";
+    for (const std::size_t step : {1UL, 100UL, 3UL * max_head}) {
+        for (std::size_t over = 1; over < 2 * end.size(); ++over) {
+            EXPECT_TRUE(parse(line_of(max_head + over), step)
+                            .error.ends_with(by_target))
+                << step << " " << over;
+        }
+        for (const auto& other :
+             {line_of(max_head), line_of(max_head - 1),
+              std::string(2 * max_head, 'M'),
+              "GET /a HTTP/1.1" + std::string(max_head, '1') + "\r\n"}) {
+            const auto error = parse(other, step).error;
+            EXPECT_FALSE(error.empty()) << step;
+            EXPECT_FALSE(error.ends_with(by_target)) << step;
+        }
+    }
+}
+
 TEST(request_parser, bodies_are_read_by_their_framing)
 {
     const auto out = parse(chunked + post, 3);
