--- a/src/protocol/request_parser.cpp
+++ b/src/protocol/request_parser.cpp
@@ -2,10 +2,11 @@
 
 #include <oriolegrade/protocol/request_parser.hpp>
 
-#include "body_collector.hpp"
+#include <oriolegrade/protocol/chunk_limits.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/string.hpp>
+#include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -18,6 +19,11 @@
 
 namespace {
 
+std::string_view to_view(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
 /// Fields that the head carries in members of its own.
 bool is_framing(http::field field)
 {
@@ -57,7 +63,7 @@
 /// Collects a request from the events of Beast's parser. Beast's own container
 /// of fields holds no value above 65,535 bytes and throws on a longer one,
 /// while the bound of a head is the operator's.
-class request_parser::parser_state final : public body_collector<true>
+class request_parser::parser_state final : public http::basic_parser<true>
 {
 public:
     /// Looks at the bytes of a head that has not ended. Beast judges fields
@@ -97,8 +103,15 @@
     /// Major and minor version as two digits; 1.1 while the first line is not
     /// known, for an answer to bytes that are no request.
     unsigned version = http_1_1;
+    /// The header of a chunk was taken.
+    bool chunk_begun = false;
+    /// Where the content of the body goes.
+    std::span<char> room;
 
 private:
+    using string_view = boost::beast::string_view;
+    using error_code = boost::system::error_code;
+
     /// Checks the ends of the lines that have arrived, and the first line.
     void check_lines(std::string_view head, error_code& ec)
     {
@@ -174,6 +187,36 @@
         }
     }
 
+    void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
+                           error_code& /*ec*/) override
+    {}
+
+    std::size_t on_body_impl(string_view body, error_code& ec) override
+    {
+        const auto n = std::min(body.size(), room.size());
+        std::copy_n(body.data(), n, room.data());
+        room = room.subspan(n);
+        if (n < body.size()) {
+            ec = http::error::need_buffer;
+        }
+        return n;
+    }
+
+    void on_chunk_header_impl(std::uint64_t /*size*/,
+                              string_view /*extensions*/,
+                              error_code& /*ec*/) override
+    {
+        chunk_begun = true;
+    }
+
+    std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, string_view body,
+                                   error_code& ec) override
+    {
+        return on_body_impl(body, ec);
+    }
+
+    void on_finish_impl(error_code& /*ec*/) override {}
+
     /// Bytes of the head that were looked at.
     std::size_t scanned_ = 0;
     bool first_line_checked_ = false;
@@ -247,7 +290,17 @@
         ec = http::error::body_limit;
         return {};
     }
-    return state_->put_body<body_part>(bytes, buf, ec);
+    if (state_->chunked() && !state_->chunk_begun &&
+        bytes.size() < shortest_chunked_body) {
+        return {};
+    }
+    state_->room = buf;
+    const auto taken =
+        state_->put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
+    if (ec == http::error::need_buffer || ec == http::error::need_more) {
+        ec = {};
+    }
+    return {taken, buf.size() - state_->room.size()};
 }
 
 bool request_parser::done() const
