Ignore empty lines before a request

A caller that sends an empty line before its request, as old ones do behind a body, was answered 400 and lost its connection (RFC 9112, 2.2: at least one should be ignored).

Up to four are ignored and do not count towards the bound of a head; more are answered 400. They do not make an idle connection busy: a stop still closes it, the idle time still ends it, and they do not keep the memory of an upload.

The test of the memory of an upload shares its body with the new one; its checks are unchanged.

--- a/include/oriolegrade/protocol/request_parser.hpp
+++ b/include/oriolegrade/protocol/request_parser.hpp
@@ -16,6 +16,15 @@
 
 namespace oriolegrade::protocol {
 
+/// Empty lines before a request that are ignored (RFC 9112, section 2.2). Old
+/// callers send one behind a body; callers that send them without end get an
+/// error.
+inline constexpr std::size_t max_empty_lines = 4;
+
+/// True when bytes at the end of a request begin another one: they hold more
+/// than the empty lines that are ignored, or the first byte of one.
+bool begins_request(std::string_view bytes);
+
 /// Errors are those of boost::beast::http::error.
 class request_parser
 {
@@ -27,7 +36,8 @@
         std::size_t content = 0;
     };
 
-    /// @param max_head_bytes a longer head is an error (header_limit)
+    /// @param max_head_bytes a longer head is an error (header_limit); empty
+    ///        lines before it do not count
     explicit request_parser(std::uint32_t max_head_bytes);
     ~request_parser();
 
@@ -36,8 +46,10 @@
 
     /// Takes the head once it has ended. A bad first line is an error as soon
     /// as that line has ended.
-    /// @param bytes received and not taken yet, from the first byte of the head
-    /// @return the number of bytes taken, 0 while the head has not ended
+    /// @param bytes received and not taken yet, from the end of the request
+    ///        before
+    /// @return the number of bytes taken with the empty lines before the head,
+    ///         0 while the head has not ended
     std::size_t put_head(std::string_view bytes, boost::system::error_code& ec);
     /// True when the head is too long because of its target: the first line
     /// does not end within the bound. To be called after header_limit.
--- a/include/oriolegrade/transport/caller_session.hpp
+++ b/include/oriolegrade/transport/caller_session.hpp
@@ -121,7 +121,7 @@
             return false;
         }
         // The last fiber in progress waits for the next request.
-        if (connection_.input().bytes().empty() &&
+        if (!protocol::begins_request(connection_.input().bytes()) &&
             connection_.unanswered() > 0) {
             return false;
         }
--- a/include/oriolegrade/transport/caller_stream.hpp
+++ b/include/oriolegrade/transport/caller_stream.hpp
@@ -40,7 +40,8 @@
     caller_request(caller_connection& connection,
                    const caller_io_limits& limits);
 
-    /// Waits for the first byte of a request on an idle connection.
+    /// Waits for the first byte of a request on an idle connection, which empty
+    /// lines do not end.
     void wait_for_request(error_code& ec);
 
     /// Reads the head of a request.
--- a/src/protocol/request_parser.cpp
+++ b/src/protocol/request_parser.cpp
@@ -32,8 +32,20 @@
            field == http::field::expect || field == http::field::host;
 }
 
+constexpr std::string_view line_end = "\r\n";
 constexpr std::string_view head_end = "\r\n\r\n";
 
+/// Bytes of the empty lines before a request.
+std::size_t empty_lines_size(std::string_view bytes)
+{
+    std::size_t n = 0;
+    while (n < max_empty_lines * line_end.size() &&
+           bytes.substr(n).starts_with(line_end)) {
+        n += line_end.size();
+    }
+    return n;
+}
+
 /// Error in a first line that has ended; none when the line is good.
 boost::system::error_code check_first_line(std::string_view line)
 {
@@ -223,6 +235,15 @@
     bool has_host_ = false;
 };
 
+bool begins_request(std::string_view bytes)
+{
+    const auto n = empty_lines_size(bytes);
+    const auto rest = bytes.substr(n);
+    const bool may_be_empty_line =
+        n < max_empty_lines * line_end.size() && line_end.starts_with(rest);
+    return !rest.empty() && !may_be_empty_line;
+}
+
 request_parser::request_parser(std::uint32_t max_head_bytes)
     : state_(std::make_unique<parser_state>())
 {
@@ -237,11 +258,19 @@
 std::size_t request_parser::put_head(std::string_view bytes,
                                      boost::system::error_code& ec)
 {
-    const auto length = state_->find_end(bytes, ec);
-    std::size_t taken = 0;
-    while (!ec && taken < length) {
+    if (!begins_request(bytes)) {
+        return 0;
+    }
+    const auto skipped = empty_lines_size(bytes);
+    const auto length = state_->find_end(bytes.substr(skipped), ec);
+    if (ec || length == 0) {
+        return 0;
+    }
+    auto taken = skipped;
+    while (!ec && taken < skipped + length) {
         taken += state_->put(
-            boost::asio::buffer(bytes.data() + taken, length - taken), ec);
+            boost::asio::buffer(bytes.data() + taken, skipped + length - taken),
+            ec);
     }
     return taken;
 }
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -2,6 +2,8 @@
 
 #include <oriolegrade/transport/caller_connection.hpp>
 
+#include <oriolegrade/protocol/request_parser.hpp>
+
 #include <algorithm>
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
@@ -84,7 +86,7 @@
 
 void caller_connection::close_if_idle()
 {
-    if (idle_ && input_.bytes().empty()) {
+    if (idle_ && !protocol::begins_request(input_.bytes())) {
         stream_.close();
         end();
     }
--- a/src/transport/caller_input.cpp
+++ b/src/transport/caller_input.cpp
@@ -160,8 +160,8 @@
 
 void caller_input::trim()
 {
-    if (buffer_.size() == 0 && buffer_.capacity() > idle_bytes) {
-        buffer_.clear();
+    // Empty lines may be left between two requests.
+    if (buffer_.size() <= idle_bytes && buffer_.capacity() > idle_bytes) {
         buffer_.shrink_to_fit();
     }
 }
--- a/src/transport/caller_stream.cpp
+++ b/src/transport/caller_stream.cpp
@@ -35,9 +35,13 @@
 void caller_request::wait_for_request(error_code& ec)
 {
     auto& input = connection_.input();
-    if (input.bytes().empty()) {
-        input.trim();
-        input.wait_more(0, std::chrono::steady_clock::now() + limits_.idle, ec);
+    if (protocol::begins_request(input.bytes())) {
+        return;
+    }
+    input.trim();
+    const auto deadline = std::chrono::steady_clock::now() + limits_.idle;
+    while (!ec && !protocol::begins_request(input.bytes())) {
+        input.wait_more(input.bytes().size(), deadline, ec);
     }
 }
 
--- a/test/platform/http_cases_test.cpp
+++ b/test/platform/http_cases_test.cpp
@@ -6,6 +6,8 @@
 
 #include "fakes/gateway_bench.hpp"
 
+#include <oriolegrade/protocol/request_parser.hpp>
+
 #include <gtest/gtest.h>
 
 #include <ostream>
@@ -252,6 +254,15 @@
            "|";
 }
 
+std::string empty_lines(std::size_t n)
+{
+    std::string out;
+    for (; n > 0; --n) {
+        out += "\r\n";
+    }
+    return out;
+}
+
 std::vector<caller_case> method_cases()
 {
     const std::string odd = "!#$%&'*+-.^_`|~0Aa";
@@ -352,6 +363,42 @@
          get("Content-Length: 3\r\n") + "GET", 200, "GET /read/1|GET"},
         {"empty_line_first", "RFC 9112, 2.2", "the request is refused",
          "\r\n" + get(""), 200},
+        {"empty_lines_below_the_limit", "RFC 9112, 2.2",
+         "the request is refused",
+         empty_lines(protocol::max_empty_lines - 1) + get(""), 200},
+        {"empty_lines_at_the_limit", "RFC 9112, 2.2", "the request is refused",
+         empty_lines(protocol::max_empty_lines) + get(""), 200},
+        {"empty_lines_above_the_limit",
+         "RFC 9112, 2.2",
+         "they are read without end",
+         empty_lines(protocol::max_empty_lines + 1) + get(""),
+         400,
+         "",
+         {},
+         {},
+         then::closes},
+        {"empty_line_behind_a_body", "RFC 9112, 2.2",
+         "the next request is refused", post_of(1) + "\r\n", 200, booked(1)},
+        {"empty_line_before_the_longest_head", "RFC 9112, 2.2",
+         "the line counts", "\r\n" + head_of(max_head), 200},
+        {"line_feed_first",
+         "RFC 9112, 2.2",
+         "it is taken for an empty line",
+         "\n" + get(""),
+         400,
+         "",
+         {},
+         {},
+         then::closes},
+        {"bare_cr_first",
+         "RFC 9112, 2.2",
+         "it is taken for an empty line",
+         "\r" + get(""),
+         400,
+         "",
+         {},
+         {},
+         then::closes},
     };
 }
 
--- a/test/platform/pipelining_test.cpp
+++ b/test/platform/pipelining_test.cpp
@@ -336,9 +336,9 @@
     EXPECT_EQ(b.second.runs, 0);
 }
 
-// Memory of an upload that an idle connection keeps: a thousand connections
-// that uploaded once would hold 64 MB.
-TEST(pipelining, an_idle_connection_keeps_the_memory_of_an_upload)
+/// Sends an upload, and further bytes behind it.
+/// @return memory of the connection during the upload, and when it is idle
+std::vector<std::size_t> capacities_of_upload(const std::string& behind)
 {
     auto& ioc = test::fiber_context();
     std::vector<std::size_t> capacities;
@@ -372,13 +372,63 @@
     fake_caller caller(ioc, listener.address());
     caller.send("POST /book/1 HTTP/1.1\r\nHost: x\r\n"
                 "Content-Length: 50000\r\n\r\n" +
-                std::string(50'000, 'x'));
+                std::string(50'000, 'x') + behind);
     EXPECT_TRUE(caller.closes_within(2s));
+    return capacities;
+}
+
+// Memory of an upload that an idle connection keeps: a thousand connections
+// that uploaded once would hold 64 MB.
+TEST(pipelining, an_idle_connection_keeps_the_memory_of_an_upload)
+{
+    const auto capacities = capacities_of_upload("");
     ASSERT_EQ(capacities.size(), 2U);
     EXPECT_GE(capacities[0], 50'000U);
     EXPECT_LE(capacities[1], 8U * 1024);
 }
 
+// Old callers send an empty line behind a body. It begins no request.
+TEST(pipelining, an_empty_line_keeps_the_memory_of_an_upload)
+{
+    const auto capacities = capacities_of_upload("\r\n");
+    ASSERT_EQ(capacities.size(), 2U);
+    EXPECT_GE(capacities[0], 50'000U);
+    EXPECT_LE(capacities[1], 8U * 1024);
+}
+
+// A stop closes idle connections, also those with an empty line behind the
+// last request. Else their callers would send into the close.
+TEST(pipelining, an_empty_line_keeps_a_connection_open_in_a_stop)
+{
+    auto& b = make_bench();
+    b.place_at(b.first, "u1");
+    b.first.add({answer("one", "q1")});
+    fake_caller caller(b.ioc, b.worker.address());
+    caller.send(book_request("q1") + "\r\n");
+    EXPECT_TRUE(caller.receive().keep_alive());
+    boost::this_fiber::sleep_for(20ms);
+    b.worker.close_idle();
+    EXPECT_TRUE(caller.closes_within(1s));
+}
+
+// An empty line behind a request in progress began another one, and the
+// connection could not carry further requests beside it.
+TEST(pipelining, empty_lines_between_requests_hold_up_the_next_one)
+{
+    auto& b = make_bench();
+    place_slow_and_short(b, 300ms);
+    fake_caller caller(b.ioc, b.worker.address());
+    caller.send(read_request("q1") + "\r\n");
+    boost::this_fiber::sleep_for(30ms);
+    caller.send("\r");
+    boost::this_fiber::sleep_for(20ms);
+    caller.send("\n" + read_request("q2"));
+    boost::this_fiber::sleep_for(30ms);
+    EXPECT_EQ(b.second.runs, 1);
+    EXPECT_EQ(caller.receive().body(), "one");
+    EXPECT_EQ(caller.receive().body(), "two");
+}
+
 // The refusal of an upload closes the connection. With the body unread, the
 // close was a reset that could destroy the refusal on its way.
 TEST(pipelining, a_refused_upload_gets_no_answer)
--- a/test/protocol/request_parser_test.cpp
+++ b/test/protocol/request_parser_test.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+namespace protocol = oriolegrade::protocol;
+
 constexpr std::uint32_t max_head = 4096;
 
 oriolegrade::test::read_requests parse(const std::string& text,
@@ -103,6 +105,45 @@
     }
 }
 
+// An empty line before a request was an error.
+TEST(request_parser, empty_lines_before_a_request_are_an_error)
+{
+    std::string lines;
+    for (std::size_t n = 0; n <= protocol::max_empty_lines; ++n) {
+        const auto text = post + lines + get + lines + get;
+        for (std::size_t step = 1; step <= text.size(); ++step) {
+            const auto out = parse(text, step);
+            EXPECT_EQ(out.requests.size(), 3U) << n << " " << step;
+            EXPECT_TRUE(out.error.empty()) << n << " " << step;
+        }
+        lines += "\r\n";
+    }
+    // One more than are ignored.
+    for (const auto& text :
+         {post + lines + get, post + lines, post + lines.substr(2) + "\n" + get,
+          post + "\n" + get, post + "\r" + get, post + "\r\n\n" + get}) {
+        for (std::size_t step = 1; step <= text.size(); ++step) {
+            const auto out = parse(text, step);
+            EXPECT_EQ(out.requests.size(), 1U) << text << step;
+            EXPECT_FALSE(out.error.empty()) << text << step;
+        }
+    }
+}
+
+// The bound holds for the head, however many empty lines are before it.
+TEST(request_parser, empty_lines_count_for_the_bound_of_a_head)
+{
+    const std::string begin = "\r\n\r\nGET / HTTP/1.1\r\nHost: x\r\nX: ";
+    const std::string end = "\r\n\r\n";
+    constexpr std::size_t lines = 4;
+    const auto text =
+        begin + std::string(max_head + lines - begin.size() - end.size(), 'x') +
+        end;
+    for (const std::size_t step : {1UL, 3UL, 100UL, text.size()}) {
+        EXPECT_EQ(parse(text, step).requests.size(), 1U) << step;
+    }
+}
+
 TEST(request_parser, bodies_are_read_by_their_framing)
 {
     const auto out = parse(chunked + post, 3);
