Wait for a slot again where others may overtake

It refused at once who would be overtaken until the deadline, by the load that arrived in the last second.

What the model lacks is presumably upstreams in their spells beside the burst: the slots in service drop, every load looks like too much, and late requests are refused that would be served.

--- a/include/oriolegrade/coordination/dispatch_queue.hpp
+++ b/include/oriolegrade/coordination/dispatch_queue.hpp
@@ -3,7 +3,7 @@
 // argument; nothing here does I/O.
 //
 //  - waiting_line: the order of requests that wait
-//  - place_admission, arrival_load: who is refused, and when to return
+//  - place_admission: who is refused, and when to return
 //  - upstream_index, upstream_choice: which upstream gets a request
 //  - upstream_tracker: the standing of one upstream
 //  - capacity_floor, unserved_estimate: upstreams that must get a request
@@ -17,7 +17,6 @@
 #ifndef ORIOLEGRADE_COORDINATION_DISPATCH_QUEUE_HPP
 #define ORIOLEGRADE_COORDINATION_DISPATCH_QUEUE_HPP
 
-#include <oriolegrade/coordination/arrival_load.hpp>
 #include <oriolegrade/coordination/dispatch_summary.hpp>
 #include <oriolegrade/coordination/extra_sends.hpp>
 #include <oriolegrade/coordination/learned_latencies.hpp>
@@ -197,12 +196,7 @@
                                                state::time_point now);
     service_capacity capacity() const;
     /// Expected time until a request of this rank is placed.
-    state::duration expected_wait(std::uint32_t rank,
-                                  state::time_point now) const;
-    /// The same for a request that arrives now: when it cannot meet its target,
-    /// others of its rank overtake it.
-    state::duration expected_wait(const waiting_request& it,
-                                  state::time_point now) const;
+    state::duration expected_wait(std::uint32_t rank) const;
     /// Refuses a request and counts it as unserved.
     state::place_refusal refuse(state::place_refusal_reason reason,
                                 request_id number,
@@ -226,7 +220,6 @@
     upstream_index upstreams_;
     waiting_line line_;
     place_admission admission_;
-    arrival_load arrivals_;
     extra_sends extra_;
     learned_latencies latencies_;
     unserved_estimate unserved_;
--- a/include/oriolegrade/coordination/place_admission.hpp
+++ b/include/oriolegrade/coordination/place_admission.hpp
@@ -39,10 +39,8 @@
 
     /// Expected time until a request is placed.
     /// @param ahead requests that are placed before it
-    /// @param taken slots that requests take which arrive later and are placed
-    ///        before it
     static state::duration expected_wait(const service_capacity& capacity,
-                                         std::size_t ahead, double taken = 0);
+                                         std::size_t ahead);
     /// Time before which no request with so many ahead of it can be placed,
     /// even if all upstreams recover now and all requests are short.
     static state::duration shortest_wait(const service_capacity& capacity,
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -137,7 +137,7 @@
     // not improve the outcome.
     return !can_meet_target(it, now) &&
            place_admission::misses_deadline(
-               it.deadline, expected_wait(it.request.rank, now), usual, now);
+               it.deadline, expected_wait(it.request.rank), usual, now);
 }
 
 bool dispatch_queue::can_meet_target(const waiting_request& it,
@@ -192,24 +192,9 @@
             latencies_.usual()};
 }
 
-state::duration dispatch_queue::expected_wait(std::uint32_t rank,
-                                              state::time_point now) const
+state::duration dispatch_queue::expected_wait(std::uint32_t rank) const
 {
-    return place_admission::expected_wait(
-        capacity(), line_.count_up_to(rank),
-        arrivals_.more_urgent_than(rank, now));
-}
-
-state::duration dispatch_queue::expected_wait(const waiting_request& it,
-                                              state::time_point now) const
-{
-    const auto rank = it.request.rank;
-    const auto wait = expected_wait(rank, now);
-    if (now + wait + latencies_.usual(it.request.route) <= it.target) {
-        return wait;
-    }
-    return place_admission::expected_wait(capacity(), line_.count_up_to(rank),
-                                          arrivals_.up_to(rank, now));
+    return place_admission::expected_wait(capacity(), line_.count_up_to(rank));
 }
 
 state::place_refusal dispatch_queue::refuse(place_refusal_reason reason,
@@ -218,7 +203,7 @@
                                             state::time_point now)
 {
     unserved_.turned_away(request.kind, now);
-    auto wait = expected_wait(request.rank, now);
+    auto wait = expected_wait(request.rank);
     if (reason == place_refusal_reason::no_upstream &&
         upstreams_.available() == 0) {
         wait = std::max(wait, quiet_time(now));
@@ -258,7 +243,6 @@
     if (!any_candidate(request, now)) {
         return refuse(place_refusal_reason::no_upstream, number, request, now);
     }
-    arrivals_.add(request.rank, latencies_.usual(request.route), now);
     if (request.kind == send_kind::hedge ||
         line_.is_first(request.rank, it.target)) {
         if (auto* entry = choose(it, true, now)) {
@@ -267,9 +251,9 @@
     }
     // A hedge that has to wait is not worth its share of the budget.
     if (request.kind == send_kind::hedge ||
-        place_admission::misses_deadline(it.deadline, expected_wait(it, now),
-                                         latencies_.usual(request.route),
-                                         now)) {
+        place_admission::misses_deadline(
+            it.deadline, expected_wait(request.rank),
+            latencies_.usual(request.route), now)) {
         return refuse(place_refusal_reason::overloaded, number, request, now);
     }
     line_.push(number, std::move(it));
@@ -465,16 +449,10 @@
     const auto usual = [this](const std::string& route) {
         return latencies_.usual(route);
     };
-    const auto check = [&](line_part part, request_id number,
-                           const waiting_request& it) {
-        // Others of its rank overtake a request that cannot meet its target.
-        const auto wait =
-            part == line_part::late
-                ? place_admission::expected_wait(
-                      able, ahead, arrivals_.up_to(it.request.rank, now))
-                : place_admission::shortest_wait(able, ahead);
+    const auto check = [&](request_id number, const waiting_request& it) {
         const bool too_late = place_admission::misses_deadline(
-            it.deadline, wait, usual(it.request.route), now);
+            it.deadline, place_admission::shortest_wait(able, ahead),
+            usual(it.request.route), now);
         if (!too_late && any_candidate(it.request, now)) {
             ++ahead;
             return visit_result::keep;
@@ -484,12 +462,8 @@
         out.push_back({number, refuse(reason, number, it.request, now)});
         return visit_result::remove;
     };
-    for (const auto part : {line_part::in_time, line_part::late}) {
-        line_.visit(part, now, usual,
-                    [&](request_id number, const waiting_request& it) {
-                        return check(part, number, it);
-                    });
-    }
+    line_.visit(line_part::in_time, now, usual, check);
+    line_.visit(line_part::late, now, usual, check);
 }
 
 void dispatch_queue::place_part(line_part part, bool held,
--- a/src/coordination/place_admission.cpp
+++ b/src/coordination/place_admission.cpp
@@ -17,20 +17,17 @@
 /// Share of the slots of upstreams out of service that is expected to become
 /// available in time for a waiting request.
 constexpr double held_slot_share = 0.3;
-/// Share of the slots that is expected to be left at least. A request that all
-/// others overtake would otherwise have no expected time.
-constexpr double min_left_share = 0.02;
 
 } // namespace
 
 state::duration place_admission::expected_wait(const service_capacity& capacity,
-                                               std::size_t ahead, double taken)
+                                               std::size_t ahead)
 {
     const auto in_service = static_cast<double>(capacity.slots_in_service);
     const auto others = static_cast<double>(capacity.slots) - in_service;
-    const double slots = std::max(in_service + held_slot_share * others, 1.0);
-    const double left = std::max(slots - taken, min_left_share * slots);
-    return scaled(capacity.usual, static_cast<double>(ahead + 1) / left);
+    const double slots = in_service + held_slot_share * others;
+    return scaled(capacity.usual,
+                  static_cast<double>(ahead + 1) / std::max(slots, 1.0));
 }
 
 state::duration place_admission::shortest_wait(const service_capacity& capacity,
--- a/test/coordination/dispatch_load_test.cpp
+++ b/test/coordination/dispatch_load_test.cpp
@@ -64,7 +64,7 @@
 }
 
 // Guards against requests that wait although others keep overtaking them until
-// their deadline: half of those refused in a burst had waited 1.8 s of 2.5 s.
+// their deadline: the more urgent ones, and those that can meet their target.
 TEST_P(dispatch_load, refused_requests_wait_first)
 {
     for (const auto pattern :
