Print and record the experiment of dispatching

./run bench dispatch prints twelve load patterns at three sizes for the dispatcher, a random pick, two choices and a perfect scheduler; with a folder dispatch_bench writes docs/measurements-dispatch.md and its picture.

--- /dev/null
+++ b/bench/coordination/dispatch_report.hpp
@@ -0,0 +1,192 @@
+// Measures all load patterns with all placements, and writes what was measured
+// as Markdown tables and as a picture.
+
+#ifndef ORIOLEGRADE_BENCH_COORDINATION_DISPATCH_REPORT_HPP
+#define ORIOLEGRADE_BENCH_COORDINATION_DISPATCH_REPORT_HPP
+
+#include "dispatch_model.hpp"
+
+#include <cstdarg>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+namespace oriolegrade::bench {
+
+inline std::string formatted(const char* format, ...)
+{
+    std::array<char, 512> buf{};
+    va_list args;
+    va_start(args, format);
+    std::vsnprintf(buf.data(), buf.size(), format, args);
+    va_end(args);
+    return buf.data();
+}
+
+struct dispatch_cell
+{
+    load_pattern pattern;
+    std::string_view placement;
+    dispatch_outcome outcome;
+};
+
+struct dispatch_size
+{
+    std::size_t hosts;
+    std::size_t upstreams;
+};
+
+/// Hosts of the users' sites, with their largest service.
+inline constexpr std::array<dispatch_size, 3> dispatch_sizes{
+    {{41, 20}, {185, 106}, {443, 479}}};
+
+struct dispatch_table
+{
+    dispatch_size size;
+    std::vector<dispatch_cell> cells;
+};
+
+template <placement Placement>
+dispatch_cell measure_cell(const dispatch_options& options)
+{
+    return {options.pattern, Placement::name,
+            dispatch_model<Placement>(options).run()};
+}
+
+inline std::vector<dispatch_table> measure_dispatch(std::uint64_t seed)
+{
+    std::vector<dispatch_table> out;
+    for (const auto& size : dispatch_sizes) {
+        dispatch_table table{size, {}};
+        for (std::size_t n = 0; n < state::enum_size<load_pattern>; ++n) {
+            dispatch_options o;
+            o.pattern = static_cast<load_pattern>(n);
+            o.hosts = size.hosts;
+            o.upstreams = size.upstreams;
+            o.seed = seed;
+            table.cells.push_back(measure_cell<random_placement>(o));
+            table.cells.push_back(measure_cell<two_choices_placement>(o));
+            table.cells.push_back(measure_cell<queue_placement>(o));
+            table.cells.push_back(measure_cell<perfect_placement>(o));
+        }
+        out.push_back(std::move(table));
+    }
+    return out;
+}
+
+/// Shares of the callers who did not leave, in hundredths.
+inline std::string shares(const kind_outcome& it)
+{
+    const auto n = 100.0 / static_cast<double>(
+                               std::max<std::size_t>(it.offered - it.left, 1));
+    return formatted(
+        "%.1f / %.1f / %.1f / %.1f", n * static_cast<double>(it.in_target),
+        n * static_cast<double>(it.late), n * static_cast<double>(it.refused),
+        n * static_cast<double>(it.failed));
+}
+
+inline std::string dispatch_row(const dispatch_cell& it)
+{
+    const auto& out = it.outcome;
+    std::size_t returned = 0;
+    for (const auto& span : out.spans) {
+        returned = std::max(returned, span.returned);
+    }
+    return formatted(
+        "| %s | %s | %s | %s | %.1f | %.0f, %.0f | %zu | %.1f, %.1f | %.0f, "
+        "%.0f | %.1f |\n",
+        state::name_of(it.pattern).data(), it.placement.data(),
+        shares(out.kinds[0]).c_str(), shares(out.kinds[1]).c_str(),
+        out.mean_wait_ms(), percentile(out.refusals_ms, 0.5),
+        percentile(out.refusals_ms, 0.99), returned, 100 * out.held_mean,
+        100 * out.held_max, percentile(out.detections_ms, 0.5),
+        percentile(out.detections_ms, 0.99), 100 * out.failing_share());
+}
+
+inline std::string dispatch_tables(const std::vector<dispatch_table>& tables)
+{
+    std::string out;
+    for (const auto& table : tables) {
+        out += formatted("## %zu hosts, %zu upstreams\n\n", table.size.hosts,
+                         table.size.upstreams);
+        out += "| load pattern | placement | reads | bookings | mean wait, ms "
+               "| refused after, ms | most returns | sound held, % | "
+               "detection, ms | to failing, % |\n"
+               "|---|---|---|---|---|---|---|---|---|---|\n";
+        for (const auto& it : table.cells) {
+            out += dispatch_row(it);
+        }
+        out += "\n";
+    }
+    return out;
+}
+
+inline std::string dispatch_page(const std::vector<dispatch_table>& tables,
+                                 std::uint64_t seed)
+{
+    return formatted(
+               "# Measurements of dispatching under load\n\n"
+               "Written by `dispatch_bench docs %llu`; `./run bench dispatch` "
+               "prints the tables.\n\n",
+               static_cast<unsigned long long>(seed)) +
+           "One service in virtual time: callers of two kinds, hosts, and "
+           "upstreams of 3 slots that refuse beyond 3 waiting requests. Reads "
+           "are more urgent and may repeat. Bookings may not. Arrivals and "
+           "work are the same for all placements.\n\n"
+           "- *random*, *two choices*: placed at once, the latter by exact "
+           "counts of all requests in flight\n"
+           "- *dispatcher*: this project's dispatch queue, 1 ms from each "
+           "host\n"
+           "- *perfect*: knows free slots and spells at any time and decides "
+           "in no time; the most urgent first, then who can be in time\n\n"
+           "Columns: share of the callers in target / late / refused / failed "
+           "in %; mean time from arrival to the start of work; median and p99 "
+           "time until a refusal; most refused callers who return within 100 "
+           "ms; mean and largest share of sound upstreams that are held; "
+           "median and p99 time from the start of a spell to the hold; share "
+           "of the bookings sent to an upstream in its spell.\n\n"
+           "![Served in target](dispatch.svg)\n\n" +
+           dispatch_tables(tables);
+}
+
+/// Share served in target, a bar for each placement and pattern, at the middle
+/// size.
+inline std::string dispatch_picture(const std::vector<dispatch_table>& tables)
+{
+    constexpr std::array<const char*, 4> colours{"#999999", "#2166ac",
+                                                 "#1b7837", "#dddddd"};
+    constexpr int row = 62;
+    constexpr int left = 140;
+    constexpr int width = 400;
+    const auto& table = tables[1];
+    const auto height = static_cast<int>(table.cells.size() / 4) * row + 40;
+    auto out = formatted(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"640\" "
+        "height=\"%d\" font-family=\"sans-serif\" font-size=\"12\">\n"
+        "<rect width=\"640\" height=\"%d\" fill=\"white\"/>\n"
+        "<text x=\"10\" y=\"20\" font-size=\"14\">Callers served in target, "
+        "%zu hosts, %zu upstreams</text>\n",
+        height, height, table.size.hosts, table.size.upstreams);
+    for (std::size_t n = 0; n < table.cells.size(); ++n) {
+        const auto& it = table.cells[n];
+        const auto y =
+            static_cast<int>(n / 4) * row + 34 + static_cast<int>(n % 4) * 13;
+        const auto share = it.outcome.in_target_share();
+        if (n % 4 == 0) {
+            out += formatted("<text x=\"10\" y=\"%d\">%s</text>\n", y + 28,
+                             state::name_of(it.pattern).data());
+        }
+        out +=
+            formatted("<rect x=\"%d\" y=\"%d\" width=\"%.1f\" "
+                      "height=\"11\" fill=\"%s\"/>\n"
+                      "<text x=\"%d\" y=\"%d\" font-size=\"10\">%s "
+                      "%.1f%%</text>\n",
+                      left, y, share * width, colours[n % 4], left + width + 4,
+                      y + 10, it.placement.data(), 100 * share);
+    }
+    return out + "</svg>\n";
+}
+
+} // namespace oriolegrade::bench
+
+#endif
