--- a/src/transport/gateway/dispatch_server.cpp
+++ b/src/transport/gateway/dispatch_server.cpp
@@ -124,10 +124,9 @@
     {
         ended = true;
         changed.notify();
-        for (const auto& [number, request_id] :
-             std::exchange(request_ids, {})) {
+        for (const auto& it : std::exchange(request_ids, {})) {
             run_step("dispatch_session",
-                     [&] { service.report_host_lost(request_id); });
+                     [&] { service.report_host_lost(it.second); });
         }
     }
 };
