--- a/test/system/faulty_upstreams.py
+++ b/test/system/faulty_upstreams.py
@@ -54,6 +54,11 @@
 
     proxied = False
 
+    def __init__(self, soak, name):
+        super().__init__(soak, name)
+        # Connections on which an answer breaks off.
+        self.breaking = set()
+
     async def handle(self, reader, writer):
         try:
             while True:
@@ -86,7 +91,9 @@
 
         async def again():
             await asyncio.sleep(int(delay) / 1000)
-            writer.write(whole)
+            # Behind an answer that breaks off it would fill up what is missing.
+            if writer not in self.breaking:
+                writer.write(whole)
 
         asyncio.ensure_future(again())
 
@@ -121,6 +128,7 @@
                     b"%x\r\n%s\r\n0\r\n\r\n" % (len(text), text))
         else:
             full = f"{head}Connection: close\r\n\r\n".encode() + text
+        self.breaking.add(writer)
         writer.write(full[:len(full) - int(cut)])
         await writer.drain()
         if how == "reset":
@@ -277,7 +285,7 @@
             # The end of the connection is the only sign; it must be a reset.
             complete = not was_reset
         if complete:
-            self.fail(f"{what}: taken for a complete success")
+            self.fail(f"{what}: taken for a complete success, at its end {body[-60:]!r}")
 
     @staticmethod
     async def read_all(reader):
