Draw each fault of two_dispatchers.py in every round

No promise was broken; the run had drawn no kill, without which no host loses its dispatcher. The number of faults in a run depends on the clock. They are drawn in rounds now, each of which has them all.

--- a/test/system/two_dispatchers.py
+++ b/test/system/two_dispatchers.py
@@ -169,6 +169,7 @@
     async def inject(self):
         faults = [self.freeze] * 4 + [self.freeze_often] * 2 + [
             self.freeze_to_stop, self.stop, self.kill, self.cut_off]
+        left = []
         while time.monotonic() - self.begun < self.seconds:
             await asyncio.sleep(self.random.expovariate(1 / STEP))
             # Mostly the dispatcher in office, at times the next one beside it.
@@ -178,7 +179,9 @@
                 found.insert(0, self.random.choice(others))
             # One host at least goes on.
             if found and len(self.held) < len(self.gateways) - 1:
-                asyncio.ensure_future(self.disturb(self.random.choice(faults), found[0]))
+                # Each fault comes in every round, however few a run has.
+                left = left or self.random.sample(faults, len(faults))
+                asyncio.ensure_future(self.disturb(left.pop(), found[0]))
 
     async def disturb(self, fault, host):
         self.held.add(host)
