Look for empty lines before a request once

put_head() looked for them to see whether a request begins, and again to see how many bytes to pass over, for each request and each piece of its head. One look gives both, and a request without an empty line ends it at its first byte. The requests read are the same.

--- a/src/protocol/request_parser.cpp
+++ b/src/protocol/request_parser.cpp
@@ -35,15 +35,29 @@
 constexpr std::string_view line_end = "\r\n";
 constexpr std::string_view head_end = "\r\n\r\n";
 
-/// Bytes of the empty lines before a request.
-std::size_t empty_lines_size(std::string_view bytes)
+/// What stands before a request.
+struct request_lead
 {
+    /// Bytes of the empty lines that are ignored.
+    std::size_t size = 0;
+    /// The bytes behind them begin a request.
+    bool ended = false;
+};
+
+request_lead lead_of(std::string_view bytes)
+{
+    constexpr auto most = max_empty_lines * line_end.size();
+    // Hardly any request has one.
+    if (!bytes.starts_with(line_end.front())) {
+        return {0, !bytes.empty()};
+    }
     std::size_t n = 0;
-    while (n < max_empty_lines * line_end.size() &&
-           bytes.substr(n).starts_with(line_end)) {
+    while (n < most && bytes.substr(n).starts_with(line_end)) {
         n += line_end.size();
     }
-    return n;
+    const auto rest = bytes.substr(n);
+    const bool may_be_empty_line = n < most && line_end.starts_with(rest);
+    return {n, !rest.empty() && !may_be_empty_line};
 }
 
 /// Error in a first line that has ended; none when the line is good.
@@ -237,11 +251,7 @@
 
 bool begins_request(std::string_view bytes)
 {
-    const auto n = empty_lines_size(bytes);
-    const auto rest = bytes.substr(n);
-    const bool may_be_empty_line =
-        n < max_empty_lines * line_end.size() && line_end.starts_with(rest);
-    return !rest.empty() && !may_be_empty_line;
+    return lead_of(bytes).ended;
 }
 
 request_parser::request_parser(std::uint32_t max_head_bytes)
@@ -258,19 +268,19 @@
 std::size_t request_parser::put_head(std::string_view bytes,
                                      boost::system::error_code& ec)
 {
-    if (!begins_request(bytes)) {
+    const auto lead = lead_of(bytes);
+    if (!lead.ended) {
         return 0;
     }
-    const auto skipped = empty_lines_size(bytes);
-    const auto length = state_->find_end(bytes.substr(skipped), ec);
+    const auto length = state_->find_end(bytes.substr(lead.size), ec);
     if (ec || length == 0) {
         return 0;
     }
-    auto taken = skipped;
-    while (!ec && taken < skipped + length) {
+    const auto end = lead.size + length;
+    auto taken = lead.size;
+    while (!ec && taken < end) {
         taken += state_->put(
-            boost::asio::buffer(bytes.data() + taken, skipped + length - taken),
-            ec);
+            boost::asio::buffer(bytes.data() + taken, end - taken), ec);
     }
     return taken;
 }
