Share the formatting of the benches, and split the dispatch outcome off

dispatch_report.hpp had written the format() of the detection report again. The model counted spells and sends that nobody read, and kept the kind of a send that nobody asked for. What a run has seen is in a header of its own.

--- a/bench/coordination/dispatch_model.hpp
+++ b/bench/coordination/dispatch_model.hpp
@@ -4,6 +4,7 @@
 #ifndef ORIOLEGRADE_BENCH_COORDINATION_DISPATCH_MODEL_HPP
 #define ORIOLEGRADE_BENCH_COORDINATION_DISPATCH_MODEL_HPP
 
+#include "dispatch_outcome.hpp"
 #include "dispatch_patterns.hpp"
 #include "modelled_upstreams.hpp"
 #include "placements.hpp"
@@ -32,94 +33,6 @@
     std::uint64_t seed = 1;
 };
 
-/// What became of the callers of one kind.
-struct kind_outcome
-{
-    std::size_t offered = 0;
-    std::size_t in_target = 0;
-    std::size_t late = 0;
-    std::size_t refused = 0;
-    std::size_t failed = 0;
-    std::size_t left = 0;
-};
-
-/// Length of a span of time for which callers are counted together.
-inline constexpr state::duration span_length = 100ms;
-
-/// Callers that arrived within one span.
-struct span_outcome
-{
-    std::size_t offered = 0;
-    std::size_t served = 0;
-    /// Refused callers that came back in it.
-    std::size_t returned = 0;
-};
-
-struct dispatch_outcome
-{
-    std::array<kind_outcome, request_kinds.size()> kinds;
-    std::vector<span_outcome> spans;
-    /// When hosts were there again after the loss of all, from the start.
-    state::duration hosts_ready{};
-    /// From the first attempt to the start of the work, of served callers.
-    std::vector<double> waits_ms;
-    /// From an attempt to its refusal.
-    std::vector<double> refusals_ms;
-    /// Share of the sound upstreams that is held.
-    double held_mean = 0;
-    double held_max = 0;
-    /// From the beginning of a spell to the hold.
-    std::vector<double> detections_ms;
-    std::size_t spells = 0;
-    /// Sends of requests that must not repeat, and those of them to an upstream
-    /// in its spell.
-    std::size_t single_sends = 0;
-    std::size_t single_sends_to_failing = 0;
-    std::size_t sends = 0;
-
-    double in_target_share() const
-    {
-        double offered = 0;
-        double in_target = 0;
-        for (const auto& it : kinds) {
-            offered += static_cast<double>(it.offered - it.left);
-            in_target += static_cast<double>(it.in_target);
-        }
-        return in_target / std::max(offered, 1.0);
-    }
-    double mean_wait_ms() const
-    {
-        double sum = 0;
-        for (const auto it : waits_ms) {
-            sum += it;
-        }
-        return sum /
-               static_cast<double>(std::max<std::size_t>(waits_ms.size(), 1));
-    }
-    double failing_share() const
-    {
-        return static_cast<double>(single_sends_to_failing) /
-               static_cast<double>(std::max<std::size_t>(single_sends, 1));
-    }
-};
-
-/// Value below which the given share of the samples lies; 0 without samples.
-inline double percentile(std::vector<double> samples, double share)
-{
-    if (samples.empty()) {
-        return 0;
-    }
-    std::sort(samples.begin(), samples.end());
-    const auto n = static_cast<std::size_t>(
-        share * static_cast<double>(samples.size() - 1));
-    return samples[n];
-}
-
-inline double to_ms(state::duration it)
-{
-    return std::chrono::duration<double, std::milli>(it).count();
-}
-
 template <placement Placement>
 class dispatch_model
 {
@@ -202,7 +115,7 @@
         std::uint32_t eager_returns = 0;
         std::uint32_t sends = 0;
         bool finished = false;
-        /// Result of the last send decides what a failure is.
+        /// A send ended without a proof that the request did not run.
         bool may_have_run = false;
         std::vector<std::string> tried;
         /// Indices of asks and sends in progress.
@@ -224,7 +137,6 @@
         std::size_t caller;
         std::uint64_t number;
         std::size_t upstream;
-        state::send_kind kind;
         std::uint32_t epoch;
         state::time_point began;
         state::send_result result = state::send_result::answered;
@@ -534,11 +446,10 @@
         auto& it = callers_[from.caller];
         const auto n = sends_.size();
         const auto to = upstreams_.index_of(place.upstream);
-        sends_.push_back({from.caller, number, to, from.kind, epoch_, now_});
+        sends_.push_back({from.caller, number, to, epoch_, now_});
         it.active.push_back(n);
         it.tried.push_back(place.upstream);
         ++it.sends;
-        ++out_.sends;
         const bool failing = upstreams_.in_spell(to, now_);
         if (!it.kind->repeatable) {
             ++out_.single_sends;
@@ -794,7 +705,6 @@
         }
         if (since == state::time_point{}) {
             since = now_;
-            ++out_.spells;
         }
         if (is_held && since != state::time_point::max()) {
             out_.detections_ms.push_back(to_ms(now_ - since));
--- a/bench/coordination/dispatch_report.hpp
+++ b/bench/coordination/dispatch_report.hpp
@@ -4,25 +4,14 @@
 #ifndef ORIOLEGRADE_BENCH_COORDINATION_DISPATCH_REPORT_HPP
 #define ORIOLEGRADE_BENCH_COORDINATION_DISPATCH_REPORT_HPP
 
+#include "../format.hpp"
 #include "dispatch_model.hpp"
 
-#include <cstdarg>
-#include <cstdio>
 #include <string>
 #include <vector>
 
 namespace oriolegrade::bench {
 
-inline std::string formatted(const char* format, ...)
-{
-    std::array<char, 512> buf{};
-    va_list args;
-    va_start(args, format);
-    std::vsnprintf(buf.data(), buf.size(), format, args);
-    va_end(args);
-    return buf.data();
-}
-
 struct dispatch_cell
 {
     load_pattern pattern;
@@ -79,7 +68,7 @@
 {
     const auto n = 100.0 / static_cast<double>(
                                std::max<std::size_t>(it.offered - it.left, 1));
-    return formatted(
+    return format(
         "%.1f / %.1f / %.1f / %.1f", n * static_cast<double>(it.in_target),
         n * static_cast<double>(it.late), n * static_cast<double>(it.refused),
         n * static_cast<double>(it.failed));
@@ -92,7 +81,7 @@
     for (const auto& span : out.spans) {
         returned = std::max(returned, span.returned);
     }
-    return formatted(
+    return format(
         "| %s | %s | %s | %s | %.1f | %.0f, %.0f | %zu | %.1f, %.1f | %.0f, "
         "%.0f | %.1f |\n",
         state::name_of(it.pattern).data(), it.placement.data(),
@@ -107,8 +96,8 @@
 {
     std::string out;
     for (const auto& table : tables) {
-        out += formatted("## %zu hosts, %zu upstreams\n\n", table.size.hosts,
-                         table.size.upstreams);
+        out += format("## %zu hosts, %zu upstreams\n\n", table.size.hosts,
+                      table.size.upstreams);
         out += "| load pattern | placement | reads | bookings | mean wait, ms "
                "| refused after, ms | most returns | sound held, % | "
                "detection, ms | to failing, % |\n"
@@ -124,7 +113,7 @@
 inline std::string dispatch_page(const std::vector<dispatch_table>& tables,
                                  std::uint64_t seed)
 {
-    return formatted(
+    return format(
                "# Measurements of dispatching under load\n\n"
                "Written by `dispatch_bench docs %llu`; `./run bench dispatch` "
                "prints the tables.\n\n",
@@ -160,7 +149,7 @@
     constexpr int width = 400;
     const auto& table = tables[1];
     const auto height = static_cast<int>(table.cells.size() / 4) * row + 40;
-    auto out = formatted(
+    auto out = format(
         "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"640\" "
         "height=\"%d\" font-family=\"sans-serif\" font-size=\"12\">\n"
         "<rect width=\"640\" height=\"%d\" fill=\"white\"/>\n"
@@ -173,11 +162,10 @@
             static_cast<int>(n / 4) * row + 34 + static_cast<int>(n % 4) * 13;
         const auto share = it.outcome.in_target_share();
         if (n % 4 == 0) {
-            out += formatted("<text x=\"10\" y=\"%d\">%s</text>\n", y + 28,
-                             state::name_of(it.pattern).data());
+            out += format("<text x=\"10\" y=\"%d\">%s</text>\n", y + 28,
+                          state::name_of(it.pattern).data());
         }
-        out +=
-            formatted("<rect x=\"%d\" y=\"%d\" width=\"%.1f\" "
+        out += format("<rect x=\"%d\" y=\"%d\" width=\"%.1f\" "
                       "height=\"11\" fill=\"%s\"/>\n"
                       "<text x=\"%d\" y=\"%d\" font-size=\"10\">%s "
                       "%.1f%%</text>\n",
--- a/bench/detection/report.hpp
+++ b/bench/detection/report.hpp
@@ -3,10 +3,9 @@
 #ifndef ORIOLEGRADE_BENCH_DETECTION_REPORT_HPP
 #define ORIOLEGRADE_BENCH_DETECTION_REPORT_HPP
 
+#include "../format.hpp"
 #include "experiment.hpp"
 
-#include <cstdarg>
-#include <cstdio>
 #include <string>
 
 namespace oriolegrade::detection {
@@ -80,15 +79,7 @@
     return m;
 }
 
-inline std::string format(const char* pattern, ...)
-{
-    std::array<char, 512> buf{};
-    va_list args;
-    va_start(args, pattern);
-    std::vsnprintf(buf.data(), buf.size(), pattern, args);
-    va_end(args);
-    return buf.data();
-}
+using bench::format;
 
 inline std::string seconds_text(double seconds)
 {
