Share how system tests run to their end

Four system tests repeated how gateways are ended behind a run, and three of them how failures are printed and seeds are run one after another. The checks and what is printed are unchanged.

--- a/test/system/fault_soak.py
+++ b/test/system/fault_soak.py
@@ -745,26 +745,43 @@
             self.fail(f"after the faults {served} of {served + other} requests are served")
 
 
-def run_seed(binary, seed, seconds):
-    directory = pathlib.Path(tempfile.mkdtemp(prefix=f"oriole-soak-{seed}-"))
-    soak = Soak(binary, seed, seconds, directory)
+def run_to_end(test, run):
+    """Runs the coroutine of a test; no gateway outlives it."""
     try:
-        asyncio.run(soak.run())
+        asyncio.run(run)
     finally:
-        for it in getattr(soak, "gateways", []):
+        for it in getattr(test, "gateways", []):
             if it.process and it.process.returncode is None:
                 it.process.kill()
+
+
+def print_failures(test, most):
+    """True if there are none."""
+    for it in test.failures[:most]:
+        print(f"  {it}", flush=True)
+    if test.failures:
+        print(f"  logs: {test.dir}", flush=True)
+    return not test.failures
+
+
+def run_seeds(seeds, run_seed):
+    """Exits with the seeds whose run was not clean."""
+    failed = [it for it in seeds if not run_seed(it)]
+    if failed:
+        sys.exit(f"failed seeds: {failed}")
+
+
+def run_seed(binary, seed, seconds):
+    directory = pathlib.Path(tempfile.mkdtemp(prefix=f"oriole-soak-{seed}-"))
+    soak = Soak(binary, seed, seconds, directory)
+    run_to_end(soak, soak.run())
     print(f"seed {seed}: {soak.counts['served']} served, {soak.counts['other']} not, "
           f"{soak.faults} faults, "
           f"{', '.join(f'{n} {kind}' for kind, n in soak.changes.items())}, "
           f"{soak.refusals} refusals, "
           f"{soak.copies} copies, {soak.leave_checks} behind a leave, "
           f"{len(soak.failures)} broken promises", flush=True)
-    for it in soak.failures[:10]:
-        print(f"  {it}", flush=True)
-    if soak.failures:
-        print(f"  logs: {directory}", flush=True)
-    return not soak.failures
+    return print_failures(soak, 10)
 
 
 def main():
@@ -778,9 +795,7 @@
     seeds = [int(s) for s in args.seeds.split(",") if s]
     seeds += [random.randrange(1 << 30) for _ in range(args.fresh)]
     seeds = seeds or list(REGRESSION_SEEDS)
-    failed = [s for s in seeds if not run_seed(binary, s, args.seconds)]
-    if failed:
-        sys.exit(f"failed seeds: {failed}")
+    run_seeds(seeds, lambda seed: run_seed(binary, seed, args.seconds))
 
 
 if __name__ == "__main__":
--- a/test/system/odd_http.py
+++ b/test/system/odd_http.py
@@ -42,7 +42,8 @@
 import time
 
 import fault_soak
-from fault_soak import Gateway, Upstream, answer
+from fault_soak import (Gateway, Upstream, answer, print_failures, run_seeds,
+                        run_to_end)
 from faulty_upstreams import SERVED_SHARE, reset
 from planned_stop import CROSSING, PlannedStop
 
@@ -878,12 +879,7 @@
 def run_seed(binary, seed):
     directory = pathlib.Path(tempfile.mkdtemp(prefix=f"oriole-odd-{seed}-"))
     test = OddHttp(binary, directory, seed)
-    try:
-        asyncio.run(test.run())
-    finally:
-        for it in getattr(test, "gateways", []):
-            if it.process and it.process.returncode is None:
-                it.process.kill()
+    run_to_end(test, test.run())
     happened = ", ".join(f"{n} {it}" for it, n in sorted(test.happened.items()))
     print(f"odd http: seed {seed}, {test.counts['served']} good answers to odd requests, "
           f"{test.counts['other']} others, {len(test.failures)} broken promises\n"
@@ -892,19 +888,13 @@
         seen = [it for it in test.known if it.startswith(name)]
         print(f"  known red: {name}: {len(seen)} times{', first ' if seen else ''}"
               f"{''.join(seen[:1])}", flush=True)
-    for it in test.failures[:20]:
-        print(f"  {it}", flush=True)
-    if test.failures:
-        print(f"  logs: {directory}", flush=True)
-    return not test.failures
+    return print_failures(test, 20)
 
 
 def main():
     binary = pathlib.Path(sys.argv[1]).resolve() / "oriole-gateway"
     seeds = [int(it) for it in sys.argv[2:]] or [SEED]
-    failed = [it for it in seeds if not run_seed(binary, it)]
-    if failed:
-        sys.exit(f"failed seeds: {failed}")
+    run_seeds(seeds, lambda seed: run_seed(binary, seed))
 
 
 if __name__ == "__main__":
--- a/test/system/planned_stop.py
+++ b/test/system/planned_stop.py
@@ -193,12 +193,7 @@
 
     summary is called after the run and says what was seen.
     """
-    try:
-        asyncio.run(run)
-    finally:
-        for it in getattr(test, "gateways", []):
-            if it.process and it.process.returncode is None:
-                it.process.kill()
+    fault_soak.run_to_end(test, run)
     print(f"{summary()}{len(test.failures)} broken promises", flush=True)
     for it in test.failures[:20]:
         print(f"  {it}", flush=True)
--- a/test/system/two_dispatchers.py
+++ b/test/system/two_dispatchers.py
@@ -29,7 +29,8 @@
 import time
 
 import fault_soak
-from fault_soak import GRACE, Gateway, Soak, Upstream, serve
+from fault_soak import (GRACE, Gateway, Soak, Upstream, print_failures, run_seeds,
+                        run_to_end, serve)
 
 SEED = 30
 SECONDS = 14.0
@@ -249,31 +250,20 @@
 def run_seed(binary, seed):
     directory = pathlib.Path(tempfile.mkdtemp(prefix=f"oriole-dispatchers-{seed}-"))
     test = TwoDispatchers(binary, seed, directory)
-    try:
-        asyncio.run(test.run())
-    finally:
-        for it in getattr(test, "gateways", []):
-            if it.process and it.process.returncode is None:
-                it.process.kill()
+    run_to_end(test, test.run())
     print(f"two dispatchers: seed {seed}, {test.counts['served']} served, "
           f"{test.counts['other']} not, "
           f"{', '.join(f'{n} {kind}' for kind, n in test.disturbances.items())}; "
           f"in the logs {', '.join(f'{n} {k}' for k, n in test.seen_in_logs.items())}; "
           f"{len(test.extras)} extra sends, {test.peak:.2f} of the budget at most; "
           f"{len(test.failures)} broken promises", flush=True)
-    for it in test.failures[:10]:
-        print(f"  {it}", flush=True)
-    if test.failures:
-        print(f"  logs: {directory}", flush=True)
-    return not test.failures
+    return print_failures(test, 10)
 
 
 def main():
     binary = pathlib.Path(sys.argv[1]).resolve() / "oriole-gateway"
     seeds = [int(it) for it in sys.argv[2:]] or [SEED]
-    failed = [it for it in seeds if not run_seed(binary, it)]
-    if failed:
-        sys.exit(f"failed seeds: {failed}")
+    run_seeds(seeds, lambda seed: run_seed(binary, seed))
 
 
 if __name__ == "__main__":
