Show both broken rules of a copied refusal with real processes

It now runs with three upstreams and with eight, and lists what became of a broken request at the upstreams.

--- a/test/system/refusal_copies.py
+++ b/test/system/refusal_copies.py
@@ -4,8 +4,10 @@
 
 The old entry of an upstream stays in the register for a while, so a request for
 it meets the new process, is refused with 421, and may be placed at the same
-address again. A copy of the refusal bears the id of that request. Checked is,
-beside one gateway process, that
+address again. A copy of the refusal bears the id of that request. Believed, it
+has the request refused although it runs, or, where there are upstreams enough,
+run once more elsewhere. Checked is, beside one gateway process, with few
+upstreams and with several, that
 
 - a request that must not repeat runs at most once;
 - one that was refused as unrun has not run and never runs;
@@ -20,11 +22,11 @@
 import sys
 
 import fault_soak
-from fault_soak import Upstream, answer, read_message
-from planned_stop import PlannedStop, gateway_of_build, run_and_report
+from fault_soak import (Upstream, answer, print_failures, read_message,
+                        run_to_end)
+from planned_stop import PlannedStop, gateway_of_build
 
 SEED = 41
-UPSTREAMS = 3
 CALLERS = 12
 SECONDS = 8.0
 # Time for which the entry of an ended process stays in the register, in seconds.
@@ -33,9 +35,23 @@
 COPIED = 0.9
 # Share of the requests that are refused although the upstream could run them.
 REFUSED = 0.02
-# Share of the requests that must be served. The others meet an upstream that is
-# gone, or several that refuse.
-SERVED_SHARE = 0.5
+
+
+class Shape:
+    """Upstreams, and what they do to callers."""
+
+    def __init__(self, upstreams, restart_gap, served_share):
+        self.upstreams = upstreams
+        # Time between two restarts, in seconds.
+        self.restart_gap = restart_gap
+        # Share of the requests that must be served. The others meet an upstream
+        # that is gone, or several that refuse.
+        self.served_share = served_share
+
+
+# With few upstreams a refused request finds no third place, and with several it
+# is sent to one.
+SHAPES = (Shape(3, (0.1, 0.3), 0.5), Shape(8, (0.15, 0.45), 0.8))
 
 
 class RestartingUpstream(Upstream):
@@ -49,23 +65,35 @@
     async def run(self, writer, line, fields, body):
         rid = fields.get("request-id", "")
         if fields.get("expect-instance") not in (None, self.name):
+            self.note_arrival(rid, writer, "refused 421")
             await self.refuse(writer, 421, rid, [("Instance-Id", self.name)])
             return
         if self.soak.chance.random() < REFUSED:
+            self.note_arrival(rid, writer, "refused 503")
             await self.refuse(writer, 503, rid, [("Not-Executed", "1")])
             return
+        self.note_arrival(rid, writer, "ran")
         self.soak.note_run(rid, self, line)
         await asyncio.sleep(self.soak.chance.uniform(0.005, 0.03))
         own = [("Server-Stamp", self.name), ("Request-Id", rid)]
         writer.write(answer(200, rid.encode() * 20, own))
         await writer.drain()
 
+    def note_arrival(self, rid, writer, end):
+        caller = writer.get_extra_info("peername")[1]
+        self.soak.arrivals.setdefault(rid, []).append(
+            f"{end} at {self.name} on {caller}")
+
 
 class RefusalCopies(PlannedStop):
-    def __init__(self, binary, directory, seed):
+    def __init__(self, binary, directory, seed, shape):
         super().__init__(binary, directory)
         self.chance = self.change_random = random.Random(seed)
+        self.shape = shape
         self.numbers = iter(range(1, 1000000))
+        # What became of each request at the upstreams.
+        self.arrivals = {}
+        self.broken = set()
 
     async def ask(self, kind):
         rid = f"{kind}-{next(self.numbers)}"
@@ -90,6 +118,7 @@
         if status in (503, 429, 408, 421):
             self.refused.add(rid)
             if kind != "read" and self.runs.get(rid):
+                self.broken.add(rid)
                 self.fail(f"{rid} ran and was refused with {status} as unrun")
             await asyncio.sleep(float(fields.get("retry-after", "0")))
 
@@ -102,35 +131,44 @@
     async def restarts(self):
         while True:
             asyncio.ensure_future(self.chance.choice(self.upstreams).restart(OLD_ENTRY))
-            await asyncio.sleep(self.chance.uniform(0.1, 0.3))
+            await asyncio.sleep(self.chance.uniform(*self.shape.restart_gap))
 
     def note_run(self, rid, upstream, line):
         super().note_run(rid, upstream, line)
+        if not rid.startswith("read") and self.runs[rid] > 1:
+            self.broken.add(rid)
         if rid.startswith("upload") and self.runs[rid] > 1:
             self.fail(f"request {rid} ran {self.runs[rid]} times")
 
     async def run(self):
-        await self.start(fault_soak.Store(), RestartingUpstream, UPSTREAMS)
+        await self.start(fault_soak.Store(), RestartingUpstream,
+                         self.shape.upstreams)
         restarting = asyncio.ensure_future(self.restarts())
         await asyncio.gather(*[self.caller() for _ in range(CALLERS)])
         restarting.cancel()
         total = sum(self.counts.values())
         if not self.copies:
             self.fail("no copy of a refusal in the whole run")
-        if self.counts["served"] < SERVED_SHARE * total:
+        if self.counts["served"] < self.shape.served_share * total:
             self.fail(f"{self.counts['served']} of {total} served")
+        for it in sorted(self.broken):
+            self.fail(f"{it} at the upstreams: {'; '.join(self.arrivals[it])}")
 
 
-def main():
-    seed = int(sys.argv[2]) if len(sys.argv) > 2 else SEED
-    test = RefusalCopies(*gateway_of_build("refusals"), seed)
+def run_shape(seed, shape):
+    test = RefusalCopies(*gateway_of_build("refusals"), seed, shape)
+    run_to_end(test, test.run())
+    print(f"refusal copies: seed {seed}, {shape.upstreams} upstreams, "
+          f"{test.counts['served']} served, {test.counts['other']} not, "
+          f"{test.refusals} refusals, {test.copies} copies; "
+          f"{len(test.failures)} broken promises", flush=True)
+    return print_failures(test, 20)
 
-    def summary():
-        return (f"refusal copies: seed {seed}, {test.counts['served']} served, "
-                f"{test.counts['other']} not, {test.refusals} refusals, "
-                f"{test.copies} copies; ")
 
-    run_and_report(test, test.run(), summary)
+def main():
+    seed = int(sys.argv[2]) if len(sys.argv) > 2 else SEED
+    clean = [run_shape(seed, it) for it in SHAPES]
+    sys.exit(0 if all(clean) else 1)
 
 
 if __name__ == "__main__":
