Keep lines of refused requests beside many answered ones

What callers saw: nothing; who looks for a refused request finds no line of it.

Cause: a gateway writes at most 50 request lines a second and takes them in the order in which requests end, so answered ones use them up.

--- a/src/transport/gateway/request_log.cpp
+++ b/src/transport/gateway/request_log.cpp
@@ -10,30 +10,57 @@
 
 namespace {
 
-/// Lines of requests that one process writes in a second. Beyond it they are
-/// counted, so that a burst of callers costs no burst of log output.
+/// Lines of requests that one process writes in a second, of those that were
+/// answered and of the others each. Beyond it they are counted, so that a burst
+/// of callers costs no burst of log output.
 constexpr std::uint32_t most_lines_per_second = 50;
 
-std::atomic<std::int64_t> second{0};
-std::atomic<std::uint32_t> lines{0};
-std::atomic<std::uint64_t> left_out{0};
-
 std::int64_t milliseconds_of(state::duration d)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
 }
 
-/// True when one more line fits into this second.
-bool take_line()
+/// Lines of the second in progress. Shared by all threads.
+class line_budget
 {
-    const auto now = std::chrono::duration_cast<std::chrono::seconds>(
-                         std::chrono::steady_clock::now().time_since_epoch())
-                         .count();
-    if (second.exchange(now, std::memory_order_relaxed) != now) {
-        lines.store(0, std::memory_order_relaxed);
+public:
+    /// True when one more line fits into this second; otherwise it is counted
+    /// as left out.
+    bool take()
+    {
+        const auto now =
+            std::chrono::duration_cast<std::chrono::seconds>(
+                std::chrono::steady_clock::now().time_since_epoch())
+                .count();
+        if (second_.exchange(now, std::memory_order_relaxed) != now) {
+            lines_.store(0, std::memory_order_relaxed);
+        }
+        const bool fits = lines_.fetch_add(1, std::memory_order_relaxed) <
+                          most_lines_per_second;
+        if (!fits) {
+            left_out_.fetch_add(1, std::memory_order_relaxed);
+        }
+        return fits;
+    }
+    /// Lines left out since the last call.
+    std::uint64_t take_left_out()
+    {
+        return left_out_.exchange(0, std::memory_order_relaxed);
     }
-    return lines.fetch_add(1, std::memory_order_relaxed) <
-           most_lines_per_second;
+
+private:
+    std::atomic<std::int64_t> second_{0};
+    std::atomic<std::uint32_t> lines_{0};
+    std::atomic<std::uint64_t> left_out_{0};
+};
+
+/// Answered requests are the most by far, and who looks for a request that was
+/// refused or failed has nothing but its line.
+line_budget& budget_of(request_end end)
+{
+    static line_budget answered;
+    static line_budget others;
+    return end == request_end::answered ? answered : others;
 }
 
 } // namespace
@@ -45,8 +72,8 @@
     if (!is_logged(level)) {
         return;
     }
-    if (!take_line()) {
-        left_out.fetch_add(1, std::memory_order_relaxed);
+    auto& budget = budget_of(end);
+    if (!budget.take()) {
         return;
     }
     std::string upstreams;
@@ -84,7 +111,7 @@
         line.with("read_behind", read_behind)
             .with("turn_ms", milliseconds_of(turn_wait));
     }
-    if (const auto n = left_out.exchange(0, std::memory_order_relaxed)) {
+    if (const auto n = budget.take_left_out()) {
         line.with("left_out", n);
     }
 }
