Wait for the owner of a token that was not heard of yet

Cause: a host that gets a token of another one looks the incarnation up once. News of a host that has started travel for up to 0.13 s.

--- a/include/oriolegrade/transport/once_path.hpp
+++ b/include/oriolegrade/transport/once_path.hpp
@@ -42,6 +42,9 @@
 
     coordination::execution_input execution_input_of(const attempt& it) const;
 
+    static protocol::forward_request
+    forward_request_of(const coordination::forward_to& way, const attempt& it);
+
     void go(const coordination::run_as_idempotent&, attempt& it);
     void go(const coordination::single_attempt&, attempt& it);
     void go(const coordination::run_locally& way, attempt& it);
--- a/src/transport/once_path.cpp
+++ b/src/transport/once_path.cpp
@@ -2,9 +2,12 @@
 
 #include <oriolegrade/transport/once_path.hpp>
 
+#include <oriolegrade/coordination/owner_search.hpp>
 #include <oriolegrade/state/partition.hpp>
 #include <oriolegrade/transport/event_log.hpp>
 
+#include <boost/fiber/operations.hpp>
+
 namespace oriolegrade::transport {
 
 namespace {
@@ -162,14 +165,10 @@
              it.source, it.answer);
 }
 
-void once_path::go(const coordination::forward_to& way, attempt& it)
+protocol::forward_request
+once_path::forward_request_of(const coordination::forward_to& way,
+                              const attempt& it)
 {
-    const auto peers = once_.peers.read();
-    const auto* peer = peers->find_incarnation(way.incarnation);
-    if (!peer) {
-        const auto refused = coordination::forward_failed(true);
-        return send_reply(it.answer, refused.reason, refused.outcome);
-    }
     auto request = to_forward(it.context);
     if (way.by_claim) {
         request.claim = way.by_claim;
@@ -177,12 +176,33 @@
         request.token = it.token;
     }
     request.fingerprint = it.fingerprint;
-    const auto result =
-        forward_.forward(peer->forward, request, it.source, it.answer);
-    if (result == forward_result::failed) {
-        const auto refused = coordination::forward_failed(false);
-        send_reply(it.answer, refused.reason, refused.outcome);
+    return request;
+}
+
+void once_path::go(const coordination::forward_to& way, attempt& it)
+{
+    coordination::owner_search search(way.incarnation,
+                                      std::chrono::steady_clock::now(),
+                                      it.context.deadline - run_reserve);
+    for (;;) {
+        const auto peers = once_.peers.read();
+        if (const auto* peer = peers->find_incarnation(search.holder())) {
+            const auto result =
+                forward_.forward(peer->forward, forward_request_of(way, it),
+                                 it.source, it.answer);
+            if (result == forward_result::failed) {
+                const auto refused = coordination::forward_failed(false);
+                send_reply(it.answer, refused.reason, refused.outcome);
+            }
+            return;
+        }
+        if (!search.may_wait(std::chrono::steady_clock::now())) {
+            break;
+        }
+        boost::this_fiber::sleep_for(coordination::owner_check_interval);
     }
+    const auto refused = coordination::forward_failed(true);
+    send_reply(it.answer, refused.reason, refused.outcome);
 }
 
 void once_path::go(const coordination::claim_key_first&, attempt& it)
--- a/test/transport/once_path_test.cpp
+++ b/test/transport/once_path_test.cpp
@@ -257,6 +257,24 @@
     });
 }
 
+// Guards against an unknown outcome for the token of a host that has just
+// started: the others hear of it within moments.
+TEST(once_path, token_of_a_host_that_was_not_heard_of_is_unknown)
+{
+    on_fleet([](fleet& f) {
+        f.upstream.add({answer_text("booked")});
+        const auto token = f.token(f.a);
+        f.publish_peers({f.b.peer()});
+        boost::fibers::fiber news([&] {
+            boost::this_fiber::sleep_for(130ms);
+            f.publish_peers({f.a.peer(), f.b.peer()});
+        });
+        EXPECT_EQ(f.book(f.b, token).body(), "booked");
+        news.join();
+        EXPECT_EQ(f.upstream.runs, 1);
+    });
+}
+
 // Guards against forged tokens and tokens of another caller.
 TEST(once_path, forged_and_foreign_tokens_do_not_run)
 {
