Follow a token to the successor of a host that stops

Cause: the stopping host refuses with handed_over, and the host that forwards passed that on. The message between hosts had a field for the successor that nobody set.

Change: the stopping host names its successor, and the forwarding host sends the request there, until the successor has imported the table or the wait of owner_search is over. Nothing runs twice: a host that refuses with handed_over or incarnation_gone has started nothing, and only the successor may start a token of the incarnation.

once_path.token_is_not_followed_to_the_successor failed before.

--- a/include/oriolegrade/coordination/owner_search.hpp
+++ b/include/oriolegrade/coordination/owner_search.hpp
@@ -10,6 +10,7 @@
 #define ORIOLEGRADE_COORDINATION_OWNER_SEARCH_HPP
 
 #include <oriolegrade/state/identifier.hpp>
+#include <oriolegrade/state/reply_reason.hpp>
 #include <oriolegrade/state/time_type.hpp>
 
 #include <algorithm>
@@ -39,15 +40,32 @@
         return holder_;
     }
 
-    /// False when the request is refused now.
+    /// The host did not run the request because it does not hold the
+    /// incarnation, or no longer.
+    /// @param successor where the incarnation went; none when that is not known
+    void moved(state::reply_reason reason, const state::identifier& successor)
+    {
+        reason_ = reason;
+        if (successor) {
+            holder_ = successor;
+        }
+    }
+
+    /// False when the request is answered with reason() now.
     bool may_wait(state::time_point now) const
     {
         return now + owner_check_interval <= until_;
     }
 
+    state::reply_reason reason() const
+    {
+        return reason_;
+    }
+
 private:
     state::identifier holder_;
     state::time_point until_;
+    state::reply_reason reason_ = state::reply_reason::incarnation_gone;
 };
 
 } // namespace oriolegrade::coordination
--- a/include/oriolegrade/transport/forward_client.hpp
+++ b/include/oriolegrade/transport/forward_client.hpp
@@ -4,6 +4,8 @@
 #define ORIOLEGRADE_TRANSPORT_FORWARD_CLIENT_HPP
 
 #include <oriolegrade/protocol/once_messages.hpp>
+#include <oriolegrade/state/identifier.hpp>
+#include <oriolegrade/state/reply_reason.hpp>
 #include <oriolegrade/transport/body_stream.hpp>
 #include <oriolegrade/transport/forward_message.hpp>
 #include <oriolegrade/transport/message_frame.hpp>
@@ -22,6 +24,18 @@
     failed,
     /// The answer broke off; the caller's connection must be aborted.
     broken,
+    /// The entry does not hold the incarnation, or no longer. It has run
+    /// nothing, and no answer has begun.
+    moved,
+};
+
+struct forward_end
+{
+    forward_result result = forward_result::failed;
+    /// What the entry says after `moved`, and where the incarnation went; none
+    /// when it does not know.
+    state::reply_reason reason = state::reply_reason::incarnation_gone;
+    state::identifier successor = {};
 };
 
 /// Connections of one worker thread to other entries.
@@ -40,23 +54,23 @@
 
     /// Sends a request and passes its answer on.
     template <body_source Source, answer_sink Sink>
-    forward_result forward(const state::endpoint& peer,
-                           const protocol::forward_request& request,
-                           Source& source, Sink& sink)
+    forward_end forward(const state::endpoint& peer,
+                        const protocol::forward_request& request,
+                        Source& source, Sink& sink)
     {
         const auto client = to(peer);
         auto opened = client->open(
             forward_path, {}, std::chrono::milliseconds(request.deadline_ms));
         if (!opened) {
-            return forward_result::failed;
+            return {};
         }
         auto& stream = opened.value();
         if (!send(stream, request, source)) {
-            return forward_result::failed;
+            return {};
         }
         const auto status = stream.status();
         if (!status || status.value() != 200) {
-            return forward_result::failed;
+            return {};
         }
         return receive(stream, sink);
     }
@@ -91,16 +105,20 @@
     }
 
     template <answer_sink Sink>
-    forward_result receive(client_stream& stream, Sink& sink)
+    forward_end receive(client_stream& stream, Sink& sink)
     {
         const auto block =
             read_message(stream, protocol::once_limits::header_block_bytes);
         if (!block || !block.value()) {
-            return forward_result::failed;
+            return {};
         }
         const auto answer = protocol::decode_forward_answer(*block.value());
         if (!answer) {
-            return forward_result::failed;
+            return {};
+        }
+        if (is_moved(answer.value())) {
+            return {forward_result::moved, *answer.value().reason,
+                    answer.value().successor};
         }
         std::vector<char> buf(buffer_bytes);
         std::string held;
@@ -108,7 +126,7 @@
         while (!whole && held.size() < hold_bytes) {
             const auto n = stream.read_some(boost::asio::buffer(buf));
             if (!n) {
-                return forward_result::failed;
+                return {};
             }
             whole = n.value() == 0;
             held.append(buf.data(), n.value());
@@ -119,7 +137,7 @@
         while (!whole && !ec) {
             const auto n = stream.read_some(boost::asio::buffer(buf));
             if (!n) {
-                return forward_result::broken;
+                return {forward_result::broken};
             }
             whole = n.value() == 0;
             pass(sink, {buf.data(), n.value()}, ec);
@@ -127,7 +145,13 @@
         if (!ec) {
             sink.finish(ec);
         }
-        return ec ? forward_result::broken : forward_result::answered;
+        return {ec ? forward_result::broken : forward_result::answered};
+    }
+
+    static bool is_moved(const protocol::forward_answer& answer)
+    {
+        return answer.reason == state::reply_reason::incarnation_gone ||
+               answer.reason == state::reply_reason::handed_over;
     }
 
     template <answer_sink Sink>
--- a/include/oriolegrade/transport/reply.hpp
+++ b/include/oriolegrade/transport/reply.hpp
@@ -14,12 +14,22 @@
 /// JSON body of a reply.
 std::string reply_body(state::reply_reason reason, state::run_outcome outcome);
 
+/// A sink that passes on why the system answers itself.
+template <class Sink>
+concept reason_recorder = requires(Sink& sink, state::reply_reason reason)
+{
+    sink.note_reason(reason);
+};
+
 /// Sends a reply whose outcome may differ from the reason's usual one.
 /// @param fields further header fields, for example an offered token
 template <answer_sink Sink>
 void send_reply(Sink& sink, state::reply_reason reason,
                 state::run_outcome outcome, protocol::http_fields fields = {})
 {
+    if constexpr (reason_recorder<Sink>) {
+        sink.note_reason(reason);
+    }
     const auto body = reply_body(reason, outcome);
     protocol::answer_head head;
     head.status = state::reply_of(reason).status;
--- a/src/transport/forward_server.cpp
+++ b/src/transport/forward_server.cpp
@@ -9,6 +9,9 @@
 
 #include <boost/system/system_error.hpp>
 
+#include <optional>
+#include <utility>
+
 namespace oriolegrade::transport {
 
 namespace {
@@ -62,11 +65,21 @@
         started_ = true;
         check(stream_.respond(200), ec);
         if (!ec) {
-            check(write_message(stream_, protocol::encode(to_forward(head))),
+            check(write_message(stream_, protocol::encode(message_of(head))),
                   ec);
         }
     }
 
+    void note_reason(reply_reason reason)
+    {
+        reason_ = reason;
+    }
+    /// Incarnation that the request belongs to.
+    void set_incarnation(coordination::held_incarnation_ptr held)
+    {
+        held_ = std::move(held);
+    }
+
     void write(std::string_view bytes, error_code& ec)
     {
         check(stream_.write_all(boost::asio::buffer(bytes)), ec);
@@ -90,7 +103,20 @@
         }
     }
 
+    protocol::forward_answer message_of(const protocol::answer_head& head) const
+    {
+        auto out = to_forward(head);
+        out.reason = reason_;
+        if (reason_ == reply_reason::handed_over && held_) {
+            out.successor = held_->used.successor();
+        }
+        return out;
+    }
+
     server_stream& stream_;
+    /// Set when the answer is the system's own.
+    std::optional<reply_reason> reason_;
+    coordination::held_incarnation_ptr held_;
     bool started_ = false;
 };
 
@@ -170,6 +196,7 @@
     const auto incarnation =
         it.token ? it.token->incarnation : it.claim->incarnation;
     const auto held = once_.incarnations.find(incarnation);
+    sink.set_incarnation(held);
     if (!held || !context.service) {
         const auto reason =
             held ? reply_reason::no_service : reply_reason::incarnation_gone;
--- a/src/transport/once_path.cpp
+++ b/src/transport/once_path.cpp
@@ -187,22 +187,28 @@
     for (;;) {
         const auto peers = once_.peers.read();
         if (const auto* peer = peers->find_incarnation(search.holder())) {
-            const auto result =
+            const auto end =
                 forward_.forward(peer->forward, forward_request_of(way, it),
                                  it.source, it.answer);
-            if (result == forward_result::failed) {
+            if (end.result == forward_result::failed) {
                 const auto refused = coordination::forward_failed(false);
-                send_reply(it.answer, refused.reason, refused.outcome);
+                return send_reply(it.answer, refused.reason, refused.outcome);
             }
-            return;
+            if (end.result != forward_result::moved) {
+                return;
+            }
+            search.moved(end.reason, end.successor);
+            if (!it.source.replayable()) {
+                break;
+            }
+            it.source.rewind();
         }
         if (!search.may_wait(std::chrono::steady_clock::now())) {
             break;
         }
         boost::this_fiber::sleep_for(coordination::owner_check_interval);
     }
-    const auto refused = coordination::forward_failed(true);
-    send_reply(it.answer, refused.reason, refused.outcome);
+    send_reply(it.answer, search.reason(), state::run_outcome::unknown);
 }
 
 void once_path::go(const coordination::claim_key_first&, attempt& it)
--- a/test/transport/once_path_test.cpp
+++ b/test/transport/once_path_test.cpp
@@ -275,6 +275,38 @@
     });
 }
 
+// Guards against an unknown outcome at a third host around a graceful stop: the
+// stopping host says where the incarnation goes, and the successor has it
+// within moments.
+TEST(once_path, token_is_not_followed_to_the_successor)
+{
+    on_fleet([](fleet& f) {
+        f.upstream.add({answer_text("booked")});
+        const auto token = f.token(f.a);
+        // Kept until the process ends, as its fibers wait on sockets.
+        auto& c = *new host(f.ioc, "c", f.claims);
+        test::activate_configuration(c.shared,
+                                     *f.a.shared.configuration.read());
+        c.once.peers.publish(std::make_shared<const state::peer_directory>(
+            std::vector{f.a.peer(), f.b.peer()}));
+        const auto now = std::chrono::steady_clock::now();
+        const auto tables = f.a.once.incarnations.export_all(
+            f.b.once.incarnations.own()->authority.incarnation(), now);
+        boost::fibers::fiber transfer([&] {
+            boost::this_fiber::sleep_for(60ms);
+            for (const auto& it : tables) {
+                f.b.once.incarnations.import(
+                    protocol::decode_handover(protocol::encode(it)).value(),
+                    now);
+            }
+        });
+        EXPECT_EQ(f.book(c, token).body(), "booked");
+        EXPECT_EQ(f.book(c, token).body(), "booked");
+        transfer.join();
+        EXPECT_EQ(f.upstream.runs, 1);
+    });
+}
+
 // Guards against forged tokens and tokens of another caller.
 TEST(once_path, forged_and_foreign_tokens_do_not_run)
 {
