Add workspaces, their keys and limits to the traffic rules

The types that the parts of the change share: a workspace with its keys, rate, burst and rank, found by key in the read-copy-update table of the routes; the workspace of a place request, in memory and on the wire; and the reply to a request without a known key. Nothing uses them yet.

--- a/include/oriolegrade/state/dispatch_type.hpp
+++ b/include/oriolegrade/state/dispatch_type.hpp
@@ -40,6 +40,8 @@
     std::string service;
     /// Route of the request; latencies are learned per route.
     std::string route;
+    /// Name of the workspace that sent the request; empty for none.
+    std::string workspace = {};
     send_kind kind = send_kind::first;
     /// The request may run more than once.
     bool repeatable = false;
--- a/include/oriolegrade/state/reply_reason.hpp
+++ b/include/oriolegrade/state/reply_reason.hpp
@@ -42,12 +42,13 @@
     internal_error_not_run,
     not_forwarded,
     target_too_long,
+    unknown_key,
 };
 
 template <>
 struct enum_names<reply_reason>
 {
-    static constexpr std::array<std::string_view, 28> value{
+    static constexpr std::array<std::string_view, 29> value{
         "no_route",
         "too_large",
         "limit",
@@ -76,6 +77,7 @@
         "internal_error_not_run",
         "not_forwarded",
         "target_too_long",
+        "unknown_key",
     };
 };
 
@@ -86,7 +88,7 @@
     std::string_view text;
 };
 
-inline constexpr std::array<reply_row, 28> reply_table{{
+inline constexpr std::array<reply_row, 29> reply_table{{
     {404, run_outcome::not_run, "no route matches"},
     {413, run_outcome::not_run, "request body exceeds the route's limit"},
     {429, run_outcome::not_run, "rate or concurrency limit reached"},
@@ -115,6 +117,7 @@
     {503, run_outcome::not_run, "internal error before the request was sent"},
     {501, run_outcome::not_run, "request may not be forwarded any further"},
     {414, run_outcome::not_run, "request target exceeds the limit"},
+    {401, run_outcome::not_run, "the request needs a key that is known"},
 }};
 
 static_assert(reply_table.size() == enum_size<reply_reason>);
--- a/include/oriolegrade/state/route_index.hpp
+++ b/include/oriolegrade/state/route_index.hpp
@@ -1,10 +1,13 @@
-// Finds the route of a request by host and longest path prefix.
+// Finds the route of a request by host and longest path prefix, and the
+// workspace that sent it by its key.
 
 #ifndef ORIOLEGRADE_STATE_ROUTE_INDEX_HPP
 #define ORIOLEGRADE_STATE_ROUTE_INDEX_HPP
 
 #include <oriolegrade/state/traffic_rules.hpp>
 
+#include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -25,16 +28,32 @@
     const traffic_route* find(std::string_view host,
                               std::string_view path) const;
 
+    /// Workspace that holds the key, or null. Allocates nothing.
+    const traffic_workspace* find_workspace(std::string_view key) const;
+
     const traffic_rules& rules() const
     {
         return *rules_;
     }
 
 private:
+    /// Finds a text without a copy of it.
+    struct text_hash
+    {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view text) const
+        {
+            return std::hash<std::string_view>()(text);
+        }
+    };
+
     std::shared_ptr<const traffic_rules> rules_;
     /// The key is host, line feed and path prefix; neither part contains a
     /// line feed.
     std::unordered_map<std::string, const traffic_route*> by_prefix_;
+    std::unordered_map<std::string, const traffic_workspace*, text_hash,
+                       std::equal_to<>>
+        by_key_;
 };
 
 /// Lower-case host without a port.
--- a/include/oriolegrade/state/traffic_rules.hpp
+++ b/include/oriolegrade/state/traffic_rules.hpp
@@ -7,6 +7,7 @@
 #include <oriolegrade/state/record_type.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -37,10 +38,27 @@
     /// Request bodies are large, so other data centres cost more than for other
     /// routes.
     bool upload = false;
+    /// Requests need no key, also where the rules name workspaces.
+    bool is_public = false;
     /// Never empty; weights are positive.
     std::vector<weighted_service> split;
 };
 
+/// Owner of requests, known by the key that they carry.
+struct traffic_workspace
+{
+    std::string name;
+    /// Secrets: they are written to no log, message or upstream. A key belongs
+    /// to one workspace at most.
+    std::vector<std::string> keys;
+    /// Requests a second that all hosts together may send; 0 for no limit.
+    double rate_per_s = 0;
+    /// Requests beyond the rate that may come at once.
+    double burst = 0;
+    /// Goes before the rank of the route; empty to keep that.
+    std::optional<std::uint32_t> rank;
+};
+
 struct traffic_service
 {
     /// Connections that one upstream accepts from all hosts together.
@@ -63,6 +81,11 @@
     std::uint64_t version = 0;
     std::vector<traffic_route> routes;
     std::unordered_map<std::string, traffic_service> services;
+    /// Only where requires_keys.
+    std::vector<traffic_workspace> workspaces;
+    /// The document names workspaces, be it none: a request on a route that is
+    /// not public needs a key of one of them.
+    bool requires_keys = false;
     traffic_limits limits;
     /// Encoded document, for hosts that cannot read it from the store.
     std::string document;
--- a/src/protocol/dispatch_messages.cpp
+++ b/src/protocol/dispatch_messages.cpp
@@ -64,6 +64,7 @@
         ask.add_tried(id);
     }
     ask.set_accept_stale(it.what.accept_stale);
+    ask.set_workspace(it.what.workspace);
 }
 
 void write(const numbered<state::send_report>& it, wire::entry_frame& out)
@@ -137,6 +138,9 @@
     what.accept_stale = it.accept_stale();
     check_text(what.service, "service", check);
     check_text(what.route, "route", check);
+    what.workspace = it.workspace();
+    check.require(what.workspace.size() <= max_text_bytes, "workspace",
+                  "is too long");
     if (check.require(it.tried_size() <= max_tried, "tried",
                       "has too many rows")) {
         what.tried.assign(it.tried().begin(), it.tried().end());
--- a/src/state/route_index.cpp
+++ b/src/state/route_index.cpp
@@ -35,6 +35,11 @@
     for (const auto& it : rules_->routes) {
         by_prefix_.emplace(key_of(it.host, it.spec.path_prefix), &it);
     }
+    for (const auto& it : rules_->workspaces) {
+        for (const auto& key : it.keys) {
+            by_key_.emplace(key, &it);
+        }
+    }
 }
 
 const traffic_route* route_index::find(std::string_view host,
@@ -51,6 +56,12 @@
     return nullptr;
 }
 
+const traffic_workspace* route_index::find_workspace(std::string_view key) const
+{
+    const auto it = by_key_.find(key);
+    return it == by_key_.end() ? nullptr : it->second;
+}
+
 const std::string& choose_split_service(const traffic_route& route,
                                         std::uint64_t random)
 {
