Declare the quotas of workspaces over all hosts

Limits of workspaces bind all hosts together, and nothing counts them yet. Every right to send is a slice of a workspace's token bucket (rate, cap, level). Hosts own equal shares and delegate them, per shard of workspaces, to one owner, which lends slices to the hosts that have requests. The headers come first, so that transport can be built against them.

--- /dev/null
+++ b/include/oriolegrade/coordination/quota_owner.hpp
@@ -0,0 +1,170 @@
+// The owner of shards of workspaces: it collects the hosts' shares and lends
+// slices of them to the hosts that have requests.
+//
+// Load pattern: a workspace's requests reach any of 443 hosts, or move from
+// one to another, at up to ten times its limit, beside thousands of workspaces
+// that are idle. Delegations are asked for per shard, and only while one of its
+// workspaces is active. A workspace without lent slices whose bucket is full
+// is forgotten.
+
+#ifndef ORIOLEGRADE_COORDINATION_QUOTA_OWNER_HPP
+#define ORIOLEGRADE_COORDINATION_QUOTA_OWNER_HPP
+
+#include <oriolegrade/coordination/quota_times.hpp>
+#include <oriolegrade/state/quota_type.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace oriolegrade::coordination {
+
+/// A message to a host.
+template <class Message>
+struct quota_to_host
+{
+    std::string host;
+    Message message;
+};
+
+/// Not thread-safe. Hosts are known by names that change with each of their
+/// processes (name and incarnation), so that one that was restarted does not
+/// answer for the slices of the one before.
+class quota_owner
+{
+public:
+    /// Takes the limits of the workspaces that have one. A lower limit binds
+    /// once the slices lent before have expired.
+    void set_limits(std::unordered_map<std::string, state::quota_limit> limits,
+                    state::time_point now);
+    /// Hosts that are asked for their share, this one included.
+    void set_hosts(std::vector<std::string> hosts);
+
+    /// Takes an ask. Its answer is in the next take_grants(), or in a later one
+    /// while delegations are awaited.
+    void ask(const std::string& host, const state::quota_ask& ask,
+             state::time_point now);
+    void answered(const std::string& host, const state::quota_delegation& it,
+                  state::time_point now);
+
+    /// Requests for delegations that are due.
+    std::vector<quota_to_host<state::quota_delegation_request>>
+    take_requests(state::time_point now);
+    /// Grants that are ready.
+    std::vector<quota_to_host<state::quota_grant>>
+    take_grants(state::time_point now);
+
+    /// Workspaces for which state is kept.
+    std::size_t active() const;
+
+private:
+    using limit_map = std::unordered_map<std::string, state::quota_limit>;
+    struct lent
+    {
+        std::uint64_t number = 0;
+        double rate_per_s = 0;
+        double cap = 0;
+        /// Tokens that were added with it.
+        double added = 0;
+        state::time_point expires{};
+    };
+    struct borrower
+    {
+        std::uint64_t last_number = 0;
+        double need_per_s = 0;
+        state::time_point asked_at{};
+        /// Slices that the host may hold: it holds one of them.
+        std::vector<lent> slices;
+
+        double rate() const;
+        double cap() const;
+    };
+    using lent_end = std::pair<state::time_point, std::string>;
+    struct bucket
+    {
+        double level = 0;
+        state::time_point at{};
+        /// Sums over the borrowers.
+        double lent_rate = 0;
+        double lent_cap = 0;
+        std::unordered_map<std::string, borrower> borrowers;
+        /// Borrowers' rates are limited to this; see fair_level().
+        double fair_rate = 0;
+        double demand = 0;
+        state::time_point fair_at{};
+        /// Ends of lent slices, the next one first.
+        std::priority_queue<lent_end, std::vector<lent_end>, std::greater<>>
+            ends;
+    };
+    struct delegation
+    {
+        double fraction = 0;
+        /// The share has gained tokens since then.
+        state::time_point since{};
+        state::time_point until{};
+    };
+    struct pending_request
+    {
+        std::uint64_t number = 0;
+        state::time_point sent_at{};
+        /// Requests since the last answer; 0 when there is one.
+        std::uint32_t unanswered = 0;
+    };
+    struct waiting_ask
+    {
+        std::string host;
+        state::quota_ask ask;
+        state::time_point at{};
+    };
+    struct shard_state
+    {
+        bool active = false;
+        state::time_point active_since{};
+        /// Time of the last ask for one of its workspaces.
+        state::time_point asked_at{};
+        /// Sum of the fractions that are delegated.
+        double fraction = 0;
+        /// Sum of those that outlast a slice lent before backed_until.
+        double backed = 0;
+        state::time_point backed_until{};
+        /// No delegation ends before.
+        state::time_point earliest_end = state::time_point::max();
+        std::unordered_map<std::string, delegation> delegations;
+        std::unordered_map<std::string, pending_request> requests;
+        std::unordered_map<std::string, bucket> buckets;
+        std::vector<waiting_ask> waiting;
+    };
+
+    static void settle(shard_state& shard, state::time_point now,
+                       const limit_map& limits);
+    static double backed_fraction(shard_state& shard, state::time_point now);
+    static bool awaits_delegations(const shard_state& shard,
+                                   state::time_point now);
+    bucket& bucket_of(shard_state& shard, const std::string& workspace,
+                      const state::quota_limit& limit, state::time_point now);
+    static void accrue(double fraction, bucket& it,
+                       const state::quota_limit& limit, state::time_point now);
+    static void drop_expired(bucket& it, state::time_point now);
+    static void update_fair_rate(bucket& it, double rate,
+                                 state::time_point now);
+    /// Empty when the ask is to wait for delegations.
+    std::optional<state::quota_grant>
+    decide(shard_state& shard, const waiting_ask& it, state::time_point now);
+
+    limit_map limits_;
+    std::vector<std::string> hosts_;
+    std::array<shard_state, quota_shards> shards_;
+    std::vector<quota_to_host<state::quota_grant>> grants_;
+    std::uint64_t last_number_ = 0;
+};
+
+} // namespace oriolegrade::coordination
+
+#endif
