Lend slices of workspaces' limits to hosts

The quotas were declared and decided nothing. quota_share delegates a host's part of all limits to one owner at a time, quota_owner lends slices that end before the delegations behind them, and quota_wallet spends them on the worker threads.

--- a/include/oriolegrade/coordination/quota_owner.hpp
+++ b/include/oriolegrade/coordination/quota_owner.hpp
@@ -127,6 +127,9 @@
     {
         bool active = false;
         state::time_point active_since{};
+        state::time_point swept_at{};
+        /// No request for a delegation is due before.
+        state::time_point next_request{};
         /// Time of the last ask for one of its workspaces.
         state::time_point asked_at{};
         /// Sum of the fractions that are delegated.
@@ -142,11 +145,15 @@
         std::vector<waiting_ask> waiting;
     };
 
-    static void settle(shard_state& shard, state::time_point now,
-                       const limit_map& limits);
+    /// Ends delegations whose time is over.
+    void settle(shard_state& shard, state::time_point now);
+    /// Forgets workspaces that are idle.
+    void sweep(shard_state& shard, state::time_point now);
+    static bool is_awaited(const shard_state& shard,
+                           const std::string& workspace);
     static double backed_fraction(shard_state& shard, state::time_point now);
-    static bool awaits_delegations(const shard_state& shard,
-                                   state::time_point now);
+    bool awaits_delegations(const shard_state& shard,
+                            state::time_point now) const;
     bucket& bucket_of(shard_state& shard, const std::string& workspace,
                       const state::quota_limit& limit, state::time_point now);
     static void accrue(double fraction, bucket& it,
--- a/include/oriolegrade/coordination/quota_wallet.hpp
+++ b/include/oriolegrade/coordination/quota_wallet.hpp
@@ -19,8 +19,10 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -91,11 +93,26 @@
 
 private:
     struct row;
-    using table = std::unordered_map<std::string, std::shared_ptr<row>>;
-
-    quota_decision take_slowly(const std::shared_ptr<row>& it,
+    /// Finds a name without a copy of it.
+    struct name_hash
+    {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view name) const
+        {
+            return std::hash<std::string_view>()(name);
+        }
+    };
+    using table = std::unordered_map<std::string, std::shared_ptr<row>,
+                                     name_hash, std::equal_to<>>;
+
+    quota_decision take_slowly(const std::shared_ptr<row>& found,
                                state::duration waited, state::time_point now);
-    void accrue(row& it, state::time_point now);
+    static void accrue(row& it, state::time_point now);
+    static void measure(row& it, state::time_point now);
+    static std::optional<state::quota_ask> ask_due(row& it, bool alive,
+                                                   state::time_point now);
+    void fail(row& it, state::time_point now);
+    static double part_of(double known, double basis);
 
     /// Guards what rows hold beside their atomics.
     mutable std::mutex slow_;
--- /dev/null
+++ b/src/coordination/quota_owner.cpp
@@ -0,0 +1,500 @@
+// The buckets of an owner.
+//
+// Invariants at every moment t, with the limit (r, b) of a workspace, F(t) the
+// sum of the delegated fractions and the slices that hosts may hold at t:
+// - the rates of these slices and the rate at which the owner gains tokens add
+//   up to at most r F(t);
+// - their caps and the owner's level add up to at most b F(t).
+// Slices end before the delegations behind them (backed_fraction), so that the
+// first holds as well when a delegation is not renewed. Until the owner knows
+// which of several slices a host holds, it counts the largest.
+
+#include <oriolegrade/coordination/quota_owner.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+namespace oriolegrade::coordination {
+
+namespace {
+
+/// Time for which computed sums over all hosts are used.
+constexpr state::duration sum_age = std::chrono::milliseconds(100);
+/// A host that has not asked for this time has no need.
+constexpr state::duration borrower_memory = std::chrono::seconds(5);
+/// Rate of a slice, in its host's need, while there is enough.
+constexpr double spare_rate = 1.5;
+/// Requests that are repeated at delegation_retry.
+constexpr std::uint32_t quick_retries = 6;
+/// A bucket with this part of its cap is full; the rest is rounding.
+constexpr double full_part = 1 - 1e-9;
+constexpr state::duration sweep_period = std::chrono::seconds(1);
+
+double seconds(state::duration it)
+{
+    return std::chrono::duration<double>(it).count();
+}
+
+state::duration from_seconds(double it)
+{
+    return std::chrono::duration_cast<state::duration>(
+        std::chrono::duration<double>(it));
+}
+
+/// Cap at which a host with random arrivals rarely asks between replacements.
+double comfortable_cap(double need, double waiting)
+{
+    constexpr double need_s = 0.5;
+    constexpr double deviations = 4;
+    return waiting + 2 + need * need_s + deviations * std::sqrt(need);
+}
+
+} // namespace
+
+double quota_owner::borrower::rate() const
+{
+    double out = 0;
+    for (const auto& it : slices) {
+        out = std::max(out, it.rate_per_s);
+    }
+    return out;
+}
+
+double quota_owner::borrower::cap() const
+{
+    double out = 0;
+    for (const auto& it : slices) {
+        out = std::max(out, it.cap);
+    }
+    return out;
+}
+
+void quota_owner::set_limits(
+    std::unordered_map<std::string, state::quota_limit> limits,
+    state::time_point now)
+{
+    for (auto& shard : shards_) {
+        settle(shard, now);
+        std::erase_if(shard.buckets, [&](const auto& it) {
+            return !limits.contains(it.first);
+        });
+        for (auto& [name, it] : shard.buckets) {
+            accrue(shard.fraction, it, limits_.at(name), now);
+            accrue(shard.fraction, it, limits.at(name), now);
+        }
+    }
+    limits_ = std::move(limits);
+}
+
+void quota_owner::set_hosts(std::vector<std::string> hosts)
+{
+    hosts_ = std::move(hosts);
+    for (auto& shard : shards_) {
+        std::erase_if(shard.requests, [&](const auto& it) {
+            return std::find(hosts_.begin(), hosts_.end(), it.first) ==
+                   hosts_.end();
+        });
+    }
+}
+
+void quota_owner::ask(const std::string& host, const state::quota_ask& ask,
+                      state::time_point now)
+{
+    auto& shard = shards_[quota_shard_of(ask.workspace)];
+    settle(shard, now);
+    const auto limit = limits_.find(ask.workspace);
+    if (limit == limits_.end()) {
+        // The host knows another version of the limits.
+        grants_.push_back(
+            {host,
+             {ask.workspace, ask.number, {}, token_term, {}, limited_ask_gap}});
+        return;
+    }
+    if (!shard.active) {
+        shard.active = true;
+        shard.active_since = now;
+        shard.next_request = now;
+    }
+    shard.asked_at = now;
+    auto& it = bucket_of(shard, ask.workspace, limit->second, now);
+    auto& from = it.borrowers[host];
+    if (ask.number <= from.last_number) {
+        return;
+    }
+    from.last_number = ask.number;
+    from.need_per_s = ask.gives_back ? 0 : ask.need_per_s;
+    from.asked_at = now;
+    const auto rate = from.rate();
+    const auto cap = from.cap();
+    double returned = 0;
+    // The host takes no answer to an ask before this one.
+    std::erase_if(from.slices, [&](const lent& slice) {
+        if (slice.number == ask.applied && !ask.gives_back) {
+            return false;
+        }
+        returned += slice.number > ask.applied ? slice.added : 0;
+        return true;
+    });
+    if (ask.gives_back) {
+        returned += std::clamp(ask.level, 0.0, cap);
+    }
+    it.lent_rate -= rate - from.rate();
+    it.lent_cap -= cap - from.cap();
+    it.level += returned;
+    accrue(shard.fraction, it, limit->second, now);
+    if (!ask.gives_back) {
+        shard.waiting.push_back({host, ask, now});
+    }
+}
+
+void quota_owner::answered(const std::string& host,
+                           const state::quota_delegation& it,
+                           state::time_point now)
+{
+    if (it.shard >= quota_shards) {
+        return;
+    }
+    auto& shard = shards_[it.shard];
+    settle(shard, now);
+    const auto pending = shard.requests.find(host);
+    if (pending == shard.requests.end() ||
+        pending->second.number != it.number ||
+        pending->second.unanswered == 0 ||
+        it.answer != state::quota_answer::given || it.fraction <= 0 ||
+        it.fraction > 1) {
+        return;
+    }
+    pending->second.unanswered = 0;
+    const auto until = pending->second.sent_at + delegation_term;
+    if (until <= now) {
+        return;
+    }
+    const auto [at, is_new] = shard.delegations.try_emplace(host);
+    auto& known = at->second;
+    if (is_new || known.fraction != it.fraction) {
+        for (auto& [name, active] : shard.buckets) {
+            accrue(shard.fraction, active, limits_.at(name), now);
+        }
+        shard.fraction += it.fraction - known.fraction;
+    }
+    if (is_new) {
+        known.since = now - it.age;
+        for (auto& [name, active] : shard.buckets) {
+            const auto& limit = limits_.at(name);
+            active.level +=
+                it.fraction *
+                std::min(limit.burst, limit.rate_per_s * seconds(it.age));
+            accrue(shard.fraction, active, limit, now);
+        }
+    }
+    known.fraction = it.fraction;
+    known.until = until;
+    shard.earliest_end = std::min(shard.earliest_end, until);
+    shard.backed_until = {};
+}
+
+void quota_owner::settle(shard_state& shard, state::time_point now)
+{
+    while (shard.earliest_end <= now) {
+        const auto end = shard.earliest_end;
+        for (auto& [name, it] : shard.buckets) {
+            accrue(shard.fraction, it, limits_.at(name), end);
+        }
+        shard.fraction = 0;
+        shard.earliest_end = state::time_point::max();
+        std::erase_if(shard.delegations,
+                      [&](const auto& it) { return it.second.until <= end; });
+        for (const auto& [host, it] : shard.delegations) {
+            shard.fraction += it.fraction;
+            shard.earliest_end = std::min(shard.earliest_end, it.until);
+        }
+        for (auto& [name, it] : shard.buckets) {
+            accrue(shard.fraction, it, limits_.at(name), end);
+        }
+    }
+}
+
+double quota_owner::backed_fraction(shard_state& shard, state::time_point now)
+{
+    if (now >= shard.backed_until) {
+        shard.backed = 0;
+        shard.backed_until = now + sum_age;
+        const auto needed = shard.backed_until + slice_term;
+        for (const auto& [host, it] : shard.delegations) {
+            shard.backed += it.until >= needed ? it.fraction : 0;
+        }
+    }
+    return shard.backed;
+}
+
+bool quota_owner::awaits_delegations(const shard_state& shard,
+                                     state::time_point now) const
+{
+    return now - shard.active_since < first_delegations &&
+           shard.delegations.size() < hosts_.size();
+}
+
+quota_owner::bucket& quota_owner::bucket_of(shard_state& shard,
+                                            const std::string& workspace,
+                                            const state::quota_limit& limit,
+                                            state::time_point now)
+{
+    const auto [at, is_new] = shard.buckets.try_emplace(workspace);
+    auto& it = at->second;
+    if (is_new) {
+        it.at = now;
+        for (const auto& [host, from] : shard.delegations) {
+            it.level += from.fraction *
+                        std::min(limit.burst,
+                                 limit.rate_per_s * seconds(now - from.since));
+        }
+    }
+    drop_expired(it, now);
+    accrue(shard.fraction, it, limit, now);
+    return it;
+}
+
+void quota_owner::accrue(double fraction, bucket& it,
+                         const state::quota_limit& limit, state::time_point now)
+{
+    const auto rate = limit.rate_per_s * fraction - it.lent_rate;
+    if (now > it.at) {
+        it.level += std::max(0.0, rate) * seconds(now - it.at);
+        it.at = now;
+    }
+    const auto cap = limit.burst * fraction - it.lent_cap;
+    it.level = std::min(it.level, std::max(0.0, cap));
+}
+
+void quota_owner::drop_expired(bucket& it, state::time_point now)
+{
+    while (!it.ends.empty() && it.ends.top().first <= now) {
+        const auto found = it.borrowers.find(it.ends.top().second);
+        it.ends.pop();
+        if (found == it.borrowers.end()) {
+            continue;
+        }
+        auto& from = found->second;
+        const auto rate = from.rate();
+        const auto cap = from.cap();
+        std::erase_if(from.slices,
+                      [&](const lent& slice) { return slice.expires <= now; });
+        it.lent_rate -= rate - from.rate();
+        it.lent_cap -= cap - from.cap();
+    }
+}
+
+void quota_owner::update_fair_rate(bucket& it, double rate,
+                                   state::time_point now)
+{
+    it.fair_at = now;
+    it.demand = 0;
+    // Removes the drift of the sums as well.
+    it.lent_rate = 0;
+    it.lent_cap = 0;
+    std::vector<double> needs;
+    std::erase_if(it.borrowers, [&](const auto& from) {
+        return from.second.slices.empty() &&
+               now - from.second.asked_at >= borrower_memory;
+    });
+    for (const auto& [host, from] : it.borrowers) {
+        it.lent_rate += from.rate();
+        it.lent_cap += from.cap();
+        if (now - from.asked_at < borrower_memory) {
+            needs.push_back(from.need_per_s);
+            it.demand += from.need_per_s;
+        }
+    }
+    std::sort(needs.begin(), needs.end());
+    it.fair_rate = rate;
+    auto left = rate;
+    for (std::size_t n = 0; n < needs.size(); ++n) {
+        const auto part = left / static_cast<double>(needs.size() - n);
+        if (needs[n] >= part) {
+            it.fair_rate = part;
+            break;
+        }
+        left -= needs[n];
+    }
+}
+
+std::optional<state::quota_grant> quota_owner::decide(shard_state& shard,
+                                                      const waiting_ask& asked,
+                                                      state::time_point now)
+{
+    const auto& ask = asked.ask;
+    const auto found = limits_.find(ask.workspace);
+    if (found == limits_.end()) {
+        return state::quota_grant{ask.workspace, ask.number, {},
+                                  token_term,    {},         limited_ask_gap};
+    }
+    const auto& limit = found->second;
+    auto& it = bucket_of(shard, ask.workspace, limit, now);
+    auto& from = it.borrowers[asked.host];
+    const auto backed = backed_fraction(shard, now);
+    const auto rate = limit.rate_per_s * backed;
+    const auto burst = limit.burst * backed;
+    if (now - it.fair_at >= sum_age) {
+        update_fair_rate(it, rate, now);
+    }
+    const auto held = std::max(0.0, ask.level);
+    const double waiting = ask.waiting;
+    if (held + it.level < waiting && awaits_delegations(shard, now)) {
+        return std::nullopt;
+    }
+    const auto free_rate = std::max(0.0, rate - (it.lent_rate - from.rate()));
+    const auto free_cap = std::max(0.0, burst - (it.lent_cap - from.cap()));
+    const bool is_short = it.demand > rate;
+
+    state::quota_grant out{ask.workspace, ask.number, {},
+                           slice_term,    limit,      {}};
+    auto wanted = std::min(ask.need_per_s, it.fair_rate);
+    if (!is_short && it.demand > 0) {
+        wanted = ask.need_per_s * std::min(spare_rate, rate / it.demand);
+    }
+    if (wanted >= min_slice_rate && free_cap >= 1) {
+        out.slice.rate_per_s = std::min(wanted, free_rate);
+        const auto part = std::max(1.0, burst * out.slice.rate_per_s / rate);
+        const auto spare = std::max(0.0, 2 * free_cap / burst - 1);
+        const auto comfort =
+            std::max(0.0, comfortable_cap(ask.need_per_s, waiting) - part);
+        out.slice.cap = std::min(free_cap, part + comfort * spare);
+        out.slice.level =
+            std::min(it.level, out.slice.cap - std::min(held, out.slice.cap));
+    }
+    if (out.slice.rate_per_s <= 0) {
+        const auto tokens = std::floor(
+            std::min({free_cap, held + it.level, std::max(waiting, held)}));
+        out.term = token_term;
+        out.slice = {0, tokens, std::max(0.0, tokens - held)};
+    }
+    it.level -= out.slice.level;
+    if (held + out.slice.level < waiting) {
+        const auto gain = limit.rate_per_s * shard.fraction - it.lent_rate;
+        const auto next = gain > 0
+                              ? from_seconds(std::max(0.0, 1 - it.level) / gain)
+                              : limited_ask_gap;
+        out.retry_after = is_short
+                              ? limited_ask_gap
+                              : std::clamp(next, min_ask_gap, limited_ask_gap);
+    }
+    if (out.slice.cap > 0) {
+        it.lent_rate -= from.rate();
+        it.lent_cap -= from.cap();
+        from.slices.push_back({ask.number, out.slice.rate_per_s, out.slice.cap,
+                               out.slice.level, now + out.term});
+        it.lent_rate += from.rate();
+        it.lent_cap += from.cap();
+        it.ends.emplace(now + out.term, asked.host);
+    }
+    accrue(shard.fraction, it, limit, now);
+    return out;
+}
+
+std::vector<quota_to_host<state::quota_grant>>
+quota_owner::take_grants(state::time_point now)
+{
+    for (auto& shard : shards_) {
+        if (shard.waiting.empty()) {
+            continue;
+        }
+        settle(shard, now);
+        std::vector<waiting_ask> undecided;
+        for (auto& it : shard.waiting) {
+            if (const auto grant = decide(shard, it, now)) {
+                grants_.push_back({it.host, *grant});
+            } else {
+                undecided.push_back(std::move(it));
+            }
+        }
+        shard.waiting = std::move(undecided);
+    }
+    return std::exchange(grants_, {});
+}
+
+std::vector<quota_to_host<state::quota_delegation_request>>
+quota_owner::take_requests(state::time_point now)
+{
+    std::vector<quota_to_host<state::quota_delegation_request>> out;
+    for (std::uint32_t n = 0; n < quota_shards; ++n) {
+        auto& shard = shards_[n];
+        settle(shard, now);
+        sweep(shard, now);
+        if (!shard.active) {
+            continue;
+        }
+        if (now - shard.asked_at >= shard_idle) {
+            shard.active = false;
+            shard.requests.clear();
+            continue;
+        }
+        if (now < shard.next_request) {
+            continue;
+        }
+        shard.next_request = now + delegation_refresh;
+        for (const auto& host : hosts_) {
+            auto& it = shard.requests[host];
+            const bool is_quick =
+                it.unanswered > 0 && it.unanswered <= quick_retries;
+            const auto gap = is_quick ? delegation_retry : delegation_refresh;
+            if (it.number != 0 && now - it.sent_at < gap) {
+                shard.next_request =
+                    std::min(shard.next_request, it.sent_at + gap);
+                continue;
+            }
+            it.number = ++last_number_;
+            it.sent_at = now;
+            ++it.unanswered;
+            shard.next_request =
+                std::min(shard.next_request, now + delegation_retry);
+            out.push_back({host, {n, it.number, delegation_term}});
+        }
+    }
+    return out;
+}
+
+bool quota_owner::is_awaited(const shard_state& shard,
+                             const std::string& workspace)
+{
+    return std::any_of(
+        shard.waiting.begin(), shard.waiting.end(),
+        [&](const auto& it) { return it.ask.workspace == workspace; });
+}
+
+void quota_owner::sweep(shard_state& shard, state::time_point now)
+{
+    if (now - shard.swept_at < sweep_period) {
+        return;
+    }
+    shard.swept_at = now;
+    for (auto at = shard.buckets.begin(); at != shard.buckets.end();) {
+        auto& [name, it] = *at;
+        const auto& limit = limits_.at(name);
+        drop_expired(it, now);
+        accrue(shard.fraction, it, limit, now);
+        const bool is_lent = std::any_of(
+            it.borrowers.begin(), it.borrowers.end(),
+            [](const auto& from) { return !from.second.slices.empty(); });
+        // Without state, the level follows from the shares and is the same.
+        const bool is_full =
+            it.level >= limit.burst * shard.fraction * full_part;
+        if (is_full && !is_lent && !is_awaited(shard, name)) {
+            at = shard.buckets.erase(at);
+        } else {
+            ++at;
+        }
+    }
+}
+
+std::size_t quota_owner::active() const
+{
+    std::size_t n = 0;
+    for (const auto& shard : shards_) {
+        n += shard.buckets.size();
+    }
+    return n;
+}
+
+} // namespace oriolegrade::coordination
