Tell hosts near and beyond a limit apart

Hosts that had just got what they asked for counted as limited while the first delegations came in, and early slices took all caps before the needs of all hosts were known: 41 hosts at half of a limit were refused 1%.

--- a/include/oriolegrade/coordination/quota_times.hpp
+++ b/include/oriolegrade/coordination/quota_times.hpp
@@ -52,8 +52,7 @@
 /// that were spent from tokens that are held.
 inline constexpr state::duration token_term = std::chrono::milliseconds(200);
 /// A host replaces its slice so often.
-inline constexpr state::duration ask_refresh =
-    std::chrono::milliseconds(1300);
+inline constexpr state::duration ask_refresh = std::chrono::milliseconds(1300);
 /// An ask without an answer has failed after this time.
 inline constexpr state::duration ask_timeout = std::chrono::milliseconds(250);
 /// A request waits this long in all for answers to asks.
--- a/include/oriolegrade/coordination/quota_wallet.hpp
+++ b/include/oriolegrade/coordination/quota_wallet.hpp
@@ -111,6 +111,8 @@
     static void measure(row& it, state::time_point now);
     static std::optional<state::quota_ask> ask_due(row& it, bool alive,
                                                    state::time_point now);
+    static double needed(const row& it, std::uint32_t waiting,
+                         state::time_point now);
     void fail(row& it, state::time_point now);
     static double part_of(double known, double basis);
 
--- a/src/coordination/quota_owner.cpp
+++ b/src/coordination/quota_owner.cpp
@@ -32,14 +32,24 @@
 constexpr double most_per_need = 1.25;
 /// Part of the burst that may be lent with slices, by need.
 constexpr double lent_cap_part = 0.75;
+constexpr double known_demand = 0.75;
+/// With this need, in its fair rate, a host uses all of its slice.
+constexpr double surely_used = 2;
+/// Cap of such a slice: it goes on to gain while a token waits for a request.
+constexpr double min_used_cap = 1.25;
+/// With these needs, in the rate, a host that has just got what it asked for
+/// counts as limited.
+constexpr double far_over = 1.25;
+/// Part of the usual gap between tokens after which a host asks for the next.
+constexpr double most_early = 0.8;
 /// With a smaller cap, a slice loses more than it saves in asks.
 constexpr double min_slice_cap = 1.5;
 /// With this part of the burst at hand, no host is refused for the needs of
 /// others.
 constexpr double ample_level = 0.1;
-/// A host that comes to a workspace at its limit asks so often at this distance:
-/// where requests have moved to it, the host that had them gives its slice back
-/// after min_idle.
+/// A host that comes to a workspace at its limit asks so often at this
+/// distance: where requests have moved to it, the host that had them gives its
+/// slice back after min_idle.
 constexpr std::uint32_t quick_asks = 3;
 constexpr state::duration quick_ask_gap = std::chrono::milliseconds(300);
 /// Requests that are repeated at delegation_retry.
@@ -82,7 +92,6 @@
         return need * std::min(most_per_need, lent_rate_part * per_demand) *
                used_part(cap);
     }
-    constexpr double surely_used = 2;
     return need > surely_used * fair_rate
                ? fair_rate
                : std::min(need, fair_rate) * used_part(cap);
@@ -365,9 +374,9 @@
     }
 }
 
-std::optional<state::quota_grant>
-quota_owner::decide(shard_state& shard, const waiting_ask& asked,
-                    state::time_point now)
+std::optional<state::quota_grant> quota_owner::decide(shard_state& shard,
+                                                      const waiting_ask& asked,
+                                                      state::time_point now)
 {
     const auto& ask = asked.ask;
     const auto found = limits_.find(ask.workspace);
@@ -391,20 +400,29 @@
     }
     const auto free_rate = std::max(0.0, rate - (it.lent_rate - from.rate()));
     const auto free_cap = std::max(0.0, burst - (it.lent_cap - from.cap()));
-    const bool is_short =
-        it.demand > rate && it.level < std::max(waiting, burst * ample_level);
+    const bool is_short = it.demand > rate &&
+                          it.level < std::max(waiting, burst * ample_level) &&
+                          !awaits_delegations(shard, now);
+    const bool is_far_over = is_short && it.demand > rate * far_over;
 
     state::quota_grant out{ask.workspace, ask.number, {},
                            slice_term,    limit,      {}};
     const auto demand = std::max(it.demand, ask.need_per_s);
-    const auto part = lent_cap_part * burst * ask.need_per_s / demand;
+    // Needs that are not known yet count as a part of the rate.
+    const auto part = lent_cap_part * burst * ask.need_per_s /
+                      std::max(demand, rate * known_demand);
+    const auto most = is_short ? free_cap : free_cap / 2;
     const auto cap = std::min(
-        free_cap, std::max(is_short ? 1 : waiting,
-                           std::min(part, comfortable_cap(ask.need_per_s))));
-    const auto wanted = wanted_rate(ask.need_per_s, is_short, it.fair_rate,
-                                    rate / demand, cap);
-    if (ask.need_per_s >= min_slice_rate && part >= min_slice_cap &&
-        free_rate > 0 && cap >= 1) {
+        free_cap,
+        std::max(is_short ? min_used_cap : waiting,
+                 std::min({part, most, comfortable_cap(ask.need_per_s)})));
+    const auto wanted =
+        wanted_rate(ask.need_per_s, is_short, it.fair_rate, rate / demand, cap);
+    const bool is_used = is_short &&
+                         burst * it.fair_rate >= rate * min_used_cap &&
+                         ask.need_per_s > surely_used * it.fair_rate;
+    if (ask.need_per_s >= min_slice_rate &&
+        (is_used || part >= min_slice_cap) && free_rate > 0 && cap >= 1) {
         out.slice.rate_per_s = std::min(wanted, free_rate);
         out.slice.cap = cap;
         out.slice.level = std::min(it.level, cap - std::min(held, cap));
@@ -416,18 +434,23 @@
         out.slice = {0, tokens, std::max(0.0, tokens - held)};
     }
     it.level -= out.slice.level;
-    if (held + out.slice.level < waiting && it.level < 1) {
+    const bool is_satisfied = held + out.slice.level >= waiting;
+    if (is_far_over || (is_short && !is_satisfied)) {
+        const bool is_new = !is_satisfied && ++from.short_asks <= quick_asks;
+        // Without a slice, the host asks as often as its part has a token.
+        const auto token_gap = from_seconds(most_early / it.fair_rate);
+        const bool has_tokens = is_satisfied && out.slice.rate_per_s <= 0;
+        out.retry_after =
+            std::min(limited_ask_gap, is_new       ? quick_ask_gap
+                                      : has_tokens ? token_gap
+                                                   : limited_ask_gap);
+    } else if (!is_satisfied && it.level < 1) {
         const auto gain = limit.rate_per_s * shard.fraction - it.lent_rate;
         const auto next = gain > 0
                               ? from_seconds(std::max(0.0, 1 - it.level) / gain)
                               : limited_ask_gap;
-        const bool is_settled = ++from.short_asks > quick_asks;
-        out.retry_after =
-            is_short && is_settled
-                ? limited_ask_gap
-                : std::clamp(next, min_ask_gap,
-                             is_short ? quick_ask_gap : limited_ask_gap);
-    } else if (!is_short) {
+        out.retry_after = std::clamp(next, min_ask_gap, limited_ask_gap);
+    } else {
         from.short_asks = 0;
     }
     if (out.slice.cap > 0) {
--- a/src/coordination/quota_wallet.cpp
+++ b/src/coordination/quota_wallet.cpp
@@ -14,6 +14,10 @@
 constexpr std::int64_t token = 1'000'000;
 /// Time over which the need of a host is averaged.
 constexpr double need_time_s = 2;
+/// So many may wait by chance.
+constexpr double usual_waiting = 3;
+/// Least time over which the need is computed.
+constexpr double min_known_s = 0.5;
 /// Time in which several requests that wait for an ask have come, at most.
 constexpr double wait_time_s = 0.1;
 /// A workspace without requests for this time is forgotten.
@@ -78,6 +82,7 @@
     /// The slice is replaced then.
     state::time_point refresh_at = state::time_point::max();
     double need_per_s = 0;
+    state::time_point active_since{};
     state::time_point polled_at{};
     state::time_point last_request{};
     state::time_point last_taken{};
@@ -166,6 +171,8 @@
         if (!it.is_active) {
             it.is_active = true;
             it.polled_at = now;
+            it.active_since = now;
+            it.need_per_s = 0;
             it.last_request = now;
             it.last_taken = now;
             active_.emplace(it.name, found);
@@ -177,8 +184,7 @@
         return {quota_verdict::wait, {}};
     }
     auto retry = may_ask ? no_owner_retry : it.ask_from - now;
-    if (it.rate_per_s > 0 && it.cap >= 1 &&
-        to_ticks(now) < it.expires.load()) {
+    if (it.rate_per_s > 0 && it.cap >= 1 && to_ticks(now) < it.expires.load()) {
         const auto left = static_cast<double>(it.level.load()) / token;
         retry = std::min(retry, from_seconds((1 - left) / it.rate_per_s) +
                                     state::duration(1));
@@ -335,11 +341,7 @@
     out.workspace = it.name;
     out.number = ++it.number;
     out.applied = alive ? it.applied : 0;
-    // A request that leads to an ask says nothing of how often others come.
-    const auto others = out.waiting > 0 ? out.waiting - 1.0 : 0.0;
-    out.need_per_s =
-        std::max(others / wait_time_s,
-                 it.need_per_s - (out.waiting > 0 ? 1 / need_time_s : 0));
+    out.need_per_s = needed(it, out.waiting, now);
     if (!out.gives_back) {
         accrue(it, now);
         out.level = alive ? static_cast<double>(it.level.load()) / token : 0.0;
@@ -349,6 +351,22 @@
     return out;
 }
 
+double quota_wallet::needed(const row& it, std::uint32_t waiting,
+                            state::time_point now)
+{
+    // Before need_time_s has passed, the average contains less than all.
+    const auto known_s = std::max(seconds(now - it.active_since), min_known_s);
+    const auto known = 1 - std::exp(-known_s / need_time_s);
+    if (waiting == 0) {
+        return it.need_per_s / known;
+    }
+    // The request that leads to an ask says nothing of how often others come.
+    const auto others =
+        std::max(0.0, static_cast<double>(waiting) - usual_waiting);
+    return std::max(others / wait_time_s,
+                    (it.need_per_s - 1 / need_time_s) / known);
+}
+
 void quota_wallet::granted(const state::quota_grant& grant,
                            state::time_point now)
 {
--- a/test/fakes/quota_fleet.hpp
+++ b/test/fakes/quota_fleet.hpp
@@ -35,9 +35,11 @@
     using time_point = state::time_point;
 
     /// Windows in which sends are counted.
-    static constexpr std::array<duration, 3> windows{
-        std::chrono::seconds(1), std::chrono::seconds(2),
-        std::chrono::seconds(10)};
+    static constexpr std::array<duration, 3> windows{std::chrono::seconds(1),
+                                                     std::chrono::seconds(2),
+                                                     std::chrono::seconds(10)};
+    /// Every 5 s.
+    static constexpr std::size_t ticks_per_read = 100;
     static constexpr duration tick = std::chrono::milliseconds(50);
 
     struct workspace
@@ -304,8 +306,7 @@
         it.asked_owners.clear();
         it.wallet = std::make_unique<coordination::quota_wallet>();
         it.wallet->set_limits(limits_, now_);
-        it.share =
-            std::make_unique<coordination::quota_share>(started, false);
+        it.share = std::make_unique<coordination::quota_share>(started, false);
         it.share->set_hosts(hosts_.size(), now_);
         it.owner = {};
         it.owner.set_limits(limits_, now_);
@@ -343,16 +344,14 @@
     {
         const auto number = number_of(to);
         const auto& it = hosts_[number];
-        const bool is_lost =
-            from != number && uniform_(random_) < lost_share_;
+        const bool is_lost = from != number && uniform_(random_) < lost_share_;
         if (!it.is_up || it.part != hosts_[from].part || is_lost ||
             incarnation_name(number) != to) {
             return false;
         }
         const auto delay =
-            from == number
-                ? std::chrono::microseconds(50)
-                : std::chrono::microseconds(500 + random_() % 9500);
+            from == number ? std::chrono::microseconds(50)
+                           : std::chrono::microseconds(500 + random_() % 9500);
         schedule_at(number, now_ + delay,
                     [number, run = std::move(run)] { run(number); });
         return true;
@@ -369,12 +368,13 @@
 
     void on_tick()
     {
+        const bool reads_directory = ++ticks_ % ticks_per_read == 0;
         for (std::size_t n = 0; n < hosts_.size(); ++n) {
             auto& it = hosts_[n];
             if (!it.is_up || now_ < it.frozen_until) {
                 continue;
             }
-            if (it.part == 0 && ++ticks_ % 100 == 0) {
+            if (it.part == 0 && reads_directory) {
                 it.share->set_hosts(hosts_.size(), now_);
             }
             for (const auto& name : it.ranking.take_probes(now_)) {
