--- a/include/oriolegrade/coordination/quota_owner.hpp
+++ b/include/oriolegrade/coordination/quota_owner.hpp
@@ -81,6 +81,8 @@
         double need_per_s = 0;
         /// Asks in a row that the limit left unsatisfied.
         std::uint32_t short_asks = 0;
+        /// Part of a token that the last grant was too small for.
+        double owed = 0;
         state::time_point asked_at{};
         /// Slices that the host may hold: it holds one of them.
         std::vector<lent> slices;
--- a/include/oriolegrade/coordination/quota_times.hpp
+++ b/include/oriolegrade/coordination/quota_times.hpp
@@ -39,7 +39,7 @@
     std::chrono::milliseconds(500);
 /// Asks wait this long for the first delegations of a shard.
 inline constexpr state::duration first_delegations =
-    std::chrono::milliseconds(150);
+    std::chrono::milliseconds(100);
 /// An owner without asks for a shard lets its delegations end after this time.
 inline constexpr state::duration shard_idle = std::chrono::seconds(5);
 
@@ -53,11 +53,12 @@
 inline constexpr state::duration token_term = std::chrono::milliseconds(200);
 /// A host replaces its slice so often.
 inline constexpr state::duration ask_refresh = std::chrono::milliseconds(1300);
-/// An ask without an answer has failed after this time.
-inline constexpr state::duration ask_timeout = std::chrono::milliseconds(250);
+/// An ask without an answer is repeated after this time, and after a second
+/// time its owner has failed.
+inline constexpr state::duration ask_timeout = std::chrono::milliseconds(200);
 /// A request waits this long in all for answers to asks.
 inline constexpr state::duration max_quota_wait =
-    std::chrono::milliseconds(600);
+    std::chrono::milliseconds(700);
 /// Least time between two asks for a workspace.
 inline constexpr state::duration min_ask_gap = std::chrono::milliseconds(20);
 /// Time between asks for a workspace beyond its limit: one message per host
--- a/include/oriolegrade/state/quota_type.hpp
+++ b/include/oriolegrade/state/quota_type.hpp
@@ -46,9 +46,12 @@
     std::string workspace;
     /// Increases with each ask of a host for the workspace.
     std::uint64_t number = 0;
-    /// Number of the last grant that the host applied; 0 for none. It holds no
-    /// slice of an earlier one.
+    /// Number of the last grant that the host applied, be it expired since; 0
+    /// for none. Answers to asks between that and this one came too late and
+    /// were not applied.
     std::uint64_t applied = 0;
+    /// The host holds the slice of that grant.
+    bool holds = false;
     /// Requests of the workspace that reach the host in a second, whether they
     /// may be sent or not.
     double need_per_s = 0;
@@ -56,7 +59,7 @@
     std::uint32_t waiting = 0;
     /// Tokens that the host has left, or returns.
     double level = 0;
-    /// The host holds no slice any more, and expects no answer.
+    /// The host has ended its slice, and expects no answer.
     bool gives_back = false;
 };
 
--- a/src/coordination/quota_owner.cpp
+++ b/src/coordination/quota_owner.cpp
@@ -40,8 +40,13 @@
 /// With these needs, in the rate, a host that has just got what it asked for
 /// counts as limited.
 constexpr double far_over = 1.25;
-/// Part of the usual gap between tokens after which a host asks for the next.
-constexpr double most_early = 0.8;
+/// Beyond the limit, hosts get slices with a rate where their parts of the
+/// burst are as large as this. Slices with smaller caps, of all hosts, would
+/// leave the owner no place for tokens that are not lent: 155 hosts that asked
+/// for twice the limit got 56% of it.
+constexpr double min_short_cap = 3;
+/// Term of tokens, in the time in which the host sees as many requests.
+constexpr double use_margin = 2;
 /// With a smaller cap, a slice loses more than it saves in asks.
 constexpr double min_slice_cap = 1.5;
 /// With this part of the burst at hand, no host is refused for the needs of
@@ -177,7 +182,7 @@
     double returned = 0;
     // The host takes no answer to an ask before this one.
     std::erase_if(from.slices, [&](const lent& slice) {
-        if (slice.number == ask.applied && !ask.gives_back) {
+        if (slice.number == ask.applied && ask.holds) {
             return false;
         }
         returned += slice.number > ask.applied ? slice.added : 0;
@@ -418,32 +423,37 @@
                  std::min({part, most, comfortable_cap(ask.need_per_s)})));
     const auto wanted =
         wanted_rate(ask.need_per_s, is_short, it.fair_rate, rate / demand, cap);
-    const bool is_used = is_short &&
-                         burst * it.fair_rate >= rate * min_used_cap &&
-                         ask.need_per_s > surely_used * it.fair_rate;
-    if (ask.need_per_s >= min_slice_rate &&
-        (is_used || part >= min_slice_cap) && free_rate > 0 && cap >= 1) {
+    const auto least_cap = is_short ? min_short_cap : min_slice_cap;
+    const auto fair_cap =
+        is_short ? burst * std::min(1.0, it.fair_rate / rate) : part;
+    if (ask.need_per_s >= min_slice_rate && fair_cap >= least_cap &&
+        free_rate > 0 && cap >= 1) {
         out.slice.rate_per_s = std::min(wanted, free_rate);
         out.slice.cap = cap;
         out.slice.level = std::min(it.level, cap - std::min(held, cap));
     }
     if (out.slice.rate_per_s <= 0) {
-        const auto tokens = std::floor(
-            std::min({free_cap, held + it.level, std::max(waiting, held)}));
+        // Beyond the limit a host gets what its part gains between two asks,
+        // and uses it by the time at which it would see as many requests.
+        const auto due =
+            is_far_over ? it.fair_rate * seconds(limited_ask_gap) + from.owed
+                        : 0.0;
+        const auto tokens = std::floor(std::min(
+            {free_cap, held + it.level, std::max({waiting, held, due})}));
+        from.owed = std::clamp(due - tokens, 0.0, 1.0);
         out.term = token_term;
+        if (tokens > waiting) {
+            const auto need = std::max(ask.need_per_s, min_slice_rate);
+            out.term = std::clamp(from_seconds(use_margin * tokens / need),
+                                  token_term, slice_term);
+        }
         out.slice = {0, tokens, std::max(0.0, tokens - held)};
     }
     it.level -= out.slice.level;
     const bool is_satisfied = held + out.slice.level >= waiting;
     if (is_far_over || (is_short && !is_satisfied)) {
         const bool is_new = !is_satisfied && ++from.short_asks <= quick_asks;
-        // Without a slice, the host asks as often as its part has a token.
-        const auto token_gap = from_seconds(most_early / it.fair_rate);
-        const bool has_tokens = is_satisfied && out.slice.rate_per_s <= 0;
-        out.retry_after =
-            std::min(limited_ask_gap, is_new       ? quick_ask_gap
-                                      : has_tokens ? token_gap
-                                                   : limited_ask_gap);
+        out.retry_after = is_new ? quick_ask_gap : limited_ask_gap;
     } else if (!is_satisfied && it.level < 1) {
         const auto gain = limit.rate_per_s * shard.fraction - it.lent_rate;
         const auto next = gain > 0
--- a/src/coordination/quota_wallet.cpp
+++ b/src/coordination/quota_wallet.cpp
@@ -72,6 +72,8 @@
     /// Number of the last ask, and whether its answer is awaited.
     std::uint64_t number = 0;
     bool in_flight = false;
+    /// Asks in a row without an answer.
+    std::uint32_t timeouts = 0;
     state::time_point sent_at{};
     /// Number of the grant that the slice is from.
     std::uint64_t applied = 0;
@@ -286,7 +288,13 @@
         auto& it = *at->second;
         measure(it, now);
         if (it.in_flight && now - it.sent_at >= ask_timeout) {
-            fail(it, now);
+            // One lost message does not mean that the owner has failed.
+            it.in_flight = false;
+            it.ask_from = now;
+            it.is_dry = false;
+            if (++it.timeouts >= 2) {
+                fail(it, now);
+            }
         }
         const bool alive = to_ticks(now) < it.expires.load();
         if (!it.in_flight && it.waiting == 0 && !alive &&
@@ -340,7 +348,8 @@
     }
     out.workspace = it.name;
     out.number = ++it.number;
-    out.applied = alive ? it.applied : 0;
+    out.applied = it.applied;
+    out.holds = alive && !out.gives_back;
     out.need_per_s = needed(it, out.waiting, now);
     if (!out.gives_back) {
         accrue(it, now);
@@ -380,6 +389,7 @@
         return;
     }
     it.in_flight = false;
+    it.timeouts = 0;
     it.waiting = 0;
     accrue(it, now);
     auto slice = grant.slice;
@@ -411,6 +421,7 @@
 void quota_wallet::fail(row& it, state::time_point now)
 {
     it.in_flight = false;
+    it.timeouts = 0;
     it.waiting = 0;
     it.is_dry = false;
     it.ask_from = now + failed_ask_gap;
