Carry the messages of quotas between hosts

The control server takes asks for parts of a limit, requests for a host's share, and probes; quota_service sends them on streams of their own, and quota_client lets the fiber of a request wait for the answer. A host owns no share before it has read the directory of hosts, and not for 25 s when the directory did not name it: others may hold a view of the hosts that is 20 s old.

Tested with three hosts over loopback streams: one host that gets all requests uses the limit, and a host that no other one answers keeps to its share. Nothing calls it yet on the path of a request.

--- a/include/oriolegrade/coordination/quota_times.hpp
+++ b/include/oriolegrade/coordination/quota_times.hpp
@@ -74,9 +74,10 @@
 inline constexpr double idle_gaps = 3;
 
 /// A host that joins owns no share for this time after the directory names it:
-/// others read the directory every 10 s, and their delegations of a larger
-/// share end delegation_term later.
-inline constexpr state::duration join_delay = std::chrono::seconds(15);
+/// others take the directory every 10 s, some from a host that read it up to
+/// 10 s before, and their delegations of a larger share end delegation_term
+/// later.
+inline constexpr state::duration join_delay = std::chrono::seconds(25);
 /// A host whose read of the directory is older than this expects that hosts
 /// have joined since, and uses stale_share of its share. Up to a quarter more
 /// hosts may join while it is out of touch.
--- a/include/oriolegrade/transport/gateway/dispatch_server.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_server.hpp
@@ -7,6 +7,7 @@
 #include <oriolegrade/state/source_type.hpp>
 #include <oriolegrade/transport/gateway/dispatch_service.hpp>
 #include <oriolegrade/transport/gateway/gateway_shared.hpp>
+#include <oriolegrade/transport/gateway/quota_service.hpp>
 #include <oriolegrade/transport/stream_server.hpp>
 
 #include <functional>
@@ -35,6 +36,8 @@
     /// Time since the version in force was read to be the newest; empty when
     /// that is too long ago to confirm it.
     std::function<std::optional<state::duration>()> confirmed_age;
+    /// Limits of workspaces, for other hosts; may be null.
+    quota_service* quotas = nullptr;
     /// Tells the version in force to the entries with an open stream.
     void tell_rules_version(std::uint64_t version);
 
@@ -46,6 +49,8 @@
     void take_frames(session& own, server_stream& stream);
     void serve_view(server_stream& stream);
     void serve_source(server_stream& stream);
+    void serve_quota_ask(server_stream& stream);
+    void serve_quota_delegation(server_stream& stream);
 
     gateway_shared& shared_;
     dispatch_service& service_;
--- a/include/oriolegrade/transport/gateway/member_directory.hpp
+++ b/include/oriolegrade/transport/gateway/member_directory.hpp
@@ -50,6 +50,10 @@
     {}
 
     std::function<void(const std::vector<state::host_member>&)> on_members;
+    /// Called when the directory was read, also without a change, once the
+    /// other hosts are known.
+    std::function<void()> on_read = [] {
+    };
     /// Asks another host for the hosts that it knows.
     std::function<std::optional<protocol::fleet_view>()> ask_peer;
     /// Tells whether this host reads the store for others.
@@ -69,6 +73,13 @@
         return known_;
     }
 
+    /// False when the directory named other hosts and not this one at the first
+    /// read.
+    bool was_named() const
+    {
+        return was_named_;
+    }
+
     /// Adds hosts that another host told of.
     void add(const std::vector<state::host_member>& told)
     {
@@ -150,6 +161,7 @@
         known_ = true;
         announcement_.heard_view(told->hosts);
         add(told->hosts);
+        on_read();
         return true;
     }
 
@@ -201,11 +213,18 @@
         }
         auto next = directory_.hosts();
         announcement_.read_directory(next);
+        if (!has_read_) {
+            has_read_ = true;
+            was_named_ = next.empty() || !announcement_.is_due();
+        }
         std::erase_if(next,
                       [&](const auto& it) { return it.name == self_.name; });
         next.push_back(self_);
         known_ = known_ || next.size() >= member_fewest_told || settled_;
         take(std::move(next));
+        if (known_) {
+            on_read();
+        }
         return true;
     }
 
@@ -260,6 +279,8 @@
     /// other hosts told of.
     coordination::host_directory directory_;
     bool known_ = false;
+    bool has_read_ = false;
+    bool was_named_ = false;
     /// Hosts that started together have announced themselves.
     bool settled_ = false;
     std::mt19937_64 random_{std::random_device()()};
--- a/src/transport/gateway/dispatch_server.cpp
+++ b/src/transport/gateway/dispatch_server.cpp
@@ -155,6 +155,12 @@
         serve_view(stream);
     } else if (stream.path() == source_path) {
         serve_source(stream);
+    } else if (quotas != nullptr && stream.path() == quota_ask_path) {
+        serve_quota_ask(stream);
+    } else if (quotas != nullptr && stream.path() == quota_delegation_path) {
+        serve_quota_delegation(stream);
+    } else if (quotas != nullptr && stream.path() == quota_probe_path) {
+        (void)stream.reply(200, "");
     } else {
         (void)stream.reply(404, "");
     }
@@ -256,4 +262,41 @@
         200, protocol::encode_source_reply(read_source(request.value())));
 }
 
+void dispatch_server::serve_quota_ask(server_stream& stream)
+{
+    const auto body = stream.read_all(protocol::max_quota_message_bytes);
+    if (!body) {
+        return;
+    }
+    const auto call = protocol::decode_quota_ask(body.value());
+    if (!call) {
+        event(log_level::error, "quota_ask_malformed")
+            .with("findings", call.error().to_text("ask"));
+        (void)stream.reply(400, "");
+        return;
+    }
+    const auto grant = quotas->serve(call.value());
+    if (grant) {
+        (void)stream.reply(200, protocol::encode(*grant));
+    } else {
+        (void)stream.reply(call.value().ask.gives_back ? 200 : 503, "");
+    }
+}
+
+void dispatch_server::serve_quota_delegation(server_stream& stream)
+{
+    const auto body = stream.read_all(protocol::max_quota_message_bytes);
+    if (!body) {
+        return;
+    }
+    const auto call = protocol::decode_quota_delegation_call(body.value());
+    if (!call) {
+        event(log_level::error, "quota_delegation_malformed")
+            .with("findings", call.error().to_text("call"));
+        (void)stream.reply(400, "");
+        return;
+    }
+    (void)stream.reply(200, protocol::encode(quotas->serve(call.value())));
+}
+
 } // namespace oriolegrade::transport
