--- a/include/oriolegrade/protocol/http_head.hpp
+++ b/include/oriolegrade/protocol/http_head.hpp
@@ -28,6 +28,9 @@
     void add(std::string_view name, std::string_view value);
     void set(header_field field, std::string_view value);
     void set(std::string_view name, std::string_view value);
+    /// Removes all fields of that name.
+    /// @return their value; empty when there is none, or when they differ
+    std::optional<std::string> take(std::string_view name);
     /// Removes the fields whose names a list separated by commas contains, as
     /// the value of a Connection field does.
     void remove_listed(std::string_view names);
--- a/include/oriolegrade/state/configuration.hpp
+++ b/include/oriolegrade/state/configuration.hpp
@@ -6,6 +6,7 @@
 
 #include <oriolegrade/state/record_type.hpp>
 #include <oriolegrade/state/sharded_map.hpp>
+#include <oriolegrade/state/text_hash.hpp>
 
 #include <cstdint>
 #include <memory>
@@ -37,14 +38,6 @@
     std::size_t operator()(const record_key& key) const;
 };
 
-struct text_hash
-{
-    std::size_t operator()(std::string_view text) const
-    {
-        return std::hash<std::string_view>()(text);
-    }
-};
-
 /// All entries in force, with an index of routes by path.
 class configuration
 {
--- a/include/oriolegrade/state/route_index.hpp
+++ b/include/oriolegrade/state/route_index.hpp
@@ -4,10 +4,9 @@
 #ifndef ORIOLEGRADE_STATE_ROUTE_INDEX_HPP
 #define ORIOLEGRADE_STATE_ROUTE_INDEX_HPP
 
+#include <oriolegrade/state/text_hash.hpp>
 #include <oriolegrade/state/traffic_rules.hpp>
 
-#include <cstddef>
-#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -37,23 +36,11 @@
     }
 
 private:
-    /// Finds a text without a copy of it.
-    struct text_hash
-    {
-        using is_transparent = void;
-        std::size_t operator()(std::string_view text) const
-        {
-            return std::hash<std::string_view>()(text);
-        }
-    };
-
     std::shared_ptr<const traffic_rules> rules_;
     /// The key is host, line feed and path prefix; neither part contains a
     /// line feed.
     std::unordered_map<std::string, const traffic_route*> by_prefix_;
-    std::unordered_map<std::string, const traffic_workspace*, text_hash,
-                       std::equal_to<>>
-        by_key_;
+    text_map<const traffic_workspace*> by_key_;
 };
 
 /// Lower-case host without a port.
--- a/src/protocol/http_head.cpp
+++ b/src/protocol/http_head.cpp
@@ -52,6 +52,28 @@
     add(name, value);
 }
 
+std::optional<std::string> http_fields::take(std::string_view name)
+{
+    std::optional<std::string> out;
+    bool differs = false;
+    for (auto& it : fields_) {
+        if (!same_field_name(it.name, name)) {
+            continue;
+        }
+        if (!out) {
+            out = std::move(it.value);
+        } else {
+            differs = differs || it.value != *out;
+        }
+    }
+    if (out) {
+        std::erase_if(fields_, [&](const http_field& it) {
+            return same_field_name(it.name, name);
+        });
+    }
+    return differs ? std::nullopt : out;
+}
+
 void http_fields::remove_listed(std::string_view names)
 {
     constexpr std::string_view separators = ", \t";
