Read tenants, their keys and public routes from the document

Findings are logged, so they name keys by their position, and the parser's findings lose the names inside a tenant: somebody may have written a key as a name. A document without tenants is read as before. Tests: platform_documents.*, 18 wrong tables.

--- a/test/platform/documents_test.cpp
+++ b/test/platform/documents_test.cpp
@@ -87,6 +87,129 @@
     EXPECT_NE(text.find("/routes/a/path_prefix"), std::string::npos) << text;
 }
 
+/// Document with the members of `tenants`.
+std::string with_workspaces(const std::string& members)
+{
+    return R"({"version": "r8", "services": {}, "routes": {
+        "a": {"hostname": "h", "path_prefix": "/a/", "kind": "safe",
+              "service": "s", "public": true},
+        "b": {"hostname": "h", "path_prefix": "/b/", "kind": "safe",
+              "service": "s"}},
+        "tenants": {)" +
+           members + "}}";
+}
+
+TEST(platform_documents, workspaces_are_read)
+{
+    const auto rules = platform::decode_rules(with_workspaces(R"(
+        "ann": {"api_keys": ["k-1", "k 2", "k-1"], "rate_per_s": 2.5,
+                "burst": 7, "priority": 3},
+        "bob": {"api_keys": []})"));
+    ASSERT_TRUE(rules) << rules.error().to_text("rules");
+    EXPECT_TRUE(rules.value().requires_keys);
+    ASSERT_EQ(rules.value().workspaces.size(), 2U);
+    const auto& ann = rules.value().workspaces[0];
+    EXPECT_EQ(ann.name, "ann");
+    EXPECT_EQ(ann.keys, (std::vector<std::string>{"k-1", "k 2", "k-1"}));
+    EXPECT_EQ(ann.rate_per_s, 2.5);
+    EXPECT_EQ(ann.burst, 7);
+    EXPECT_EQ(ann.rank, 3U);
+    const auto& bob = rules.value().workspaces[1];
+    EXPECT_TRUE(bob.keys.empty());
+    EXPECT_EQ(bob.rate_per_s, 0);
+    EXPECT_EQ(bob.burst, 0);
+    EXPECT_FALSE(bob.rank);
+    EXPECT_TRUE(route(rules.value(), "a").is_public);
+    EXPECT_FALSE(route(rules.value(), "b").is_public);
+}
+
+// A document without the table must not lock its callers out, and one with an
+// empty table admits nobody.
+TEST(platform_documents, keys_are_required_where_workspaces_are_named)
+{
+    const auto without = platform::decode_rules(rules_text);
+    ASSERT_TRUE(without);
+    EXPECT_FALSE(without.value().requires_keys);
+    const auto empty = platform::decode_rules(with_workspaces(""));
+    ASSERT_TRUE(empty);
+    EXPECT_TRUE(empty.value().requires_keys);
+}
+
+struct wrong_workspace
+{
+    const char* name;
+    const char* members;
+    /// Where the finding is due.
+    const char* place;
+};
+
+const wrong_workspace wrong_workspaces[] = {
+    {"key_of_two", R"("a": {"api_keys": ["x", "secret"]},
+                      "b": {"api_keys": ["secret"]})",
+     "/tenants/b/api_keys/0: duplicate: is also a key of a"},
+    {"empty_key", R"("a": {"api_keys": ["secret", ""]})",
+     "/tenants/a/api_keys/1"},
+    {"key_with_a_line_end", R"("a": {"api_keys": ["secret\r\nx"]})",
+     "/tenants/a/api_keys/0"},
+    {"key_with_a_space_at_its_end", R"("a": {"api_keys": ["secret "]})",
+     "/tenants/a/api_keys/0"},
+    {"key_that_is_no_text", R"("a": {"api_keys": [{"secret": 1}]})",
+     "/tenants/a/api_keys/0"},
+    {"keys_that_are_no_list", R"("a": {"api_keys": "secret"})",
+     "/tenants/a/api_keys"},
+    {"keys_in_a_table", R"("a": {"api_keys": {"secret": 1}})",
+     "/tenants/a/api_keys"},
+    {"keys_in_a_table_twice",
+     R"("a": {"api_keys": {"secret": 1, "secret": 2}})", ""},
+    {"no_keys", R"("a": {"rate_per_s": 1})", "/tenants/a/api_keys"},
+    {"broken_text", R"("a": {"api_keys": ["secret" "secret"]})", ""},
+    {"negative_rate", R"("a": {"api_keys": [], "rate_per_s": -1})",
+     "/tenants/a/rate_per_s"},
+    {"endless_rate", R"("a": {"api_keys": [], "rate_per_s": 1e999})", ""},
+    {"rate_in_words", R"("a": {"api_keys": [], "rate_per_s": "secret"})",
+     "/tenants/a/rate_per_s"},
+    {"negative_burst", R"("a": {"api_keys": [], "burst": -0.5})",
+     "/tenants/a/burst"},
+    {"burst_without_value", R"("a": {"api_keys": [], "burst": null})",
+     "/tenants/a/burst"},
+    {"rank_in_words", R"("a": {"api_keys": [], "priority": "secret"})",
+     "/tenants/a/priority"},
+    {"name_with_a_line_end", R"("a\r\nHost: b": {"api_keys": ["secret"]})",
+     "cannot stand in a header field"},
+    {"no_table", R"("a": ["secret"])", "/tenants/a"},
+};
+
+class refused_workspace : public ::testing::TestWithParam<wrong_workspace>
+{};
+
+// A wrong table is refused as a whole, and findings are logged: none may repeat
+// a key.
+TEST_P(refused_workspace, is_found_without_its_key)
+{
+    const auto rules =
+        platform::decode_rules(with_workspaces(GetParam().members));
+    ASSERT_FALSE(rules);
+    const auto text = rules.error().to_text("rules");
+    EXPECT_NE(text.find(GetParam().place), std::string::npos) << text;
+    EXPECT_EQ(text.find("secret"), std::string::npos) << text;
+}
+
+INSTANTIATE_TEST_SUITE_P(platform_documents, refused_workspace,
+                         ::testing::ValuesIn(wrong_workspaces),
+                         [](const auto& it) {
+                             return std::string(it.param.name);
+                         });
+
+TEST(platform_documents, public_is_true_or_false)
+{
+    auto text = with_workspaces("");
+    text.replace(text.find("true"), 4, "\"yes\"");
+    const auto rules = platform::decode_rules(text);
+    ASSERT_FALSE(rules);
+    EXPECT_NE(rules.error().to_text("rules").find("/routes/a/public"),
+              std::string::npos);
+}
+
 TEST(platform_documents, times_have_units)
 {
     EXPECT_EQ(platform::duration_from_text("1500ms"), 1500ms);
