Let requests ask for newer rules

A host that may be behind is to look for a newer version before it turns a request away. Whole; nothing asks yet.

--- a/include/oriolegrade/transport/gateway/gateway_shared.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_shared.hpp
@@ -52,11 +52,23 @@
     state::rcu_cell<state::route_index> rules;
     /// Rules have arrived since the start.
     std::atomic<bool> configured{false};
+    /// Until this time no newer version counts as likely; a confirmation that
+    /// the version in force is the newest moves it on.
+    std::atomic<state::time_point> rules_confirmed_until{};
+    /// Highest version that another host told of; 0 for none.
+    std::atomic<std::uint64_t> rules_told{0};
     /// When the stop began; read only when stopping.
     std::atomic<state::time_point> stop_began{};
     gateway_metrics metrics;
     coordination::upstream_wishes wishes;
 
+    /// True when there may be a version that this host does not know yet.
+    /// @param version that the host knows
+    bool may_be_behind(state::time_point now, std::uint64_t version) const
+    {
+        return rules_told > version || now > rules_confirmed_until.load();
+    }
+
     /// Schedule of the stop in progress; empty before.
     std::optional<coordination::drain_schedule> drain() const
     {
--- a/include/oriolegrade/transport/gateway/rules_follower.hpp
+++ b/include/oriolegrade/transport/gateway/rules_follower.hpp
@@ -27,6 +27,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace oriolegrade::transport {
 
@@ -57,6 +59,9 @@
 inline constexpr std::chrono::milliseconds rules_peer_interval{700};
 /// Pause between reads while a notice tells of a version that is not in force.
 inline constexpr std::chrono::milliseconds rules_notice_retry{150};
+/// Pause between two reads that requests ask for. Calls of the store are
+/// priced, and callers with wrong keys can send any number of requests.
+inline constexpr std::chrono::milliseconds rules_ask_pause{250};
 
 /// Lives on the control thread.
 template <traffic_source Source>
@@ -89,14 +94,38 @@
         if (version > std::max(told_, current)) {
             told_ = version;
             teller_ = host;
+            shared_.rules_told = version;
             noticed_.notify();
         }
         if (confirmed_age && version >= current) {
             confirmed_at_ =
                 std::max(confirmed_at_, clock::now() - *confirmed_age);
+            note_confirmed();
         }
     }
 
+    /// Looks for a newer version now. One look serves all that ask while it
+    /// lasts or shortly after it.
+    /// @param done called at its end, in any fiber
+    void refresh(std::function<void()> done)
+    {
+        if (!looking_ && clock::now() < looked_at_ + rules_ask_pause) {
+            return done();
+        }
+        awaiting_.push_back(std::move(done));
+        if (std::exchange(looking_, true)) {
+            return;
+        }
+        spawn_fiber([this] {
+            run_step("rules_refresh", [this] { look(); });
+            looking_ = false;
+            looked_at_ = clock::now();
+            for (const auto& it : std::exchange(awaiting_, {})) {
+                run_step("rules_refresh", it);
+            }
+        });
+    }
+
     /// True when the store has just answered this host.
     bool is_fresh() const
     {
@@ -199,6 +228,7 @@
         if (fault) {
             next_offset_.reset();
             read_at_ = std::min(read_at_, clock::now() - rules_fresh_limit);
+            note_confirmed();
             std::rethrow_exception(fault);
         }
         return has_read;
@@ -235,12 +265,47 @@
         if (!document || !take(*document, "store")) {
             on_confirmed();
         }
+        note_confirmed();
         if (document && had_offset) {
             boost::this_fiber::sleep_for(rules_pause);
         }
         return true;
     }
 
+    /// Workers take the rules for the newest until the confirmation is old.
+    void note_confirmed()
+    {
+        shared_.rules_confirmed_until =
+            std::max(read_at_, confirmed_at_) + rules_confirm_limit;
+    }
+
+    /// Asks the host that told of a newer version, then the store, then any
+    /// host.
+    void look()
+    {
+        if (behind() && take_from(teller_)) {
+            return;
+        }
+        const auto began = clock::now();
+        const auto result = source_.newest_rules();
+        if (!result) {
+            take_from({});
+            return;
+        }
+        if (result.value().document) {
+            take(*result.value().document, "store");
+        }
+        confirmed_at_ = std::max(confirmed_at_, began);
+        note_confirmed();
+    }
+
+    /// False when the host has no newer version.
+    bool take_from(const std::string& host)
+    {
+        const auto document = ask_peer(host, version_in_force());
+        return document && take(*document, "peer");
+    }
+
     void catch_up()
     {
         if (const auto document = ask_peer(teller_, version_in_force())) {
@@ -263,6 +328,7 @@
             event(log_level::warning, "notice_not_confirmed")
                 .with("version", told_);
             told_ = 0;
+            shared_.rules_told = 0;
             misses_ = 0;
         }
         boost::this_fiber::sleep_for(rules_notice_retry * misses_);
@@ -332,6 +398,10 @@
     int misses_ = 0;
     static constexpr int most_misses = 20;
     bool failing_ = false;
+    /// A look for requests is in progress, and those that wait for its end.
+    bool looking_ = false;
+    std::vector<std::function<void()>> awaiting_;
+    state::time_point looked_at_{};
     fiber_signal noticed_;
     fiber_signal lost_;
 };
