Pass requests by their key, and tell upstreams the workspace

Before a 401 or 404 a host that may be behind asks for newer rules, for 0.3 s at most and within the request's time. Rules without workspaces forward all fields as before.

--- a/include/oriolegrade/transport/caller_session.hpp
+++ b/include/oriolegrade/transport/caller_session.hpp
@@ -34,7 +34,8 @@
     {
         f.io_limits()
         } -> std::convertible_to<caller_io_limits>;
-    /// Looks up what the request needs, before it may start.
+    /// Looks up what the request needs, before it may start. This and serve()
+    /// may change the head.
     {
         f.prepare(head, request)
         } -> std::same_as<typename Front::request_plan>;
@@ -100,7 +101,7 @@
     /// A request that was read.
     struct incoming_request
     {
-        const protocol::request_head head;
+        protocol::request_head head;
         std::optional<typename Front::request_plan> plan = {};
         /// The exception that ended it.
         std::exception_ptr fault = {};
--- a/include/oriolegrade/transport/gateway/dispatched_choice.hpp
+++ b/include/oriolegrade/transport/gateway/dispatched_choice.hpp
@@ -34,6 +34,15 @@
     state::time_point deadline;
     gateway_metrics& metrics;
     coordination::upstream_wishes& wishes;
+    /// Urgency of the request.
+    std::uint32_t rank;
+    /// Name of the workspace; empty for none.
+    std::string_view workspace = {};
+    /// Asked before each send: the rules may have changed while the request
+    /// waited for its place. A reason ends the request unsent.
+    std::function<std::optional<state::reply_reason>()> objection = {};
+    /// The last objection.
+    std::optional<state::reply_reason> denied = {};
     /// Ids of upstreams that got the request.
     std::vector<std::string> tried = {};
     /// Numbers of the connections of the sends, in order; 0 for none.
@@ -101,6 +110,13 @@
                 return std::nullopt;
             }
         }
+        if (sends_.objection) {
+            sends_.denied = sends_.objection();
+        }
+        if (sends_.denied) {
+            return_place({});
+            return std::nullopt;
+        }
         const auto place = *std::exchange(place_, std::nullopt);
         sends_.tried.push_back(place.upstream);
         target_ = {place.upstream, place.born};
@@ -117,6 +133,9 @@
 
     state::reply_reason refusal() const
     {
+        if (sends_.denied) {
+            return *sends_.denied;
+        }
         return sends_.refusal && sends_.refusal->reason ==
                                      state::place_refusal_reason::no_upstream
                    ? state::reply_reason::no_upstream
@@ -200,7 +219,8 @@
         out.repeatable =
             sends_.route.spec.request != state::request_class::non_idempotent;
         out.upload = sends_.route.upload;
-        out.rank = sends_.route.rank;
+        out.rank = sends_.rank;
+        out.workspace = sends_.workspace;
         out.time_left = sends_.deadline - now;
         out.target_left = sends_.began + sends_.route.latency_target - now;
         out.tried = sends_.tried;
@@ -222,6 +242,12 @@
     void give_back(const state::upstream_wish& wish)
     {
         sends_.tried.push_back(place_->upstream);
+        return_place(wish);
+    }
+
+    /// Ends the present place, which got nothing.
+    void return_place(const state::upstream_wish& wish)
+    {
         place_.reset();
         --sends_.runs;
         state::send_report report{state::send_result::cancelled, {}, {}, true};
--- a/include/oriolegrade/transport/gateway/gateway.hpp
+++ b/include/oriolegrade/transport/gateway/gateway.hpp
@@ -13,6 +13,7 @@
 #include <oriolegrade/transport/gateway/peer_source.hpp>
 #include <oriolegrade/transport/gateway/registry_follower.hpp>
 #include <oriolegrade/transport/gateway/relayed_source.hpp>
+#include <oriolegrade/transport/gateway/rules_client.hpp>
 #include <oriolegrade/transport/gateway/rules_follower.hpp>
 #include <oriolegrade/transport/http_server.hpp>
 #include <oriolegrade/transport/stop_signal.hpp>
@@ -45,9 +46,11 @@
 public:
     placed_worker(boost::asio::io_context& ioc, gateway_shared& shared,
                   boost::asio::io_context& control, dispatch_router& router,
-                  std::atomic<std::uint64_t>& numbers)
+                  std::atomic<std::uint64_t>& numbers,
+                  rules_client::refresh_call refresh)
         : places_(ioc, control, router, numbers)
-        , worker_(ioc, shared, places_)
+        , rules_(ioc, control, std::move(refresh))
+        , worker_(ioc, shared, places_, rules_)
     {}
 
     void close_listener()
@@ -59,7 +62,8 @@
 
 private:
     placement_client places_;
-    gateway_worker<Dialect, placement_client> worker_;
+    rules_client rules_;
+    gateway_worker<Dialect, placement_client, rules_client> worker_;
 };
 
 /// Wires the parts of one process. Lives on the control thread until the
@@ -97,7 +101,10 @@
             workers_.push_back(std::make_unique<thread_type>(
                 [this](boost::asio::io_context& ioc) {
                     return std::make_unique<placed_worker<Dialect>>(
-                        ioc, shared_, ioc_, router_, numbers_);
+                        ioc, shared_, ioc_, router_, numbers_,
+                        [this](std::function<void()> done) {
+                            rules_.refresh(std::move(done));
+                        });
                 }));
         }
         spawn_fiber([this] { rules_.run(); });
@@ -158,6 +165,7 @@
     {
         rules_.on_rules = [this] {
             const auto rules = shared_.rules.read();
+            shared_.metrics.set_workspaces(rules->rules().workspaces);
             service_.update(rules);
             server_.tell_rules_version(rules->rules().version);
             router_.tell_rules_version(rules->rules().version);
--- a/include/oriolegrade/transport/gateway/gateway_metrics.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_metrics.hpp
@@ -6,14 +6,20 @@
 
 #include <oriolegrade/state/dispatch_type.hpp>
 #include <oriolegrade/state/enum_names.hpp>
+#include <oriolegrade/state/rcu_cell.hpp>
+#include <oriolegrade/state/reply_reason.hpp>
+#include <oriolegrade/state/text_hash.hpp>
 #include <oriolegrade/state/time_type.hpp>
+#include <oriolegrade/state/traffic_rules.hpp>
 
 #include <algorithm>
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace oriolegrade::transport {
 
@@ -72,6 +78,22 @@
     {
         fallbacks_.fetch_add(1, std::memory_order_relaxed);
     }
+    /// Counts a request that was refused for want of a known key.
+    void count_unknown_key()
+    {
+        unknown_keys_.fetch_add(1, std::memory_order_relaxed);
+    }
+
+    /// Counts by workspace from now on. Workspaces that are not listed lose
+    /// their counters, so that their number is bounded by the rules. Calls must
+    /// not overlap.
+    void set_workspaces(const std::vector<state::traffic_workspace>& all);
+    /// Counts the end of a request of a workspace; one that is not listed is
+    /// not counted.
+    void count(std::string_view workspace, request_end end);
+    /// Counts why a request of a workspace was refused.
+    void count(std::string_view workspace, state::reply_reason reason);
+    void count(std::string_view workspace, state::place_refusal_reason reason);
 
     /// One `name{label="value"} number` line per counter.
     std::string to_text() const;
@@ -82,6 +104,21 @@
         5, 20, 50, 100, 200, 400, 800, 1500, 3000, 6000};
 
     using counter = std::atomic<std::uint64_t>;
+
+    struct workspace_counters
+    {
+        std::array<counter, state::enum_size<request_end>> ends{};
+        /// Refusals of the host itself, and of a dispatcher.
+        std::array<counter, state::enum_size<state::reply_reason>> replies{};
+        std::array<counter, state::enum_size<state::place_refusal_reason>>
+            refusals{};
+    };
+    using workspace_table =
+        state::text_map<std::shared_ptr<workspace_counters>>;
+
+    std::shared_ptr<workspace_counters>
+    counters_of(std::string_view workspace) const;
+
     std::array<counter, state::enum_size<request_end>> ends_{};
     std::array<counter, state::enum_size<state::send_result>> sends_{};
     /// The last one counts what is above all bounds.
@@ -93,6 +130,10 @@
     counter fallbacks_{0};
     /// Answers of upstreams that belonged to other requests.
     counter skipped_answers_{0};
+    /// Requests without a known key on routes that need one.
+    counter unknown_keys_{0};
+    state::rcu_cell<workspace_table> workspaces_{
+        std::make_shared<const workspace_table>()};
 };
 
 } // namespace oriolegrade::transport
--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -3,10 +3,12 @@
 #ifndef ORIOLEGRADE_TRANSPORT_GATEWAY_GATEWAY_WORKER_HPP
 #define ORIOLEGRADE_TRANSPORT_GATEWAY_GATEWAY_WORKER_HPP
 
+#include <oriolegrade/state/key_check.hpp>
 #include <oriolegrade/transport/caller_session.hpp>
 #include <oriolegrade/transport/gateway/dispatched_choice.hpp>
 #include <oriolegrade/transport/gateway/gateway_shared.hpp>
 #include <oriolegrade/transport/gateway/request_log.hpp>
+#include <oriolegrade/transport/gateway/rules_client.hpp>
 #include <oriolegrade/transport/hedged_run.hpp>
 #include <oriolegrade/transport/listener.hpp>
 #include <oriolegrade/transport/reply.hpp>
@@ -34,6 +36,14 @@
     {
         Dialect::time_left(head)
         } -> std::same_as<std::optional<std::uint64_t>>;
+    /// Field in which callers send their key.
+    {
+        Dialect::key_field
+        } -> std::convertible_to<std::string_view>;
+    /// Field that names the workspace to upstreams.
+    {
+        Dialect::workspace_field
+        } -> std::convertible_to<std::string_view>;
 };
 
 /// Bodies up to this size are read before a place is asked for, and can be
@@ -42,6 +52,11 @@
 /// Interval at which old upstream connections are closed.
 inline constexpr std::chrono::seconds gateway_pool_interval{1};
 
+/// Longest wait for newer rules before a request is turned away that they may
+/// allow. A store or another host answers in a few milliseconds when it answers
+/// at all, and callers give up a request that is not read within a second.
+inline constexpr std::chrono::milliseconds gateway_rules_wait{300};
+
 /// Idle limits of upstream connections. Servers of the users close them after
 /// 10 s, and a request that must not repeat is lost when it crosses the close.
 inline upstream_pool_options gateway_pool_options()
@@ -54,16 +69,18 @@
     return out;
 }
 
-template <gateway_dialect Dialect, placement Placement>
+template <gateway_dialect Dialect, placement Placement,
+          rules_refresher Refresher>
 class gateway_worker
 {
 public:
     /// @throws boost::system::system_error when the address is not available
     gateway_worker(boost::asio::io_context& ioc, gateway_shared& shared,
-                   Placement& places)
+                   Placement& places, Refresher& refresher)
         : ioc_(ioc)
         , shared_(shared)
         , places_(places)
+        , refresher_(refresher)
         , pool_(ioc, gateway_pool_options())
         , listener_(ioc, shared.options.caller_listen,
                     shared.options.max_connections,
@@ -118,6 +135,13 @@
         /// Null when there is none.
         const state::traffic_route* route = nullptr;
         bool repeatable = false;
+        /// The fields that only the system may set have been taken out of the
+        /// head.
+        bool has_taken_key = false;
+        /// Key that the caller sent where the rules require one; a secret that
+        /// is written nowhere.
+        std::string key = {};
+        state::key_check check = {};
         /// Set before the first send.
         std::optional<request_sends> sends = {};
     };
@@ -133,28 +157,19 @@
         return out;
     }
 
-    request_plan prepare(const protocol::request_head& head,
-                         caller_request& request)
+    request_plan prepare(protocol::request_head& head, caller_request& request)
     {
         request_plan plan;
-        plan.line = {Dialect::request_id(head), request.arrival()};
-        if (!shared_.configured) {
-            return plan;
-        }
-        plan.rules = shared_.rules.read();
-        plan.line.rules_version = plan.rules->rules().version;
-        plan.route =
-            plan.rules->find(head.host, protocol::path_of(head.target));
-        if (plan.route != nullptr) {
-            plan.line.route = plan.route->name;
-            plan.repeatable =
-                plan.route->spec.request == state::request_class::idempotent;
-            request.set_body_limit(plan.rules->rules().limits.body_bytes);
+        plan.line.began = request.arrival();
+        if (shared_.configured) {
+            look_up(plan, shared_.rules.read(), head, request);
         }
+        // Behind the last change of the head.
+        plan.line.request_id = Dialect::request_id(head);
         return plan;
     }
 
-    void serve(request_plan& plan, const protocol::request_head& head,
+    void serve(request_plan& plan, protocol::request_head& head,
                caller_request& request, caller_answer& answer)
     {
         auto& line = plan.line;
@@ -172,15 +187,33 @@
         if (const auto reason = request.refusal()) {
             return refuse(line, answer, *reason, {});
         }
+        if (!is_allowed(plan)) {
+            look_again(plan, head, request);
+        }
         if (plan.route == nullptr) {
             return refuse(line, answer, state::reply_reason::no_route, {});
         }
+        if (!plan.check.passes) {
+            return refuse(line, answer, state::reply_reason::unknown_key, {});
+        }
         auto& sends = plan.sends.emplace(request_sends{
             std::string(line.request_id),
             state::choose_split_service(*plan.route, random_()), *plan.route,
             line.began, deadline_of(head, *plan.route, line.began),
-            shared_.metrics, shared_.wishes});
+            shared_.metrics, shared_.wishes,
+            state::rank_of(*plan.route, plan.check.workspace), line.workspace});
         line.service = sends.service;
+        // The view of the head's field ends with the next change of the head.
+        line.request_id = sends.request_id;
+        if (!line.workspace.empty()) {
+            head.fields.add(Dialect::workspace_field, line.workspace);
+        }
+        const watched_request watched{*this, plan, head};
+        sends.objection = [&watched] {
+            return watched.objection();
+        };
+        // A limit of the workspace is to be checked here: the key is known, and
+        // no place has been asked for.
         run(head, request, answer, sends, line);
     }
 
@@ -208,8 +241,7 @@
         }
         line.turn_wait = answer.turn_wait();
         if (answer.finished()) {
-            line.write(request_end::answered, "answered");
-            shared_.metrics.count(request_end::answered, line.age());
+            end_answered(line);
         } else if (answer.started()) {
             end_failed(line, state::reply_reason::internal_error);
         } else if (!plan.sends || plan.sends->runs == 0) {
@@ -263,6 +295,97 @@
     using choice_type = dispatched_choice<Placement, Dialect>;
     using session_type = caller_session<gateway_worker>;
 
+    /// A request whose sends may begin after the rules have changed. The head
+    /// must not change any more: sends in progress refer to it.
+    struct watched_request
+    {
+        const gateway_worker& worker;
+        const request_plan& plan;
+        const protocol::request_head& head;
+
+        /// Why the request may not be sent by the rules in force, though it
+        /// was allowed by those that it was planned with.
+        std::optional<state::reply_reason> objection() const
+        {
+            const auto rules = worker.shared_.rules.read();
+            if (rules == plan.rules || !rules->rules().requires_keys) {
+                return std::nullopt;
+            }
+            const auto* route =
+                rules->find(head.host, protocol::path_of(head.target));
+            const auto check = state::check_key(
+                *rules, route != nullptr ? *route : *plan.route, plan.key);
+            if (plan.has_taken_key && !check.passes) {
+                return state::reply_reason::unknown_key;
+            }
+            // The head holds a key that was not required, or names a workspace
+            // that the key belonged to before. The caller sends it again, under
+            // the rules in force.
+            if (!plan.has_taken_key ||
+                name_of(check.workspace) != plan.line.workspace) {
+                return state::reply_reason::shed;
+            }
+            return std::nullopt;
+        }
+    };
+
+    static std::string_view name_of(const state::traffic_workspace* workspace)
+    {
+        return workspace != nullptr ? std::string_view(workspace->name)
+                                    : std::string_view();
+    }
+
+    static bool is_allowed(const request_plan& plan)
+    {
+        return plan.route != nullptr && plan.check.passes;
+    }
+
+    /// Plans the request by the rules. Ends the view of the head's id.
+    void look_up(request_plan& plan,
+                 std::shared_ptr<const state::route_index> rules,
+                 protocol::request_head& head, caller_request& request)
+    {
+        plan.rules = std::move(rules);
+        const auto& all = plan.rules->rules();
+        plan.line.rules_version = all.version;
+        if (all.requires_keys && !plan.has_taken_key) {
+            plan.has_taken_key = true;
+            plan.key = head.fields.take(Dialect::key_field).value_or("");
+            head.fields.take(Dialect::workspace_field);
+        }
+        plan.route =
+            plan.rules->find(head.host, protocol::path_of(head.target));
+        plan.check = {};
+        plan.line.route = {};
+        if (plan.route != nullptr) {
+            plan.line.route = plan.route->name;
+            plan.repeatable =
+                plan.route->spec.request == state::request_class::idempotent;
+            plan.check = state::check_key(*plan.rules, *plan.route, plan.key);
+            request.set_body_limit(all.limits.body_bytes);
+        }
+        plan.line.workspace = name_of(plan.check.workspace);
+    }
+
+    /// Before a request is turned away: plans it by the newest rules. A host
+    /// that may be behind asks for them first.
+    void look_again(request_plan& plan, protocol::request_head& head,
+                    caller_request& request)
+    {
+        const auto now = clock::now();
+        if (shared_.may_be_behind(now, plan.line.rules_version)) {
+            const auto ms = Dialect::time_left(head).value_or(longest_wait_ms);
+            refresher_.refresh(std::min<state::time_point>(
+                now + gateway_rules_wait,
+                plan.line.began +
+                    std::chrono::milliseconds(std::min(ms, longest_wait_ms))));
+        }
+        if (const auto rules = shared_.rules.read(); rules != plan.rules) {
+            look_up(plan, rules, head, request);
+            plan.line.request_id = Dialect::request_id(head);
+        }
+    }
+
     void maintain()
     {
         for (;;) {
@@ -298,8 +421,7 @@
         if (!ms) {
             return route.spec.deadline;
         }
-        constexpr std::uint64_t longest_ms = 3'600'000;
-        const std::chrono::milliseconds left(std::min(*ms, longest_ms));
+        const std::chrono::milliseconds left(std::min(*ms, longest_wait_ms));
         return std::min<state::duration>(left, route.spec.deadline);
     }
 
@@ -372,8 +494,7 @@
         }
         switch (report.step) {
         case coordination::next_step::done:
-            line.write(request_end::answered, "answered");
-            shared_.metrics.count(request_end::answered, line.age());
+            end_answered(line);
             break;
         case coordination::next_step::reply:
             if (!answer.await_turn()) {
@@ -383,6 +504,8 @@
                     coordination::reason_after(report.reason, true);
                 end_failed(line, reason);
                 send_reply(answer, reason, state::run_outcome::unknown);
+            } else if (sends.denied) {
+                refuse(line, answer, *sends.denied, {});
             } else {
                 refuse(line, answer, unrun_reason(report.reason),
                        sends.refusal);
@@ -394,10 +517,24 @@
         }
     }
 
+    void end_answered(const request_line& line)
+    {
+        line.write(request_end::answered, "answered");
+        count(line, request_end::answered);
+    }
+
     void end_failed(const request_line& line, state::reply_reason reason)
     {
         line.write(request_end::failed, state::name_of(reason));
-        shared_.metrics.count(request_end::failed, line.age());
+        count(line, request_end::failed);
+    }
+
+    void count(const request_line& line, request_end end)
+    {
+        shared_.metrics.count(end, line.age());
+        if (!line.workspace.empty()) {
+            shared_.metrics.count(line.workspace, end);
+        }
     }
 
     void end_unanswered(request_line& line, const caller_answer& answer)
@@ -407,7 +544,7 @@
         line.turn_wait = answer.turn_wait();
         line.write(end,
                    answer.is_dropped() ? "connection_closed" : "caller_left");
-        shared_.metrics.count(end, line.age());
+        count(line, end);
     }
 
     /// A request that did not run is refused with a status that says so.
@@ -430,8 +567,17 @@
         const auto why =
             away ? state::name_of(away->reason) : state::name_of(reason);
         line.write(request_end::refused, why);
-        shared_.metrics.count(request_end::refused, line.age());
+        count(line, request_end::refused);
+        if (!line.workspace.empty() && away) {
+            shared_.metrics.count(line.workspace, away->reason);
+        } else if (!line.workspace.empty()) {
+            shared_.metrics.count(line.workspace, reason);
+        }
         protocol::http_fields fields;
+        if (reason == state::reply_reason::unknown_key) {
+            shared_.metrics.count_unknown_key();
+            fields.add("WWW-Authenticate", key_challenge);
+        }
         constexpr std::uint16_t service_unavailable = 503;
         if (state::reply_of(reason).status == service_unavailable) {
             fields.add("Retry-After", seconds_text(away ? away->retry_after
@@ -441,6 +587,11 @@
                    std::move(fields));
     }
 
+    /// HTTP asks for a challenge in each 401 (RFC 9110, section 15.5.2). There
+    /// is no registered scheme for keys in a field of their own.
+    static constexpr std::string_view key_challenge = "ApiKey";
+    /// A longer time limit of a caller counts as this.
+    static constexpr std::uint64_t longest_wait_ms = 3'600'000;
     /// Time in which a host gets its rules or is replaced by another one.
     static constexpr std::chrono::milliseconds default_retry_after{200};
 
@@ -459,6 +610,7 @@
     boost::asio::io_context& ioc_;
     gateway_shared& shared_;
     Placement& places_;
+    Refresher& refresher_;
     upstream_pool pool_;
     std::mt19937_64 random_{std::random_device()()};
     /// Open connections of callers.
--- a/include/oriolegrade/transport/gateway/request_log.hpp
+++ b/include/oriolegrade/transport/gateway/request_log.hpp
@@ -22,6 +22,8 @@
     std::uint64_t rules_version = 0;
     std::string_view route = {};
     std::string_view service = {};
+    /// Empty for a request of nobody.
+    std::string_view workspace = {};
     /// Ids of the upstreams that got the request, in order.
     std::vector<std::string> sends = {};
     /// How the sends ended, in the order of their ends.
--- a/src/transport/gateway/request_log.cpp
+++ b/src/transport/gateway/request_log.cpp
@@ -77,6 +77,9 @@
         .with("upstreams", upstreams)
         .with("connections", connection_numbers)
         .with("results", ends);
+    if (!workspace.empty()) {
+        line.with("workspace", workspace);
+    }
     if (skipped_answers > 0) {
         line.with("skipped_answers", skipped_answers);
     }
--- a/test/fakes/gateway_bench.hpp
+++ b/test/fakes/gateway_bench.hpp
@@ -5,6 +5,7 @@
 #define ORIOLEGRADE_TEST_FAKES_GATEWAY_BENCH_HPP
 
 #include "fake_placement.hpp"
+#include "fake_refresher.hpp"
 #include "fiber_thread.hpp"
 #include "request_path.hpp"
 #include "scripted_upstream.hpp"
@@ -36,7 +37,8 @@
     }
 };
 
-using worker_type = transport::gateway_worker<hooked_dialect, fake_placement>;
+using worker_type =
+    transport::gateway_worker<hooked_dialect, fake_placement, fake_refresher>;
 
 /// Refuses connections: no test listens on a reserved port.
 inline constexpr state::endpoint closed_address{0x7f000001, 1};
@@ -96,7 +98,7 @@
         , first(ioc)
         , second(ioc)
         , shared(gateway_options(read_ahead))
-        , worker(ioc, shared, places)
+        , worker(ioc, shared, places, refresher)
     {
         auto rules = std::make_shared<state::traffic_rules>();
         rules->version = 1;
@@ -110,6 +112,7 @@
         rules->routes[2].spec.deadline = 8s;
         shared.rules.publish(std::make_shared<state::route_index>(rules));
         shared.configured = true;
+        shared.rules_confirmed_until = state::time_point::max();
     }
 
     void place_at(const scripted_upstream& upstream, const std::string& id,
@@ -141,6 +144,7 @@
     scripted_upstream first;
     scripted_upstream second;
     fake_placement places;
+    fake_refresher refresher;
     transport::gateway_shared shared;
     worker_type worker;
 };
