Let the dispatch model's callers belong to workspaces

The experiment could not tell whose requests are served. Callers now belong to workspaces, of which the first may send more than the others, and the outcome counts them and the slot time of what was served.

--- a/bench/coordination/dispatch_model.hpp
+++ b/bench/coordination/dispatch_model.hpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <queue>
 #include <string>
 #include <variant>
@@ -30,6 +31,14 @@
     state::duration uncounted = 5s;
     /// When the surge, the release or the loss begins.
     state::duration change_at = 10s;
+    /// Arrivals as a share of the capacity; that of the pattern when empty.
+    std::optional<double> load = {};
+    /// Workspaces that send alike, but for the first; 0 for none.
+    std::size_t workspaces = 0;
+    /// What the first workspace sends, in loads of another.
+    double hot_factor = 1;
+    /// The placement is told no workspaces.
+    bool hides_workspaces = false;
     std::uint64_t seed = 1;
 };
 
@@ -44,7 +53,11 @@
         , placement_(upstreams_)
         , random_{options.seed}
         , placement_random_{options.seed + 1}
-    {}
+        , workspace_random_{options.seed + 2}
+    {
+        effects_.load = options.load.value_or(effects_.load);
+        out_.workspaces.resize(options.workspaces);
+    }
 
     dispatch_outcome run()
     {
@@ -108,6 +121,8 @@
         double work;
         std::size_t span;
         std::size_t host;
+        /// One that does not exist while there are none.
+        std::size_t workspace;
         bool counted;
         state::time_point arrived;
         state::time_point attempted;
@@ -260,10 +275,11 @@
         if (coordination::uniform(random_) < effects_.eager_share) {
             it.eager_returns = max_eager_returns;
         }
+        it.workspace = draw_workspace();
         const auto n = callers_.size();
         callers_.push_back(std::move(it));
-        if (auto* kind = counted(n)) {
-            ++kind->offered;
+        if (callers_[n].counted) {
+            count(n, &kind_outcome::offered);
             ++out_.spans[callers_[n].span].offered;
         }
         if (leaves) {
@@ -274,12 +290,31 @@
         attempt(n);
     }
 
-    kind_outcome* counted(std::size_t n)
+    std::size_t draw_workspace()
+    {
+        if (options_.workspaces == 0) {
+            return 0;
+        }
+        const auto others = static_cast<double>(options_.workspaces - 1);
+        const auto at = coordination::uniform(workspace_random_) *
+                        (options_.hot_factor + others);
+        return at < options_.hot_factor
+                   ? 0
+                   : 1 + static_cast<std::size_t>(at - options_.hot_factor);
+    }
+
+    void count(std::size_t n, std::size_t kind_outcome::*what)
     {
         const auto& it = callers_[n];
-        return it.counted ? &out_.kinds[static_cast<std::size_t>(
-                                it.kind - request_kinds.data())]
-                          : nullptr;
+        if (!it.counted) {
+            return;
+        }
+        ++(out_.kinds[static_cast<std::size_t>(it.kind -
+                                               request_kinds.data())].*
+           what);
+        if (options_.workspaces > 0) {
+            ++(out_.workspaces[it.workspace].*what);
+        }
     }
 
     void attempt(std::size_t n)
@@ -316,6 +351,9 @@
         state::place_request out;
         out.service = "s";
         out.route = std::string(it.kind->name);
+        if (options_.workspaces > 0 && !options_.hides_workspaces) {
+            out.workspace = "workspace-" + std::to_string(it.workspace);
+        }
         out.kind = from.kind;
         out.repeatable = it.kind->repeatable;
         out.rank = it.kind->rank;
@@ -409,9 +447,7 @@
     {
         auto& it = callers_[n];
         it.finished = true;
-        if (auto* kind = counted(n)) {
-            ++(kind->*what);
-        }
+        count(n, what);
         for (const auto number : std::exchange(it.asks, {})) {
             if (!asks_[number].decided) {
                 placement_.report(
@@ -574,6 +610,8 @@
         if (it.result == state::send_result::answered) {
             if (from.counted) {
                 ++out_.spans[from.span].served;
+                out_.served_work +=
+                    state::duration(static_cast<std::int64_t>(from.work));
                 out_.waits_ms.push_back(to_ms(from.started - from.arrived));
             }
             return finish(it.caller, now_ <= from.arrived + from.kind->target
@@ -720,6 +758,8 @@
     seeded_random random_;
     /// What depends on the placement.
     seeded_random placement_random_;
+    /// Apart from the others, so that workspaces change no arrival.
+    seeded_random workspace_random_;
     state::time_point now_ = start;
     std::uint64_t order_ = 0;
     /// Counts losses of all hosts; asks and sends of an earlier one are dead.
--- a/bench/coordination/dispatch_outcome.hpp
+++ b/bench/coordination/dispatch_outcome.hpp
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <array>
 #include <cstddef>
+#include <cstdint>
+#include <numeric>
 #include <vector>
 
 namespace oriolegrade::bench {
@@ -21,6 +23,12 @@
     std::size_t refused = 0;
     std::size_t failed = 0;
     std::size_t left = 0;
+
+    double served_share() const
+    {
+        return static_cast<double>(in_target + late) /
+               static_cast<double>(std::max<std::size_t>(offered, 1));
+    }
 };
 
 /// Length of a span of time for which callers are counted together.
@@ -39,8 +47,11 @@
 {
     std::array<kind_outcome, request_kinds.size()> kinds;
     std::vector<span_outcome> spans;
+    std::vector<kind_outcome> workspaces;
     /// When hosts were there again after the loss of all, from the start.
     state::duration hosts_ready{};
+    /// Slot time that the served requests needed.
+    state::duration served_work{};
     /// From the first attempt to the start of the work, of served callers.
     std::vector<double> waits_ms;
     /// From an attempt to its refusal.
@@ -65,6 +76,27 @@
         }
         return in_target / std::max(offered, 1.0);
     }
+    /// Served of all requests.
+    double served_share() const
+    {
+        kind_outcome all;
+        for (const auto& it : kinds) {
+            all.offered += it.offered;
+            all.in_target += it.in_target;
+            all.late += it.late;
+        }
+        return all.served_share();
+    }
+    /// Served shares of the workspaces, the least first.
+    std::vector<double> workspace_shares() const
+    {
+        std::vector<double> out;
+        for (const auto& it : workspaces) {
+            out.push_back(it.served_share());
+        }
+        std::sort(out.begin(), out.end());
+        return out;
+    }
     double mean_wait_ms() const
     {
         double sum = 0;
@@ -81,6 +113,15 @@
     }
 };
 
+/// Mean of the first of sorted samples; 0 without samples.
+inline double mean_of_first(const std::vector<double>& samples, std::size_t n)
+{
+    n = std::min(n, samples.size());
+    const auto sum = std::accumulate(
+        samples.begin(), samples.begin() + static_cast<std::ptrdiff_t>(n), 0.0);
+    return sum / static_cast<double>(std::max<std::size_t>(n, 1));
+}
+
 /// Value below which the given share of the samples lies; 0 without samples.
 inline double percentile(std::vector<double> samples, double share)
 {
