Share a full service among workspaces

The line was blind to workspaces: one that sent a thousand times as much as another made all others be served as seldom as itself, and its requests in line had those of others refused.

Within a rank, the workspace with the least of its due is next (start-time fair queueing, workspace_shares), and the expected wait of a request is that of its workspace's turn. Equal shares would leave a workspace at twenty times the load of the others far below a quarter of all, so 0.6 of the service is due by demand, and the rest likewise up to twice the mean of the others. Requests in time still come first, of whichever workspace; the tag of one whose requests became late waits for its next.

--- a/include/oriolegrade/coordination/dispatch_queue.hpp
+++ b/include/oriolegrade/coordination/dispatch_queue.hpp
@@ -3,6 +3,7 @@
 // argument; nothing here does I/O.
 //
 //  - waiting_line: the order of requests that wait
+//  - workspace_shares: whose requests are next when the service is full
 //  - place_admission: who is refused, and when to return
 //  - upstream_index, upstream_choice: which upstream gets a request
 //  - upstream_tracker: the standing of one upstream
@@ -195,8 +196,8 @@
                                                const upstream_tracker& tracker,
                                                state::time_point now);
     service_capacity capacity() const;
-    /// Expected time until a request of this rank is placed.
-    state::duration expected_wait(std::uint32_t rank) const;
+    /// Expected time until a request is placed that is not in line yet.
+    state::duration expected_wait(const state::place_request& request) const;
     /// Refuses a request and counts it as unserved.
     state::place_refusal refuse(state::place_refusal_reason reason,
                                 request_id number,
--- a/include/oriolegrade/coordination/waiting_line.hpp
+++ b/include/oriolegrade/coordination/waiting_line.hpp
@@ -1,15 +1,27 @@
 // Requests that wait for a slot of a service, in the order in which they are
-// placed: the most urgent rank first, and within a rank those that can still
+// placed: the most urgent rank first, within a rank the workspace that was
+// given least of what is due to it, and within a workspace those that can still
 // meet their target, by the time at which they have to be answered.
 //
-// Load pattern: a burst above capacity with hundreds of waiting requests. An
-// answer frees one slot, so the next request must be found without a walk
-// through those that cannot meet their target any more. As the latency of a
-// route decides which can, the requests of each route are kept apart.
+// Load patterns:
+//  - A burst above capacity with hundreds of waiting requests. An answer frees
+//    one slot, so the next request must be found without a walk through those
+//    that cannot meet their target any more. As the latency of a route decides
+//    which can, the requests of each route are kept apart.
+//  - One workspace fills the line while the requests of others come one by one
+//    (workspace_shares). Thousands of workspaces may wait, so those of a rank
+//    are kept in their order.
+//
+// Requests of all workspaces that can meet their target come before those of
+// any that cannot. A late answer is worth less, so a slot that is spent on one
+// while others wait in time serves nobody better; and as the tag of a workspace
+// whose requests became late stays where it is, its next request in time comes
+// first.
 
 #ifndef ORIOLEGRADE_COORDINATION_WAITING_LINE_HPP
 #define ORIOLEGRADE_COORDINATION_WAITING_LINE_HPP
 
+#include <oriolegrade/coordination/workspace_shares.hpp>
 #include <oriolegrade/state/dispatch_type.hpp>
 #include <oriolegrade/state/enum_names.hpp>
 #include <oriolegrade/state/time_type.hpp>
@@ -20,6 +32,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -63,6 +76,15 @@
     /// @return false when the request is not in the line
     bool remove(request_id number);
 
+    /// Counts a request that a workspace asks to place, in line or not.
+    void note_asked(const std::string& workspace, state::time_point now)
+    {
+        shares_.asked(workspace, now);
+    }
+    /// Counts a request that is sent to an upstream, from the line or not. May
+    /// be called during a visit.
+    void note_placed(const std::string& workspace);
+
     std::size_t size() const
     {
         return places_.size();
@@ -73,10 +95,17 @@
     }
     /// Number of requests that are as urgent as the rank, or more.
     std::size_t count_up_to(std::uint32_t rank) const;
-    /// True when a request of the rank and target comes before all in the line.
-    bool is_first(std::uint32_t rank, state::time_point target) const;
+    /// Number of requests that are placed before one more of the workspace, by
+    /// its share of the service; at most count_up_to().
+    std::size_t count_ahead(std::uint32_t rank,
+                            const std::string& workspace) const;
+    /// True when a request of the rank, workspace and target comes before all
+    /// in the line.
+    bool is_first(std::uint32_t rank, state::time_point target,
+                  const std::string& workspace = {}) const;
 
-    /// Visits requests in their order.
+    /// Visits requests in their order. Workspaces alternate as if each request
+    /// that is kept were placed.
     /// @param usual latency of a route
     /// @param visit takes the number and the request
     template <class Usual, class Visit>
@@ -87,9 +116,8 @@
         for (auto rank = ranks_.begin(); rank != ranks_.end();) {
             const bool goes_on =
                 visit_rank(rank->second, part, now, usual, visit);
-            std::erase_if(rank->second,
-                          [](const auto& it) { return it.second.empty(); });
-            rank = rank->second.empty() ? ranks_.erase(rank) : std::next(rank);
+            rank =
+                rank->second.size == 0 ? ranks_.erase(rank) : std::next(rank);
             if (!goes_on) {
                 return;
             }
@@ -100,11 +128,51 @@
     /// Requests of one route: the earliest target first, then the oldest.
     using route_key = std::pair<state::time_point, request_id>;
     using route_line = std::map<route_key, waiting_request>;
-    using rank_line = std::map<std::string, route_line>;
+
+    /// Requests of one workspace in a rank.
+    struct workspace_line
+    {
+        /// No route without requests.
+        std::map<std::string, route_line> routes;
+        std::size_t size = 0;
+        /// The same in all ranks.
+        workspace_shares::tag tag = 0;
+        /// Share that was due to it when its last request came.
+        double weight = 0;
+        /// None of its requests can meet its target. A route that became faster
+        /// is noticed by the next visit of those that are late.
+        bool is_late = false;
+        /// Last visit that came to it.
+        std::uint64_t visit = 0;
+    };
+    using workspace_lines = std::map<std::string, workspace_line>;
+
+    /// The name breaks ties.
+    using order_key = std::pair<workspace_shares::tag, std::string_view>;
+    using workspace_order = std::map<order_key, workspace_lines::iterator>;
+
+    struct rank_line
+    {
+        /// None without requests.
+        workspace_lines workspaces;
+        /// Each workspace is in one of them, by is_late: a visit of those in
+        /// time does not walk through workspaces that have none.
+        workspace_order in_time;
+        workspace_order late;
+        std::size_t size = 0;
+        /// Sum over the workspaces.
+        double weight = 0;
+
+        workspace_order& order_of(const workspace_line& it)
+        {
+            return it.is_late ? late : in_time;
+        }
+    };
 
     struct place
     {
         std::uint32_t rank;
+        std::string workspace;
         std::string route;
         state::time_point target;
     };
@@ -117,12 +185,61 @@
         route_line::iterator end;
     };
 
+    /// A workspace whose requests are being visited.
+    struct open_workspace
+    {
+        workspace_lines::iterator line;
+        std::vector<cursor> cursors;
+        /// Tag, had the requests that were kept been placed.
+        workspace_shares::tag tag;
+        std::size_t kept = 0;
+
+        order_key key() const
+        {
+            return {tag, line->first};
+        }
+        /// For a heap with the least key on top.
+        static bool comes_later(const open_workspace& a,
+                                const open_workspace& b)
+        {
+            return b.key() < a.key();
+        }
+    };
+
+    /// Progress of a visit through the workspaces of an order. It keeps a key
+    /// and no iterator, as workspaces move while they are visited.
+    struct order_walk
+    {
+        workspace_order* list;
+        std::optional<order_key> last;
+
+        workspace_order::iterator next(std::uint64_t visit) const
+        {
+            auto it = last ? list->upper_bound(*last) : list->begin();
+            while (it != list->end() && it->second->second.visit == visit) {
+                ++it;
+            }
+            return it;
+        }
+    };
+
+    /// What a visit has come to in a rank.
+    struct rank_visit
+    {
+        rank_line* rank;
+        line_part part;
+        std::uint64_t number;
+        std::vector<order_walk> walks;
+        /// A heap, see comes_later().
+        std::vector<open_workspace> open;
+    };
+
     template <class Usual>
-    static std::vector<cursor> cursors_of(rank_line& rank, line_part part,
+    static std::vector<cursor> cursors_of(workspace_line& from, line_part part,
                                           state::time_point now, Usual& usual)
     {
         std::vector<cursor> out;
-        for (auto& [route, line] : rank) {
+        for (auto& [route, line] : from.routes) {
             const auto split = part == line_part::all
                                    ? line.end()
                                    : line.lower_bound({now + usual(route), 0});
@@ -141,34 +258,62 @@
     bool visit_rank(rank_line& rank, line_part part, state::time_point now,
                     Usual& usual, Visit& visit)
     {
-        auto cursors = cursors_of(rank, part, now, usual);
-        while (!cursors.empty()) {
-            const auto next =
-                std::min_element(cursors.begin(), cursors.end(),
-                                 [](const cursor& a, const cursor& b) {
-                                     return a.it->first < b.it->first;
-                                 });
-            const auto number = next->it->first.second;
-            const auto result = visit(number, next->it->second);
-            if (result == visit_result::stop) {
-                return false;
+        rank_visit state{&rank, part, ++visits_, {{&rank.in_time, {}}}, {}};
+        if (part != line_part::in_time) {
+            state.walks.push_back({&rank.late, {}});
+        }
+        while (true) {
+            while (const auto next = next_unopened(state)) {
+                open(state, *next,
+                     cursors_of((*next)->second, part, now, usual));
             }
-            if (result == visit_result::remove) {
-                next->it = next->line->erase(next->it);
-                places_.erase(number);
-            } else {
-                ++next->it;
+            if (state.open.empty()) {
+                return true;
             }
-            if (next->it == next->end) {
-                cursors.erase(next);
+            auto& heap = state.open;
+            std::pop_heap(heap.begin(), heap.end(),
+                          open_workspace::comes_later);
+            auto& first = heap.back();
+            const auto it = first_cursor(first);
+            const auto& request = *it->it;
+            const auto result = visit(request.first.second, request.second);
+            if (result == visit_result::stop) {
+                return false;
             }
+            step(state, first, it, result);
         }
-        return true;
     }
 
-    /// No rank and no route without requests.
+    static std::vector<cursor>::iterator first_cursor(open_workspace& from)
+    {
+        return std::min_element(from.cursors.begin(), from.cursors.end(),
+                                [](const cursor& a, const cursor& b) {
+                                    return a.it->first < b.it->first;
+                                });
+    }
+
+    /// Workspace to open before the next request is visited, if there is one.
+    static std::optional<workspace_lines::iterator>
+    next_unopened(rank_visit& state);
+    /// @param cursors of its requests that the visit is for
+    static void open(rank_visit& state, workspace_lines::iterator it,
+                     std::vector<cursor> cursors);
+    /// Goes on after a request, at the end of the heap, was visited.
+    void step(rank_visit& state, open_workspace& at,
+              std::vector<cursor>::iterator it, visit_result result);
+
+    /// Moves a workspace within the order, or between both.
+    static void move(rank_line& rank, workspace_lines::iterator it,
+                     workspace_shares::tag tag, bool is_late);
+    static void erase(rank_line& rank, workspace_lines::iterator it);
+    /// Tag of a workspace, whether it waits or not.
+    workspace_shares::tag tag_of(const std::string& workspace) const;
+
+    /// No rank without requests.
     std::map<std::uint32_t, rank_line> ranks_;
     std::unordered_map<request_id, place> places_;
+    workspace_shares shares_;
+    std::uint64_t visits_ = 0;
 };
 
 } // namespace oriolegrade::coordination
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -137,7 +137,7 @@
     // not improve the outcome.
     return !can_meet_target(it, now) &&
            place_admission::misses_deadline(
-               it.deadline, expected_wait(it.request.rank), usual, now);
+               it.deadline, expected_wait(it.request), usual, now);
 }
 
 bool dispatch_queue::can_meet_target(const waiting_request& it,
@@ -177,6 +177,7 @@
         false,   trial,          request.kind,  request.repeatable,
         false,   previous_begin, spec.born};
     latencies_.began(request.route);
+    line_.note_placed(request.workspace);
     if (request.kind == send_kind::first) {
         unserved_.placed(now);
     }
@@ -192,9 +193,11 @@
             latencies_.usual()};
 }
 
-state::duration dispatch_queue::expected_wait(std::uint32_t rank) const
+state::duration
+dispatch_queue::expected_wait(const state::place_request& request) const
 {
-    return place_admission::expected_wait(capacity(), line_.count_up_to(rank));
+    return place_admission::expected_wait(
+        capacity(), line_.count_ahead(request.rank, request.workspace));
 }
 
 state::place_refusal dispatch_queue::refuse(place_refusal_reason reason,
@@ -203,7 +206,7 @@
                                             state::time_point now)
 {
     unserved_.turned_away(request.kind, now);
-    auto wait = expected_wait(request.rank);
+    auto wait = expected_wait(request);
     if (reason == place_refusal_reason::no_upstream &&
         upstreams_.available() == 0) {
         wait = std::max(wait, quiet_time(now));
@@ -238,22 +241,25 @@
                               state::time_point now)
 {
     advance(now);
+    if (request.kind == send_kind::first) {
+        line_.note_asked(request.workspace, now);
+    }
     waiting_request it{request, now + request.time_left,
                        now + request.target_left};
     if (!any_candidate(request, now)) {
         return refuse(place_refusal_reason::no_upstream, number, request, now);
     }
     if (request.kind == send_kind::hedge ||
-        line_.is_first(request.rank, it.target)) {
+        line_.is_first(request.rank, it.target, request.workspace)) {
         if (auto* entry = choose(it, true, now)) {
             return place_or_refuse(number, it, *entry, now);
         }
     }
     // A hedge that has to wait is not worth its share of the budget.
     if (request.kind == send_kind::hedge ||
-        place_admission::misses_deadline(
-            it.deadline, expected_wait(request.rank),
-            latencies_.usual(request.route), now)) {
+        place_admission::misses_deadline(it.deadline, expected_wait(request),
+                                         latencies_.usual(request.route),
+                                         now)) {
         return refuse(place_refusal_reason::overloaded, number, request, now);
     }
     line_.push(number, std::move(it));
