Keep requests within the limit of their workspace

A request of a workspace with a limit gets a right to send before it asks for a place; beyond the limit it is answered 429 at once, with the time until the next right. A send that did not run leaves its right to the next one or gives it back; a repeat or a send beside the first needs a right of its own and does not wait for it. Requests without a workspace, and workspaces without a limit, ask for nothing.

--- a/include/oriolegrade/transport/gateway/dispatched_choice.hpp
+++ b/include/oriolegrade/transport/gateway/dispatched_choice.hpp
@@ -12,6 +12,7 @@
 #include <oriolegrade/transport/event_log.hpp>
 #include <oriolegrade/transport/gateway/gateway_metrics.hpp>
 #include <oriolegrade/transport/gateway/placement_client.hpp>
+#include <oriolegrade/transport/gateway/send_rights.hpp>
 #include <oriolegrade/transport/request_fault.hpp>
 
 #include <chrono>
@@ -43,6 +44,8 @@
     std::function<std::optional<state::reply_reason>()> objection = {};
     /// The last objection.
     std::optional<state::reply_reason> denied = {};
+    /// Rights to send within the limit of the workspace.
+    send_rights rights = {};
     /// Ids of upstreams that got the request.
     std::vector<std::string> tried = {};
     /// Numbers of the connections of the sends, in order; 0 for none.
@@ -101,7 +104,7 @@
 
     std::optional<chosen_upstream> next()
     {
-        if (!place_ && !get_place(kind_)) {
+        if (!place_ && !(sends_.rights.reserve() && get_place(kind_))) {
             return std::nullopt;
         }
         for (int n = 0; const auto wish = wish_in_force(); ++n) {
@@ -113,7 +116,7 @@
         if (sends_.objection) {
             sends_.denied = sends_.objection();
         }
-        if (sends_.denied) {
+        if (sends_.denied || !sends_.rights.use()) {
             return_place({});
             return std::nullopt;
         }
@@ -147,7 +150,7 @@
     {
         return !cancelled_ && kind_ != state::send_kind::hedge &&
                sends_.runs < sends_.route.spec.max_attempts &&
-               get_place(state::send_kind::repeat);
+               sends_.rights.reserve() && get_place(state::send_kind::repeat);
     }
 
     void ended(state::attempt_result result, const protocol::answer_head* head,
@@ -364,6 +367,9 @@
         if (unrun) {
             --sends_.runs;
         }
+        if (unrun && sent_) {
+            sends_.rights.restore();
+        }
         sent_ = false;
         end_place(report);
     }
--- a/include/oriolegrade/transport/gateway/gateway.hpp
+++ b/include/oriolegrade/transport/gateway/gateway.hpp
@@ -11,6 +11,7 @@
 #include <oriolegrade/transport/gateway/host_call.hpp>
 #include <oriolegrade/transport/gateway/member_directory.hpp>
 #include <oriolegrade/transport/gateway/peer_source.hpp>
+#include <oriolegrade/transport/gateway/quota_client.hpp>
 #include <oriolegrade/transport/gateway/registry_follower.hpp>
 #include <oriolegrade/transport/gateway/relayed_source.hpp>
 #include <oriolegrade/transport/gateway/rules_client.hpp>
@@ -47,10 +48,11 @@
     placed_worker(boost::asio::io_context& ioc, gateway_shared& shared,
                   boost::asio::io_context& control, dispatch_router& router,
                   std::atomic<std::uint64_t>& numbers,
-                  rules_client::refresh_call refresh)
+                  rules_client::refresh_call refresh, quota_service& quotas)
         : places_(ioc, control, router, numbers)
         , rules_(ioc, control, std::move(refresh))
-        , worker_(ioc, shared, places_, rules_)
+        , quotas_(ioc, control, shared.quotas, quotas)
+        , worker_(ioc, shared, places_, rules_, quotas_)
     {}
 
     void close_listener()
@@ -63,7 +65,9 @@
 private:
     placement_client places_;
     rules_client rules_;
-    gateway_worker<Dialect, placement_client, rules_client> worker_;
+    quota_client quotas_;
+    gateway_worker<Dialect, placement_client, rules_client, quota_client>
+        worker_;
 };
 
 /// Wires the parts of one process. Lives on the control thread until the
@@ -86,6 +90,7 @@
                     coordination::host_seed(shared_.options.self.name)},
                    view())
         , router_(ioc, shared_, service_)
+        , quotas_(ioc, shared_.options.self, shared_.quotas)
         , server_(ioc, shared_, service_)
         , ready_(ioc, shared_.options.ready_listen,
                  [this](const http_request& request) {
@@ -104,7 +109,8 @@
                         ioc, shared_, ioc_, router_, numbers_,
                         [this](std::function<void()> done) {
                             rules_.refresh(std::move(done));
-                        });
+                        },
+                        quotas_);
                 }));
         }
         spawn_fiber([this] { rules_.run(); });
@@ -115,6 +121,7 @@
         spawn_fiber([this] { service_.run(); });
         spawn_fiber([this] { router_.run(); });
         spawn_fiber([this] { router_.keep_links(); });
+        spawn_fiber([this] { quotas_.run(); });
     }
 
     /// Returns when the process may end.
@@ -166,6 +173,7 @@
         rules_.on_rules = [this] {
             const auto rules = shared_.rules.read();
             shared_.metrics.set_workspaces(rules->rules().workspaces);
+            quotas_.set_limits(rules->rules());
             service_.update(rules);
             server_.tell_rules_version(rules->rules().version);
             router_.tell_rules_version(rules->rules().version);
@@ -215,13 +223,19 @@
         registry_.ask_dispatchers = [this] {
             return ask_dispatchers();
         };
+        members_.on_read = [this] {
+            quotas_.directory_read(!members_.was_named() &&
+                                   !shared_.options.first_start);
+        };
         members_.on_members = [this](const auto& members) {
             router_.set_members(members);
+            quotas_.set_members(members);
             registry_.consider();
         };
         service_.is_primary = [this](const std::string& service) {
             return members_.is_known() && router_.is_primary(service);
         };
+        server_.quotas = &quotas_;
         server_.hosts = [this] {
             return members_.members();
         };
@@ -344,6 +358,7 @@
     member_directory<Source> members_;
     dispatch_service service_;
     dispatch_router router_;
+    quota_service quotas_;
     dispatch_server server_;
     http_server ready_;
     std::atomic<std::uint64_t> numbers_{1};
--- a/include/oriolegrade/transport/gateway/gateway_shared.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_shared.hpp
@@ -4,6 +4,7 @@
 #define ORIOLEGRADE_TRANSPORT_GATEWAY_GATEWAY_SHARED_HPP
 
 #include <oriolegrade/coordination/drain_schedule.hpp>
+#include <oriolegrade/coordination/quota_wallet.hpp>
 #include <oriolegrade/coordination/upstream_wishes.hpp>
 #include <oriolegrade/coordination/window_budget.hpp>
 #include <oriolegrade/state/host_member.hpp>
@@ -34,6 +35,8 @@
     /// Extra sends that all hosts together may make to one service.
     coordination::window_budget_options budget;
     coordination::read_ahead_limits read_ahead;
+    /// The whole fleet starts for the first time.
+    bool first_start = false;
     /// Time between the stop signal and the end of the process.
     state::duration grace = std::chrono::seconds(6);
 };
@@ -61,6 +64,7 @@
     std::atomic<state::time_point> stop_began{};
     gateway_metrics metrics;
     coordination::upstream_wishes wishes;
+    coordination::quota_wallet quotas;
 
     /// True when there may be a version that this host does not know yet.
     /// @param version that the host knows
--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -7,6 +7,7 @@
 #include <oriolegrade/transport/caller_session.hpp>
 #include <oriolegrade/transport/gateway/dispatched_choice.hpp>
 #include <oriolegrade/transport/gateway/gateway_shared.hpp>
+#include <oriolegrade/transport/gateway/quota_client.hpp>
 #include <oriolegrade/transport/gateway/request_log.hpp>
 #include <oriolegrade/transport/gateway/rules_client.hpp>
 #include <oriolegrade/transport/hedged_run.hpp>
@@ -70,17 +71,18 @@
 }
 
 template <gateway_dialect Dialect, placement Placement,
-          rules_refresher Refresher>
+          rules_refresher Refresher, quota_gate Gate>
 class gateway_worker
 {
 public:
     /// @throws boost::system::system_error when the address is not available
     gateway_worker(boost::asio::io_context& ioc, gateway_shared& shared,
-                   Placement& places, Refresher& refresher)
+                   Placement& places, Refresher& refresher, Gate& quotas)
         : ioc_(ioc)
         , shared_(shared)
         , places_(places)
         , refresher_(refresher)
+        , quotas_(quotas)
         , pool_(ioc, gateway_pool_options())
         , listener_(ioc, shared.options.caller_listen,
                     shared.options.max_connections,
@@ -212,9 +214,22 @@
         sends.objection = [&watched] {
             return watched.objection();
         };
-        // A limit of the workspace is to be checked here: the key is known, and
-        // no place has been asked for.
+        if (!has_limit(plan)) {
+            return run(head, request, answer, sends, line);
+        }
+        // Before the wait for a place: beyond the limit, the caller is told at
+        // once.
+        const auto decision = quotas_.admit(line.workspace, sends.deadline);
+        if (decision.verdict == coordination::quota_verdict::refused) {
+            return refuse(line, answer, state::reply_reason::limit, {},
+                          decision.retry_after);
+        }
+        sends.rights = send_rights(
+            [this, &line] { return quotas_.admit_extra(line.workspace); });
         run(head, request, answer, sends, line);
+        for (auto n = sends.rights.left(); n > 0; --n) {
+            quotas_.give_back(line.workspace);
+        }
     }
 
     /// The request was read and will not be served.
@@ -335,6 +350,12 @@
                                     : std::string_view();
     }
 
+    static bool has_limit(const request_plan& plan)
+    {
+        const auto* workspace = plan.check.workspace;
+        return workspace != nullptr && workspace->rate_per_s > 0;
+    }
+
     static bool is_allowed(const request_plan& plan)
     {
         return plan.route != nullptr && plan.check.passes;
@@ -558,7 +579,8 @@
 
     void refuse(request_line& line, caller_answer& answer,
                 state::reply_reason reason,
-                const std::optional<state::place_refusal>& away)
+                const std::optional<state::place_refusal>& away,
+                std::optional<state::duration> retry_after = {})
     {
         if (!answer.await_turn()) {
             return end_unanswered(line, answer);
@@ -579,9 +601,12 @@
             fields.add("WWW-Authenticate", key_challenge);
         }
         constexpr std::uint16_t service_unavailable = 503;
-        if (state::reply_of(reason).status == service_unavailable) {
-            fields.add("Retry-After", seconds_text(away ? away->retry_after
-                                                        : default_retry_after));
+        if (!retry_after &&
+            state::reply_of(reason).status == service_unavailable) {
+            retry_after = away ? away->retry_after : default_retry_after;
+        }
+        if (retry_after) {
+            fields.add("Retry-After", seconds_text(*retry_after));
         }
         send_reply(answer, reason, state::run_outcome::not_run,
                    std::move(fields));
@@ -611,6 +636,7 @@
     gateway_shared& shared_;
     Placement& places_;
     Refresher& refresher_;
+    Gate& quotas_;
     upstream_pool pool_;
     std::mt19937_64 random_{std::random_device()()};
     /// Open connections of callers.
--- a/test/fakes/gateway_bench.hpp
+++ b/test/fakes/gateway_bench.hpp
@@ -4,6 +4,7 @@
 #ifndef ORIOLEGRADE_TEST_FAKES_GATEWAY_BENCH_HPP
 #define ORIOLEGRADE_TEST_FAKES_GATEWAY_BENCH_HPP
 
+#include "fake_gate.hpp"
 #include "fake_placement.hpp"
 #include "fake_refresher.hpp"
 #include "fiber_thread.hpp"
@@ -37,8 +38,8 @@
     }
 };
 
-using worker_type =
-    transport::gateway_worker<hooked_dialect, fake_placement, fake_refresher>;
+using worker_type = transport::gateway_worker<hooked_dialect, fake_placement,
+                                              fake_refresher, fake_gate>;
 
 /// Refuses connections: no test listens on a reserved port.
 inline constexpr state::endpoint closed_address{0x7f000001, 1};
@@ -98,7 +99,7 @@
         , first(ioc)
         , second(ioc)
         , shared(gateway_options(read_ahead))
-        , worker(ioc, shared, places, refresher)
+        , worker(ioc, shared, places, refresher, gate)
     {
         auto rules = std::make_shared<state::traffic_rules>();
         rules->version = 1;
@@ -145,6 +146,7 @@
     scripted_upstream second;
     fake_placement places;
     fake_refresher refresher;
+    fake_gate gate;
     transport::gateway_shared shared;
     worker_type worker;
 };
