Give the hosts of dispatch tests free ports

Seen: dispatch.dispatchers_tell_their_rules and dispatch.requests_wander_ while_dispatchers_read_for_the_first_time failed when two processes of platform_test ran at once: a notice was not heard, or an answer came that none of the hosts of the test had given.

Cause: make_fleet took fixed ports. Servers set SO_REUSEPORT, so two processes listened at the same ports and each took some connections of the other one.

Change: a port is bound and held for each host, without a fixed number. The port of the dead dispatcher is held too, and nobody listens at it. The checks are unchanged.

--- a/test/platform/dispatch_test.cpp
+++ b/test/platform/dispatch_test.cpp
@@ -2,6 +2,7 @@
 // dispatchers cost waiting and never place on an upstream that has left.
 
 #include "fakes/fiber_thread.hpp"
+#include "fakes/held_port.hpp"
 
 #include <oriolegrade/transport/gateway/dispatch_router.hpp>
 #include <oriolegrade/transport/gateway/dispatch_server.hpp>
@@ -81,9 +82,9 @@
 /// One host: dispatcher, its server and its router.
 struct fake_host
 {
-    fake_host(boost::asio::io_context& ioc, const std::string& name,
-              std::uint16_t port)
-        : shared(options_of(name, port))
+    fake_host(boost::asio::io_context& ioc, const std::string& name)
+        : port(ioc)
+        , shared(options_of(name, port.number()))
         , service({shared.options.budget}, own.view())
         , router(ioc, shared, service)
         , server(ioc, shared, service)
@@ -142,6 +143,7 @@
         boost::this_fiber::sleep_for(20ms);
     }
 
+    test::held_port port;
     fake_view own;
     transport::gateway_shared shared;
     transport::dispatch_service service;
@@ -164,13 +166,12 @@
 class fleet
 {
 public:
-    fleet(std::uint16_t base, std::uint16_t size)
+    explicit fleet(std::size_t size)
     {
         std::vector<state::host_member> members;
-        for (std::uint16_t n = 0; n < size; ++n) {
+        for (std::size_t n = 0; n < size; ++n) {
             hosts.push_back(std::make_unique<fake_host>(
-                test::fiber_context(), "host-" + std::to_string(n),
-                static_cast<std::uint16_t>(base + n)));
+                test::fiber_context(), "host-" + std::to_string(n)));
             members.push_back(hosts.back()->shared.options.self);
         }
         coordination::dispatcher_ranking ranking;
@@ -239,16 +240,16 @@
 }
 
 /// Kept until the process ends: fibers that wait on sockets refer to it.
-fleet& make_fleet(std::uint16_t base, std::uint16_t size = 3)
+fleet& make_fleet(std::size_t size = 3)
 {
     static std::vector<std::unique_ptr<fleet>> fleets;
-    fleets.push_back(std::make_unique<fleet>(base, size));
+    fleets.push_back(std::make_unique<fleet>(size));
     return *fleets.back();
 }
 
 TEST(dispatch, first_dispatcher_places)
 {
-    auto& f = make_fleet(24100);
+    auto& f = make_fleet();
     EXPECT_EQ(upstream_of(f.entry().place()), "u-first");
     EXPECT_EQ(f.entry().own.refreshes, 0);
 }
@@ -257,7 +258,7 @@
 // first.
 TEST(dispatch, a_request_in_line_is_placed_after_a_report)
 {
-    auto& f = make_fleet(24110);
+    auto& f = make_fleet();
     ASSERT_EQ(upstream_of(f.entry().place()), "u-first");
     const auto waiting = f.entry().ask();
     boost::this_fiber::sleep_for(200ms);
@@ -268,7 +269,7 @@
 
 TEST(dispatch, a_leaving_dispatcher_is_passed_over)
 {
-    auto& f = make_fleet(24120);
+    auto& f = make_fleet();
     f.first().shared.stopping = true;
     EXPECT_EQ(upstream_of(f.entry().place()), "u-second");
 }
@@ -277,7 +278,7 @@
 // has a fresh view.
 TEST(dispatch, a_fresh_view_goes_before_an_old_one)
 {
-    auto& f = make_fleet(24130);
+    auto& f = make_fleet();
     f.first().own.age = 5s;
     EXPECT_EQ(upstream_of(f.entry().place()), "u-second");
 }
@@ -287,7 +288,7 @@
 // hosts, and the requests went on to the next one, which did the same.
 TEST(dispatch, a_silent_store_makes_dispatchers_silent)
 {
-    auto& f = make_fleet(24280);
+    auto& f = make_fleet();
     f.first().own.age = 1400ms;
     f.first().own.store_silent = true;
     // It has not read the register yet.
@@ -311,7 +312,7 @@
 // the register: 83 of 163 hosts did.
 TEST(dispatch, requests_wander_while_dispatchers_read_for_the_first_time)
 {
-    auto& f = make_fleet(24290);
+    auto& f = make_fleet();
     for (auto& it : f.hosts) {
         it->own.age = state::duration::max();
         it->own.reading = true;
@@ -330,7 +331,7 @@
 // it read the whole register and place alone, which took up to 0.9 s.
 TEST(dispatch, requests_of_a_starting_host_are_placed_by_itself)
 {
-    auto& f = make_fleet(24350);
+    auto& f = make_fleet();
     bool known = false;
     f.entry().own.age = state::duration::max();
     f.entry().router.knows_members = [&known] {
@@ -351,7 +352,7 @@
 // The wait for other hosts ends: the store may be away.
 TEST(dispatch, a_starting_host_waits_for_others_without_end)
 {
-    auto& f = make_fleet(24360);
+    auto& f = make_fleet();
     f.entry().router.set_members({f.entry().shared.options.self});
     f.entry().router.knows_members = [] {
         return false;
@@ -367,7 +368,7 @@
 // not lead to a place on the old view.
 TEST(dispatch, own_register_goes_before_an_old_view)
 {
-    auto& f = make_fleet(24140);
+    auto& f = make_fleet();
     f.first().own.age = 5s;
     f.second().own.age = 5s;
     EXPECT_EQ(upstream_of(f.entry().place()), "u-own");
@@ -377,7 +378,7 @@
 // slots are still counted in one place.
 TEST(dispatch, the_first_old_view_is_used_when_all_are_old)
 {
-    auto& f = make_fleet(24150);
+    auto& f = make_fleet();
     for (const auto& it : f.hosts) {
         it->own.age = 5s;
     }
@@ -389,7 +390,7 @@
 // the soak (seed 1) found all slots of a service taken for good.
 TEST(dispatch, a_place_on_the_own_old_view_is_freed)
 {
-    auto& f = make_fleet(24190);
+    auto& f = make_fleet();
     auto& host = f.entry();
     host.router.set_members({host.shared.options.self});
     host.own.age = 5s;
@@ -400,11 +401,12 @@
 
 TEST(dispatch, a_dead_dispatcher_costs_one_wait)
 {
-    auto& f = make_fleet(24160);
+    auto& f = make_fleet();
     auto members = f.entry().shared.options.self;
     // Nobody listens at the first one's address.
     auto dead = f.first().shared.options.self;
-    dead.control.port = 24169;
+    const test::held_port unused(test::fiber_context());
+    dead.control.port = unused.number();
     f.entry().router.set_members(
         {members, dead, f.second().shared.options.self});
     EXPECT_EQ(upstream_of(f.entry().place()), "u-second");
@@ -419,7 +421,7 @@
 // reach.
 TEST(dispatch, two_stopping_dispatchers_spread_the_decision_over_all_hosts)
 {
-    auto& f = make_fleet(24210, 5);
+    auto& f = make_fleet(5);
     f.first().shared.stopping = true;
     f.second().shared.stopping = true;
     EXPECT_EQ(upstream_of(f.entry().place()), "u-third");
@@ -427,7 +429,7 @@
 
 TEST(dispatch, two_old_views_spread_the_decision_over_all_hosts)
 {
-    auto& f = make_fleet(24220, 5);
+    auto& f = make_fleet(5);
     f.first().own.age = 5s;
     f.second().own.age = 5s;
     EXPECT_EQ(upstream_of(f.entry().place()), "u-third");
@@ -435,7 +437,7 @@
 
 TEST(dispatch, two_silent_dispatchers_spread_the_decision_over_all_hosts)
 {
-    auto& f = make_fleet(24230, 5);
+    auto& f = make_fleet(5);
     auto members = f.members();
     for (const auto* host : {&f.first(), &f.second()}) {
         silence(members, host->shared.options.self.name);
@@ -446,7 +448,7 @@
 
 TEST(dispatch, dispatchers_tell_their_rules)
 {
-    auto& f = make_fleet(24170);
+    auto& f = make_fleet();
     ASSERT_EQ(upstream_of(f.entry().place()), "u-first");
     f.first().server.tell_rules_version(7);
     boost::this_fiber::sleep_for(50ms);
@@ -461,7 +463,7 @@
 // The entry's process ends: its places are free again.
 TEST(dispatch, places_of_a_lost_entry_are_free)
 {
-    auto& f = make_fleet(24180);
+    auto& f = make_fleet();
     {
         transport::dispatch_link link(
             test::fiber_context(), f.first().shared.options.self.control,
@@ -484,7 +486,7 @@
 // each allowed a whole budget because none knew what the others had.
 TEST(dispatch, successive_dispatchers_allow_a_host_more_than_its_part)
 {
-    auto& f = make_fleet(24200);
+    auto& f = make_fleet();
     auto& host = f.entry();
     const auto repeats = [&host] {
         int placed = 0;
