Close all streams of a lost connection when a callback throws

Seen in a test: a connection between hosts was lost, the cancel callback of its first stream threw, and the handler of the second one waited for ever; the stop of the server hung.

Cause: stream_session::close() closes the streams one after another, and an exception in a callback left the loop. Called from a destructor of a client stream it ended the process.

Change: the exception ends the callback only, with a task_fault event.

Before: stream_fault.of_one_cancelled_stream_keeps_others_open fails and hangs. After: passes.

--- a/src/transport/session_stream.cpp
+++ b/src/transport/session_stream.cpp
@@ -51,7 +51,8 @@
         failure_ = failure;
         code_ = code;
         if (cancelled_) {
-            cancelled_();
+            // The caller may have further streams to close.
+            run_step("stream_cancel", cancelled_);
         }
     }
     cancelled_ = nullptr;
--- /dev/null
+++ b/test/transport/handler_fault_test.cpp
@@ -0,0 +1,98 @@
+// Guards against exceptions in what the reactor and nghttp2 call. One that
+// leaves a handler of the reactor ends the process; one that leaves a callback
+// of a stream ended the streams beside it, or was the reason why they never
+// ended.
+
+#include "fakes/fiber_thread.hpp"
+
+#include <oriolegrade/transport/caller_connection.hpp>
+#include <oriolegrade/transport/claim_service.hpp>
+#include <oriolegrade/transport/fiber_yield.hpp>
+#include <oriolegrade/transport/stream_client.hpp>
+#include <oriolegrade/transport/stream_server.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/fiber/operations.hpp>
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <string>
+
+namespace {
+
+using namespace oriolegrade;
+using namespace oriolegrade::transport;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using boost::this_fiber::sleep_for;
+
+constexpr std::uint32_t loopback = 0x7f000001;
+
+void fail()
+{
+    throw std::runtime_error("made by a test");
+}
+
+/// Sessions of a server whose handler a test gives, and a client.
+struct session_pair
+{
+    explicit session_pair(stream_session::request_handler on_request)
+        : acceptor(listen_on(test::fiber_context(),
+                             {asio::ip::address_v4::loopback(), 0})
+                       .value())
+        , client(test::fiber_context(),
+                 {loopback, acceptor.local_endpoint().port()}, "", {})
+    {
+        fibers.spawn([this, on_request] {
+            asio::ip::tcp::socket socket(test::fiber_context());
+            error_code ec;
+            acceptor.async_accept(socket, fiber_yield(ec));
+            session = std::make_shared<stream_session>(
+                boost::beast::tcp_stream(std::move(socket)), stream_limits(),
+                on_request);
+            session->start(fibers);
+        });
+    }
+    ~session_pair()
+    {
+        client.stop();
+        if (session) {
+            session->close();
+        }
+        fibers.join();
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+    stream_client client;
+    std::shared_ptr<stream_session> session;
+    fiber_group fibers;
+};
+
+// Handlers of the other streams waited for ever for bytes of a connection
+// that is gone.
+TEST(stream_fault, of_one_cancelled_stream_keeps_others_open)
+{
+    test::fiber_context();
+    std::vector<stream_session::stream_ptr> streams;
+    session_pair ends([&streams](const stream_session::stream_ptr& it) {
+        it->on_cancel(fail);
+        streams.push_back(it);
+    });
+    auto first = ends.client.open("/", {}, 1s);
+    auto second = ends.client.open("/", {}, 1s);
+    ASSERT_TRUE(first);
+    ASSERT_TRUE(second);
+    sleep_for(20ms);
+    ASSERT_EQ(streams.size(), 2U);
+    ends.client.stop();
+    sleep_for(20ms);
+    for (const auto& it : streams) {
+        EXPECT_TRUE(it->is_closed());
+    }
+    EXPECT_EQ(ends.session->stream_count(), 0U);
+}
+
+} // namespace
