Keep exceptions out of nghttp2

Seen in a test: the handler of a new stream threw, for want of memory for a fiber for example, and all other streams of the connection were lost with it.

Cause: the exception passed through nghttp2, whose state was then half changed, to the fiber that reads, which closes the connection.

Change: nghttp2 gets its callbacks through a guard. A fault in the header section of a stream or in its start resets this stream; one in a callback that belongs to the connection closes it, by the error that nghttp2 defines for that. Each is logged as task_fault.

Before: stream_fault.of_a_new_stream_ends_the_streams_beside_it fails. After: passes. The tests of streams pass.

--- a/src/transport/stream_callbacks.cpp
+++ b/src/transport/stream_callbacks.cpp
@@ -2,6 +2,8 @@
 
 #include "stream_callbacks.hpp"
 
+#include <oriolegrade/transport/task_fault.hpp>
+
 namespace oriolegrade::transport {
 
 namespace {
@@ -11,6 +13,25 @@
     return *static_cast<stream_session*>(user);
 }
 
+/// A callback as nghttp2 gets it. An exception must not pass through nghttp2,
+/// whose state would be half changed.
+/// @tparam fault what nghttp2 hears instead: the connection ends, unless it is
+///         NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE, which resets the stream
+template <auto Callback, int fault = NGHTTP2_ERR_CALLBACK_FAILURE>
+struct guarded;
+
+template <class Result, class... Arguments, Result (*Callback)(Arguments...),
+          int fault>
+struct guarded<Callback, fault>
+{
+    static Result call(Arguments... arguments)
+    {
+        Result out = fault;
+        run_step("stream_callback", [&] { out = Callback(arguments...); });
+        return out;
+    }
+};
+
 bool ends_stream(const nghttp2_frame* frame)
 {
     return (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
@@ -20,18 +41,23 @@
 
 void stream_callbacks::install(nghttp2_session_callbacks* callbacks)
 {
-    nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks,
-                                                            on_begin_headers);
-    nghttp2_session_callbacks_set_on_header_callback(callbacks, on_header);
-    nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, on_frame);
-    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks,
-                                                              on_data);
-    nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, on_close);
-    nghttp2_session_callbacks_set_before_frame_send_callback(callbacks,
-                                                             before_send);
-    nghttp2_session_callbacks_set_on_frame_send_callback(callbacks, after_send);
-    nghttp2_session_callbacks_set_on_frame_not_send_callback(callbacks,
-                                                             on_not_sent);
+    constexpr int reset = NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+    nghttp2_session_callbacks_set_on_begin_headers_callback(
+        callbacks, guarded<&on_begin_headers, reset>::call);
+    nghttp2_session_callbacks_set_on_header_callback(
+        callbacks, guarded<&on_header, reset>::call);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(
+        callbacks, guarded<&on_frame>::call);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
+        callbacks, guarded<&on_data>::call);
+    nghttp2_session_callbacks_set_on_stream_close_callback(
+        callbacks, guarded<&on_close>::call);
+    nghttp2_session_callbacks_set_before_frame_send_callback(
+        callbacks, guarded<&before_send>::call);
+    nghttp2_session_callbacks_set_on_frame_send_callback(
+        callbacks, guarded<&after_send>::call);
+    nghttp2_session_callbacks_set_on_frame_not_send_callback(
+        callbacks, guarded<&on_not_sent>::call);
 }
 
 int stream_callbacks::on_begin_headers(nghttp2_session*,
@@ -87,7 +113,9 @@
         stream->reset(NGHTTP2_REFUSED_STREAM);
         return;
     }
-    session.on_request_(stream);
+    if (!run_step("stream_request", [&] { session.on_request_(stream); })) {
+        stream->reset(NGHTTP2_INTERNAL_ERROR);
+    }
 }
 
 int stream_callbacks::on_frame(nghttp2_session*, const nghttp2_frame* frame,
--- a/test/transport/handler_fault_test.cpp
+++ b/test/transport/handler_fault_test.cpp
@@ -71,6 +71,31 @@
     fiber_group fibers;
 };
 
+TEST(stream_fault, of_a_new_stream_ends_the_streams_beside_it)
+{
+    test::fiber_context();
+    stream_session::stream_ptr sound;
+    session_pair ends([&sound](const stream_session::stream_ptr& it) {
+        if (find_header(it->headers(), ":path") == "/throws") {
+            fail();
+        }
+        sound = it;
+    });
+    auto first = ends.client.open("/sound", {}, 1s);
+    ASSERT_TRUE(first);
+    sleep_for(20ms);
+    auto second = ends.client.open("/throws", {}, 1s);
+    ASSERT_TRUE(second);
+    const auto status = second.value().status();
+    ASSERT_FALSE(status);
+    EXPECT_EQ(status.error().failure, stream_failure::reset);
+    ASSERT_TRUE(sound);
+    EXPECT_TRUE(sound->respond(204, {}, false));
+    const auto answer = first.value().status();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer.value(), 204U);
+}
+
 // Handlers of the other streams waited for ever for bytes of a connection
 // that is gone.
 TEST(stream_fault, of_one_cancelled_stream_keeps_others_open)
