End one caller's connection when its reading fails

Seen in a test: an exception while bytes of a caller are taken, for want of memory for example, ended the process and the requests of all callers.

Cause: the bytes are taken in handlers of the reactor, which runs inside the noexcept calls of the fiber scheduler.

Change: the exception is logged as task_fault, and the connection counts as broken. A handler counts as pending once it is registered, so that a fault in between does not let the end of the connection wait for ever.

Before: caller_fault.in_the_reactor_ends_the_connection ends the process. After: passes.

--- a/include/oriolegrade/transport/caller_input.hpp
+++ b/include/oriolegrade/transport/caller_input.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <concepts>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -82,6 +83,10 @@
         state::time_point at;
     };
 
+    /// Runs a step of a handler. An exception that left it would end the
+    /// process; instead the connection counts as broken.
+    template <std::invocable Step>
+    void run_in_reactor(Step step);
     void wait_readable();
     void receive();
     void watch_closed();
--- a/src/transport/caller_input.cpp
+++ b/src/transport/caller_input.cpp
@@ -2,6 +2,8 @@
 
 #include <oriolegrade/transport/caller_input.hpp>
 
+#include <oriolegrade/transport/task_fault.hpp>
+
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
@@ -56,17 +58,29 @@
 
 void caller_input::wait_readable()
 {
-    ++pending_;
     stream_.socket().async_wait(asio::socket_base::wait_read,
                                 [this](const error_code& ec) {
                                     --pending_;
-                                    if (ec) {
-                                        finish(ec);
-                                    } else {
-                                        receive();
-                                    }
-                                    changed_.notify();
+                                    run_in_reactor([&] {
+                                        if (ec) {
+                                            finish(ec);
+                                        } else {
+                                            receive();
+                                        }
+                                    });
                                 });
+    // After what can throw.
+    ++pending_;
+}
+
+template <std::invocable Step>
+void caller_input::run_in_reactor(Step step)
+{
+    if (!run_step("caller_input", step) && !end_) {
+        end_ = asio::error::fault;
+        run_step("caller_input", on_event_);
+    }
+    changed_.notify();
 }
 
 void caller_input::receive()
@@ -93,21 +107,22 @@
 
 void caller_input::watch_closed()
 {
-    ++pending_;
     timer_.expires_after(closed_check_interval);
     timer_.async_wait([this](const error_code&) {
         --pending_;
-        if (!stream_.socket().is_open()) {
-            finish(asio::error::operation_aborted);
-        } else if (buffer_.size() < limit_) {
-            wait_readable();
-        } else if (is_closed_by_peer(stream_)) {
-            finish(boost::beast::http::error::end_of_stream);
-        } else {
-            watch_closed();
-        }
-        changed_.notify();
+        run_in_reactor([this] {
+            if (!stream_.socket().is_open()) {
+                finish(asio::error::operation_aborted);
+            } else if (buffer_.size() < limit_) {
+                wait_readable();
+            } else if (is_closed_by_peer(stream_)) {
+                finish(boost::beast::http::error::end_of_stream);
+            } else {
+                watch_closed();
+            }
+        });
     });
+    ++pending_;
 }
 
 void caller_input::finish(const error_code& ec)
--- a/test/transport/handler_fault_test.cpp
+++ b/test/transport/handler_fault_test.cpp
@@ -36,6 +36,43 @@
     throw std::runtime_error("made by a test");
 }
 
+/// Two connected sockets.
+struct socket_pair
+{
+    socket_pair()
+        : server(test::fiber_context())
+        , client(test::fiber_context())
+    {
+        asio::ip::tcp::acceptor acceptor(test::fiber_context(),
+                                         {asio::ip::address_v4::loopback(), 0});
+        client.connect(acceptor.local_endpoint());
+        acceptor.accept(server.socket());
+    }
+
+    tcp_stream server;
+    asio::ip::tcp::socket client;
+};
+
+class caller_fault : public ::testing::Test
+{
+protected:
+    socket_pair ends;
+    std::atomic<bool> stopping = false;
+};
+
+TEST_F(caller_fault, in_the_reactor_ends_the_connection)
+{
+    caller_input input(ends.server, 1000, fail);
+    input.start();
+    asio::write(ends.client, asio::buffer("x", 1));
+    error_code ec;
+    input.wait_more(100, std::chrono::steady_clock::now() + 1s, ec);
+    EXPECT_TRUE(input.ended());
+    EXPECT_EQ(ec, asio::error::fault);
+    ends.server.close();
+    input.join();
+}
+
 /// Sessions of a server whose handler a test gives, and a client.
 struct session_pair
 {
