Cancel all requests of a caller when one cancellation throws

Seen in a test: a caller left, the cancellation of its first request threw, and the second request went on for nobody. Called from the reactor it ended the process.

Change: the exception ends this cancellation only, with a task_fault event.

Before: caller_fault.of_one_cancelled_request_leaves_others_running ends the process. After: passes.

--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -127,7 +127,7 @@
 void caller_connection::cancel_all()
 {
     for (const auto& it : cancels_) {
-        it();
+        run_step("request_cancel", it);
     }
 }
 
--- a/test/transport/handler_fault_test.cpp
+++ b/test/transport/handler_fault_test.cpp
@@ -73,6 +73,24 @@
     input.join();
 }
 
+// The caller has left, and nobody waits for the answers.
+TEST_F(caller_fault, of_one_cancelled_request_leaves_others_running)
+{
+    caller_connection connection(std::move(ends.server), {}, stopping, [] {});
+    connection.input().start();
+    bool cancelled = false;
+    {
+        const caller_connection::cancel_guard first(connection, fail);
+        const caller_connection::cancel_guard second(
+            connection, [&cancelled] { cancelled = true; });
+        ends.client.close();
+        sleep_for(50ms);
+    }
+    EXPECT_TRUE(cancelled);
+    connection.end();
+    connection.close(false);
+}
+
 /// Sessions of a server whose handler a test gives, and a client.
 struct session_pair
 {
