Leave a claim unresolved when its fiber cannot start

Seen in a test: a claim of a worker thread arrives on the control thread, the start of its fiber throws, and the process ends.

Change: the handler has the guard that the fiber had already: the claim is reported as unresolved, and the fault is logged as task_fault.

Before: claim_fault.in_the_reactor_leaves_the_claim_unresolved ends the process. After: passes.

--- a/src/transport/claim_service.cpp
+++ b/src/transport/claim_service.cpp
@@ -24,7 +24,7 @@
 void run_claim(const coordination::claim_callback& done, Step step)
 {
     if (!run_step("claim", step)) {
-        done({});
+        run_step("claim", [&] { done({}); });
     }
 }
 
@@ -42,8 +42,10 @@
                            coordination::claim_callback done)
 {
     boost::asio::post(ioc_, [this, what, limit, done = std::move(done)] {
-        spawn_fiber([this, what, limit, done] {
-            run_claim(done, [&] { submit_here(what, limit, done); });
+        run_claim(done, [&] {
+            spawn_fiber([this, what, limit, done] {
+                run_claim(done, [&] { submit_here(what, limit, done); });
+            });
         });
     });
 }
@@ -52,8 +54,10 @@
                           coordination::claim_callback done)
 {
     boost::asio::post(ioc_, [this, what, done = std::move(done)] {
-        spawn_fiber([this, what, done] {
-            run_claim(done, [&] { write_here(what, done); });
+        run_claim(done, [&] {
+            spawn_fiber([this, what, done] {
+                run_claim(done, [&] { write_here(what, done); });
+            });
         });
     });
 }
--- a/test/transport/handler_fault_test.cpp
+++ b/test/transport/handler_fault_test.cpp
@@ -175,4 +175,57 @@
     EXPECT_EQ(ends.session->stream_count(), 0U);
 }
 
+/// Callback of a claim. Its copies throw while a test wants it.
+struct throwing_callback
+{
+    bool& armed;
+    std::optional<coordination::claim_answer>& answer;
+
+    throwing_callback(bool& armed_in,
+                      std::optional<coordination::claim_answer>& answer_in)
+        : armed(armed_in)
+        , answer(answer_in)
+    {}
+    throwing_callback(const throwing_callback& it)
+        : armed(it.armed)
+        , answer(it.answer)
+    {
+        if (armed) {
+            fail();
+        }
+    }
+    throwing_callback(throwing_callback&& it) noexcept
+        : armed(it.armed)
+        , answer(it.answer)
+    {}
+
+    void operator()(const coordination::claim_answer& it) const
+    {
+        answer = it;
+    }
+};
+
+TEST(claim_fault, in_the_reactor_leaves_the_claim_unresolved)
+{
+    auto& ioc = test::fiber_context();
+    // Handlers refer to both beyond the test.
+    static once_shared once("host-1", "key", std::chrono::steady_clock::now());
+    static claim_service claims(ioc, once, {loopback, 1});
+    bool armed = false;
+    for (const bool submits : {true, false}) {
+        std::optional<coordination::claim_answer> answer;
+        coordination::claim_callback done = throwing_callback(armed, answer);
+        if (submits) {
+            claims.submit({}, 100ms, std::move(done));
+        } else {
+            claims.write({}, std::move(done));
+        }
+        armed = true;
+        sleep_for(20ms);
+        armed = false;
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->status, coordination::claim_status::unresolved);
+    }
+}
+
 } // namespace
