Refuse a place request that fails on the control thread

Seen in a test: an exception in one step of a place request, for want of memory for example, ended the process of the gateway.

Cause: workers post their requests and reports to the control thread, and answers come back the same way. No handler had a guard.

Change: each step is logged as task_fault when it throws. A worker whose request failed gets a refusal at once, as for an overload, and its report removes what the router holds of the request.

Before: lone_host.fault_of_a_place_request_ends_the_process ends the process. After: passes.

--- a/include/oriolegrade/transport/gateway/placement_client.hpp
+++ b/include/oriolegrade/transport/gateway/placement_client.hpp
@@ -74,10 +74,17 @@
     {
         const auto number = numbers_.fetch_add(1, std::memory_order_relaxed);
         boost::asio::post(control_, [this, number, request, wait] {
-            router_.ask(
-                number, request, [this, wait](const state::place_answer& it) {
-                    boost::asio::post(own_, [wait, it] { wait->set(it); });
-                });
+            const bool asked = run_step("dispatch_ask", [&] {
+                router_.ask(number, request,
+                            [this, wait](const state::place_answer& it) {
+                                answer(wait, it);
+                            });
+            });
+            if (!asked) {
+                // Nothing else would end the wait before its deadline. The
+                // report of its end removes what the router has of it.
+                run_step("dispatch_ask", [&] { answer(wait, fault_refusal); });
+            }
         });
         return number;
     }
@@ -85,11 +92,25 @@
     void report(std::uint64_t number, const state::send_report& report)
     {
         boost::asio::post(control_, [this, number, report] {
-            router_.report(number, report);
+            run_step("dispatch_report",
+                     [&] { router_.report(number, report); });
         });
     }
 
 private:
+    static constexpr state::place_refusal fault_refusal{
+        state::place_refusal_reason::overloaded, {}};
+
+    void answer(const std::shared_ptr<place_wait>& wait,
+                const state::place_answer& it)
+    {
+        boost::asio::post(own_, [wait, it] {
+            if (!run_step("place_answer", [&] { wait->set(it); })) {
+                wait->set(fault_refusal);
+            }
+        });
+    }
+
     boost::asio::io_context& own_;
     boost::asio::io_context& control_;
     dispatch_router& router_;
--- /dev/null
+++ b/test/platform/dispatch_fault_test.cpp
@@ -0,0 +1,74 @@
+// Guards the way of a place request through the control thread against an
+// exception in one step. One in a handler of the reactor ended the process; one
+// behind a stream ended the stream, and with it the places of a whole host.
+
+#include "fakes/dispatch_fleet.hpp"
+
+#include <oriolegrade/transport/gateway/placement_client.hpp>
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <stdexcept>
+
+namespace {
+
+using namespace oriolegrade;
+using namespace std::chrono_literals;
+using boost::this_fiber::sleep_for;
+using test::make_fleet;
+using test::upstream_of;
+
+void fail()
+{
+    throw std::runtime_error("made by a test");
+}
+
+state::place_request request_with(state::duration time_left)
+{
+    state::place_request out;
+    out.service = "s";
+    out.route = "r";
+    out.time_left = time_left;
+    out.target_left = time_left;
+    return out;
+}
+
+/// A host that places alone, and a worker's way to it.
+class lone_host : public ::testing::Test
+{
+protected:
+    lone_host()
+    {
+        host.router.set_members({host.shared.options.self});
+    }
+
+    std::optional<state::place_answer> place(std::uint64_t& number)
+    {
+        const auto wait = std::make_shared<transport::place_wait>();
+        number = places.ask(request_with(5s), wait);
+        return wait->wait_until(std::chrono::steady_clock::now() + 200ms);
+    }
+
+    test::fake_host& host = make_fleet().entry();
+    std::atomic<std::uint64_t> numbers = 1000;
+    transport::placement_client places{
+        test::fiber_context(), test::fiber_context(), host.router, numbers};
+};
+
+TEST_F(lone_host, fault_of_a_place_request_ends_the_process)
+{
+    std::uint64_t number = 0;
+    host.own.age_faults = 1;
+    const auto failed = place(number);
+    ASSERT_TRUE(failed);
+    EXPECT_EQ(upstream_of(failed), "");
+    places.report(number, {state::send_result::cancelled, {}, {}});
+    EXPECT_EQ(upstream_of(place(number)), "u-own");
+    places.report(number, {state::send_result::answered, 10ms, {}});
+    EXPECT_EQ(upstream_of(place(number)), "u-own");
+    places.report(number, {state::send_result::answered, 10ms, {}});
+    sleep_for(20ms);
+}
+
+} // namespace
