Give the answers behind one that cannot be given

Seen in a test: a dispatcher refused six waiting requests in one step, the callback of the first threw, and the other five were never answered: the queue had forgotten them, and their callers waited to their deadlines. From the report of a worker the exception ended the process.

Change: an exception ends one answer only, with a task_fault event.

Before: lone_host.fault_of_one_answer_loses_the_answers_behind_it fails (0 of 3 answered) and lone_host.fault_behind_a_report_ends_the_process ends the process. After: both pass.

--- a/src/transport/gateway/dispatch_service.cpp
+++ b/src/transport/gateway/dispatch_service.cpp
@@ -235,8 +235,12 @@
 void dispatch_service::answer_all(
     const std::vector<coordination::dispatch_queue::answer>& answers)
 {
+    // The queue has forgotten all of them.
     for (const auto& it : answers) {
-        std::visit([&](const auto& a) { answer(it.number, a); }, it.decision);
+        run_step("dispatch_answer", [&] {
+            std::visit([&](const auto& a) { answer(it.number, a); },
+                       it.decision);
+        });
     }
 }
 
--- a/test/platform/dispatch_fault_test.cpp
+++ b/test/platform/dispatch_fault_test.cpp
@@ -71,4 +71,50 @@
     sleep_for(20ms);
 }
 
+// The request that gets the place of another one fails; the report of the other
+// one came from a worker.
+TEST_F(lone_host, fault_behind_a_report_ends_the_process)
+{
+    std::uint64_t number = 0;
+    ASSERT_EQ(upstream_of(place(number)), "u-own");
+    // Its target is earlier than that of the one behind it.
+    auto failing = request_with(5s);
+    failing.target_left = 500ms;
+    host.router.ask(100, failing, [](const state::place_answer&) { fail(); });
+    const auto waiting = host.ask();
+    places.report(number, {state::send_result::answered, 10ms, {}});
+    sleep_for(20ms);
+    EXPECT_FALSE(*waiting);
+    host.router.report(100, {state::send_result::cancelled, {}, {}});
+    sleep_for(20ms);
+    EXPECT_EQ(upstream_of(*waiting), "u-own");
+    host.end(host.last);
+}
+
+// The queue forgets the requests that it has answered: one whose answer is lost
+// waited to its deadline.
+TEST_F(lone_host, fault_of_one_answer_loses_the_answers_behind_it)
+{
+    std::uint64_t number = 0;
+    ASSERT_EQ(upstream_of(place(number)), "u-own");
+    int refused = 0;
+    for (std::uint64_t n = 1; n <= 6; ++n) {
+        host.router.ask(n, request_with(5s),
+                        [&refused, n](const state::place_answer&) {
+                            if (n % 2 == 1) {
+                                fail();
+                            }
+                            ++refused;
+                        });
+    }
+    EXPECT_EQ(refused, 0);
+    // Nothing is left that they could be sent to.
+    host.own.registry.apply({state::registry_change_kind::removed, "u-own", {}},
+                            {});
+    transport::run_step("test", [this] { host.service.update(); });
+    EXPECT_EQ(refused, 3);
+    places.report(number, {state::send_result::answered, 10ms, {}});
+    sleep_for(20ms);
+}
+
 } // namespace
