Forget a place request that fails at its dispatcher

Seen in a test: a request threw while it joined the line of a dispatcher. The next free slot went to it, and as nobody knew its number nobody reported its end: the slot was lost for as long as the dispatcher ran.

Change: a request whose start throws is taken out of the queue before the exception goes on.

Before: lone_host.fault_of_a_place_request_takes_a_slot_for_good fails. After: passes.

--- a/include/oriolegrade/transport/gateway/dispatch_service.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_service.hpp
@@ -86,6 +86,10 @@
     };
     request_id start(const state::place_request& request, reply_callback done,
                      bool of_peer);
+    /// Submits a request, or has it wait for a fresh view.
+    void begin(request_id number, bool accept_stale, bool of_peer);
+    /// Ends a request whose place was not used.
+    void take_back(request_id number, const state::upstream_wish& wish);
     /// Reads the register for a request, or sends it elsewhere at once.
     void wait_for_view(request_id number, bool has_view, time_point now);
     coordination::dispatch_queue& queue_of(const std::string& service,
--- a/src/transport/gateway/dispatch_service.cpp
+++ b/src/transport/gateway/dispatch_service.cpp
@@ -91,12 +91,23 @@
                         reply_callback done, bool of_peer)
 {
     const auto number = next_++;
-    const auto now = clock::now();
     asked_.emplace(number, asked{request, std::move(done), false});
+    if (const auto fault =
+            caught([&] { begin(number, request.accept_stale, of_peer); })) {
+        // Nobody has the number, so nobody would report the end.
+        take_back(number, {});
+        std::rethrow_exception(fault);
+    }
+    return number;
+}
+
+void dispatch_service::begin(request_id number, bool accept_stale, bool of_peer)
+{
+    const auto now = clock::now();
     const auto age = view_.age(now);
-    if (age <= oldest_view || request.accept_stale) {
+    if (age <= oldest_view || accept_stale) {
         submit(number, now);
-        return number;
+        return;
     }
     const bool has_view = age != state::duration::max();
     if (of_peer || has_view) {
@@ -106,7 +117,6 @@
         // chance.
         view_.refresh([this, number] { resume(number); });
     }
-    return number;
 }
 
 void dispatch_service::wait_for_view(request_id number, bool has_view,
@@ -210,12 +220,20 @@
 void dispatch_service::report(request_id number,
                               const state::send_report& report)
 {
+    if (report.unused) {
+        take_back(number, report.wish);
+        return;
+    }
     finish(number, [&](coordination::dispatch_queue& queue, time_point now) {
-        if (report.unused) {
-            queue.take_back(number, now, report.wish);
-        } else {
-            queue.report(number, report, now);
-        }
+        queue.report(number, report, now);
+    });
+}
+
+void dispatch_service::take_back(request_id number,
+                                 const state::upstream_wish& wish)
+{
+    finish(number, [&](coordination::dispatch_queue& queue, time_point now) {
+        queue.take_back(number, now, wish);
     });
 }
 
--- a/test/platform/dispatch_fault_test.cpp
+++ b/test/platform/dispatch_fault_test.cpp
@@ -117,4 +117,18 @@
     sleep_for(20ms);
 }
 
+// The next free slot went to the failed request, whose end nobody reported.
+TEST_F(lone_host, fault_of_a_place_request_takes_a_slot_for_good)
+{
+    std::uint64_t number = 0;
+    ASSERT_EQ(upstream_of(place(number)), "u-own");
+    EXPECT_THROW(
+        host.service.ask(request_with(5s), [](const auto&) { fail(); }),
+        std::runtime_error);
+    places.report(number, {state::send_result::answered, 10ms, {}});
+    EXPECT_EQ(upstream_of(place(number)), "u-own");
+    places.report(number, {state::send_result::answered, 10ms, {}});
+    sleep_for(20ms);
+}
+
 } // namespace
