Keep the stream of a host whose frame cannot be handled

Seen in a test: one request or notice of a host threw at its dispatcher, or a notice of the dispatcher threw at the host. The stream ended, and with it the dispatcher freed the places of all requests of the host, which were in progress at their upstreams: it placed others beside them.

Change: an exception ends one frame, with a task_fault event. A host whose request failed hears nothing, and asks another dispatcher after 80 ms as for any late answer.

Before: the three tests of busy_dispatcher fail, with a second request at an upstream of one slot. After: they pass.

--- a/src/transport/gateway/dispatch_link.cpp
+++ b/src/transport/gateway/dispatch_link.cpp
@@ -94,7 +94,8 @@
             return true;
         }
         if (!abandoned) {
-            on_frame(frame.value());
+            // The end of the stream would free the places of all requests.
+            run_step("dispatch_frame", [&] { on_frame(frame.value()); });
         }
     }
 }
--- a/src/transport/gateway/dispatch_server.cpp
+++ b/src/transport/gateway/dispatch_server.cpp
@@ -78,13 +78,21 @@
         request.data_centre = data_centre;
         const auto number = it.number;
         request_ids[number] = 0;
-        const auto request_id =
-            service.ask(request, [self = weak_from_this(),
-                                  number](const dispatch_service::reply& what) {
-                if (const auto own = self.lock(); own && !own->ended) {
-                    own->reply(number, what);
-                }
-            });
+        dispatch_service::request_id request_id = 0;
+        const auto fault = caught([&] {
+            request_id =
+                service.ask(request, [self = weak_from_this(), number](
+                                         const dispatch_service::reply& what) {
+                    if (const auto own = self.lock(); own && !own->ended) {
+                        own->reply(number, what);
+                    }
+                });
+        });
+        if (fault) {
+            // The entry hears nothing, and asks another dispatcher.
+            request_ids.erase(number);
+            std::rethrow_exception(fault);
+        }
         const auto found = request_ids.find(number);
         if (found != request_ids.end()) {
             found->second = request_id;
@@ -203,7 +211,11 @@
                 ask->number, {state::place_refusal_reason::leaving, {}}});
             continue;
         }
-        std::visit([&](const auto& it) { own.take(it); }, frame.value());
+        // The end of the session would free the places of all requests of the
+        // entry.
+        run_step("dispatch_frame", [&] {
+            std::visit([&](const auto& it) { own.take(it); }, frame.value());
+        });
     }
 }
 
--- a/test/platform/dispatch_fault_test.cpp
+++ b/test/platform/dispatch_fault_test.cpp
@@ -131,4 +131,60 @@
     sleep_for(20ms);
 }
 
+/// A dispatcher, an entry with a request in flight at its only slot, and
+/// another host.
+class busy_dispatcher : public ::testing::Test
+{
+protected:
+    busy_dispatcher()
+    {
+        EXPECT_EQ(upstream_of(f.entry().place()), "u-first");
+    }
+    ~busy_dispatcher() override
+    {
+        f.entry().router.on_rules = [](const auto&, const auto&) {
+        };
+        f.first().server->on_rules = f.entry().router.on_rules;
+    }
+
+    /// The slot is taken; if the dispatcher thinks it is free, it places.
+    void expect_slot_taken()
+    {
+        const auto other = f.second().ask();
+        sleep_for(70ms);
+        EXPECT_FALSE(*other) << upstream_of(*other);
+        f.entry().end(1);
+        EXPECT_EQ(upstream_of(*other), "u-first");
+    }
+
+    test::fleet& f = make_fleet();
+};
+
+TEST_F(busy_dispatcher, fault_of_one_request_frees_the_places_of_its_host)
+{
+    f.first().own.age_faults = 1;
+    EXPECT_EQ(upstream_of(f.entry().place()), "u-second");
+    expect_slot_taken();
+}
+
+TEST_F(busy_dispatcher, fault_of_a_notice_of_an_entry_frees_its_places)
+{
+    f.first().server->on_rules = [](const auto&, const auto&) {
+        fail();
+    };
+    f.entry().router.tell_rules_version(8);
+    sleep_for(20ms);
+    expect_slot_taken();
+}
+
+TEST_F(busy_dispatcher, fault_of_a_notice_at_the_entry_frees_its_places)
+{
+    f.entry().router.on_rules = [](const auto&, const auto&) {
+        fail();
+    };
+    f.first().server->tell_rules_version(7);
+    sleep_for(20ms);
+    expect_slot_taken();
+}
+
 } // namespace
