Return the right to an extra send whose place was not used

Seen in a test: 30 repeats of a host each got a place and gave it back unused, as the upstream had said that it leaves; all further repeats of the window (10 s) were refused for the budget, although nothing had been sent.

Cause: the host's budget was refunded only for requests without a place. The dispatcher's own budget had its refund already.

Before: dispatch.unused_extra_sends_count_as_sent fails at the 31st repeat. After: 50 of 50 are placed.

--- a/include/oriolegrade/transport/gateway/dispatch_router.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_router.hpp
@@ -131,7 +131,7 @@
     void take_answer(const std::string& host, const protocol::rules_notice& it);
     void take_reply(std::uint64_t number, const dispatch_service::reply& what);
     void take_refusal(std::uint64_t number, const state::place_refusal& away);
-    /// Returns the right to an extra send that got no place.
+    /// Returns the right to an extra send that got no place or did not use it.
     void return_budget(const request_state& it);
     void link_lost(const std::string& host);
     /// Services whose dispatchers this host keeps streams to, best first.
--- a/src/transport/gateway/dispatch_router.cpp
+++ b/src/transport/gateway/dispatch_router.cpp
@@ -398,7 +398,7 @@
     if (found == requests_.end()) {
         return;
     }
-    if (found->second.at != stage::placed) {
+    if (found->second.at != stage::placed || report.unused) {
         return_budget(found->second);
     }
     const auto host = std::move(found->second.host);
--- a/test/platform/dispatch_test.cpp
+++ b/test/platform/dispatch_test.cpp
@@ -289,4 +289,18 @@
     EXPECT_LE(sum, budget.slack / static_cast<double>(f.hosts.size()));
 }
 
+// A place came for an upstream that had said that it leaves, or for a caller
+// that had left. Nothing was sent, and yet a host whose extra sends ended like
+// this had none left until the window had passed.
+TEST(dispatch, unused_extra_sends_count_as_sent)
+{
+    auto& host = make_fleet().entry();
+    for (int n = 0; n < 50; ++n) {
+        ASSERT_EQ(upstream_of(host.place(state::send_kind::repeat)), "u-first")
+            << n;
+        host.router.report(host.last,
+                           {state::send_result::cancelled, {}, {}, true});
+    }
+}
+
 } // namespace
