Report a place that came too late as unused

Seen in a test: a request gave up its wait, at its deadline or because its caller had left, and reported a cancelled send. If the place was on its way by then, it counted as one of the host's extra sends, as use of its upstream and as an unserved request, although nothing was sent.

Change: a report without a send says that the place was not used. For a request in line the dispatcher does the same as before.

Before: gateway_worker.a_place_that_comes_too_late_counts_as_used fails. After: passes.

--- a/include/oriolegrade/transport/gateway/dispatched_choice.hpp
+++ b/include/oriolegrade/transport/gateway/dispatched_choice.hpp
@@ -326,7 +326,8 @@
         if (number_ == 0) {
             return;
         }
-        state::send_report report{result, took, {}};
+        // Without a send the place was not used, if there was one.
+        state::send_report report{result, took, {}, !sent_};
         if (head != nullptr) {
             report.load = Dialect::load_of(*head);
             report.wish = hear(*head);
--- a/test/fakes/fake_placement.hpp
+++ b/test/fakes/fake_placement.hpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace oriolegrade::test {
@@ -39,6 +40,9 @@
         if (on_report) {
             on_report();
         }
+        if (report.unused) {
+            unused.insert(number);
+        }
         if (report.wish.any()) {
             wishes.push_back(report.wish);
         }
@@ -50,6 +54,8 @@
     std::deque<state::place_answer> answers;
     std::vector<state::place_request> requests;
     std::map<std::uint64_t, std::vector<state::send_result>> reports;
+    /// Requests whose report says that nothing was sent.
+    std::set<std::uint64_t> unused;
     /// What the reports told of upstreams.
     std::vector<state::upstream_wish> wishes;
 
--- a/test/platform/gateway_worker_test.cpp
+++ b/test/platform/gateway_worker_test.cpp
@@ -541,6 +541,19 @@
     EXPECT_EQ(b.places.reports[1].at(0), state::send_result::cancelled);
 }
 
+// The place may be on its way by then. Reported as a send, it counted as one of
+// the host's extra sends and as use of its upstream.
+TEST(gateway_worker, a_place_that_comes_too_late_counts_as_used)
+{
+    auto& b = make_bench();
+    EXPECT_EQ(b.read().result_int(), 503U);
+    EXPECT_EQ(b.places.unused, std::set<std::uint64_t>{1});
+    b.place_at(b.first, "u1");
+    b.first.add({answer("sent")});
+    EXPECT_EQ(b.read().body(), "sent");
+    EXPECT_EQ(b.places.unused.size(), 1U);
+}
+
 // At the route's time the caller hears that the outcome is unknown.
 TEST(gateway_worker, silent_upstream_ends_with_the_routes_time)
 {
