Tell a dispatcher of the requests that it placed over a lost stream

Seen in a test: the stream of a host that is alive was lost. Its dispatcher freed the places of its requests, which went on at their upstreams. When the host came back it told only of requests that others had placed, so the dispatcher sent a second request to an upstream of one slot.

Cause: the hello left out the dispatcher's own places, as if it still knew them; it forgets them with the stream.

Change: the hello names all requests in flight. The dispatcher counts them for 600 ms, as it does for work that others placed; after that the load that upstreams report is all it knows. Where a dispatcher has not noticed the loss, it counts them twice for that time.

Not changed: between the loss and the new stream, which is a second at least (the backoff of probes), the slots are free. Keeping them longer would keep the slots of a host that has died, whose end looks the same.

Before: dispatch.requests_behind_a_lost_stream_take_no_slot fails. After: passes.

--- a/include/oriolegrade/protocol/dispatch_messages.hpp
+++ b/include/oriolegrade/protocol/dispatch_messages.hpp
@@ -21,7 +21,7 @@
 inline constexpr std::size_t max_dispatch_frame_bytes = std::size_t{64} * 1024;
 inline constexpr std::size_t max_fleet_view_bytes = std::size_t{4} << 20U;
 
-/// Requests in flight at one upstream that another dispatcher placed.
+/// Requests in flight at one upstream that were not placed over this stream.
 struct adopted_work
 {
     std::string service;
--- a/include/oriolegrade/transport/gateway/dispatch_router.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_router.hpp
@@ -138,7 +138,9 @@
     std::vector<std::string>
     kept_services(const state::traffic_rules& rules) const;
     peer& peer_at(const state::host_member& host);
-    protocol::entry_hello hello_for(const std::string& host) const;
+    /// First frame of a new stream, with all requests in flight. The dispatcher
+    /// has forgotten those that it placed itself: an earlier stream was lost.
+    protocol::entry_hello hello() const;
     void note_late(const wait& it);
     coordination::dispatcher_state state_of(const std::string& host,
                                             time_point now);
--- a/src/transport/gateway/dispatch_router.cpp
+++ b/src/transport/gateway/dispatch_router.cpp
@@ -212,7 +212,7 @@
     if (!it.link) {
         const auto name = host.name;
         it.link = std::make_unique<dispatch_link>(
-            ioc_, host.control, [this, name] { return hello_for(name); },
+            ioc_, host.control, [this] { return hello(); },
             [this, name](const protocol::dispatcher_frame& frame) {
                 take(name, frame);
             },
@@ -233,13 +233,13 @@
         protocol::numbered<state::place_request>{number, it.request});
 }
 
-protocol::entry_hello dispatch_router::hello_for(const std::string& host) const
+protocol::entry_hello dispatch_router::hello() const
 {
     protocol::entry_hello out{
         shared_.options.self.name, shared_.options.self.data_centre, {}};
     std::map<std::pair<std::string, std::string>, std::uint32_t> counts;
     for (const auto& [number, it] : requests_) {
-        if (it.at == stage::placed && it.host != host) {
+        if (it.at == stage::placed) {
             ++counts[{it.request.service, it.upstream}];
         }
     }
--- a/test/platform/dispatch_test.cpp
+++ b/test/platform/dispatch_test.cpp
@@ -303,4 +303,22 @@
     }
 }
 
+// The stream of a host that is alive was lost. Its requests go on at their
+// upstreams, but the host told its dispatcher only of those that others had
+// placed when it came back, and the dispatcher placed further ones beside them.
+TEST(dispatch, requests_behind_a_lost_stream_take_no_slot)
+{
+    auto& f = make_fleet();
+    ASSERT_EQ(upstream_of(f.entry().place()), "u-first");
+    f.first().start_server(test::fiber_context());
+    boost::this_fiber::sleep_for(coordination::initial_probe_backoff + 100ms);
+    // Another dispatcher places it, and the first one is probed.
+    const auto elsewhere = f.entry().ask();
+    boost::this_fiber::sleep_for(50ms);
+    EXPECT_EQ(upstream_of(*elsewhere), "u-second");
+    const auto other = f.second().ask();
+    boost::this_fiber::sleep_for(50ms);
+    EXPECT_FALSE(*other) << upstream_of(*other);
+}
+
 } // namespace
