Give the stand-in upstream a wish for quiet, and count what ignores wishes

The stand-in could say that it drains, but not that it wants quiet, and its counts did not tell which requests came all the same.

Change: the fault quiet_s refuses requests unrun for that time, with the rest of it as Retry-After. GET /control/runs counts in_quiet and while_draining. Answers of /control no longer say that the upstream drains and close the connection: no fault affects them, and a reader of the counts that sent a second request on the connection got no answer.

Before: the two tests of wishes in standin_upstream fail, as the key is unknown and the counts are missing. After: they pass.

--- a/src/programs/oriole-standin/upstream_control.cpp
+++ b/src/programs/oriole-standin/upstream_control.cpp
@@ -55,6 +55,10 @@
             return send_text(ex, http::status::bad_request, error + "\n",
                              "text/plain");
         }
+        // Any change of the faults begins the quiet time anew.
+        quiet_until_ =
+            clock::now() + std::chrono::duration_cast<clock::duration>(
+                               std::chrono::duration<double>(faults_.quiet_s));
     }
     return send_text(ex, http::status::ok, to_json(faults_),
                      "application/json");
@@ -62,11 +66,11 @@
 
 std::string upstream_server::runs_json(std::string_view target) const
 {
-    json::object out{{"total", runs_.total()},
-                     {"duplicates", runs_.duplicates()},
-                     {"uncounted", runs_.uncounted()},
-                     {"shed", shed_count_},
-                     {"connections", connections_}};
+    json::object out{
+        {"total", runs_.total()},         {"duplicates", runs_.duplicates()},
+        {"uncounted", runs_.uncounted()}, {"shed", shed_count_},
+        {"in_quiet", in_quiet_},          {"while_draining", while_draining_},
+        {"connections", connections_}};
     const auto prefix = query_value(target, "prefix");
     if (!prefix) {
         return json::serialize(out);
--- a/src/programs/oriole-standin/upstream_faults.cpp
+++ b/src/programs/oriole-standin/upstream_faults.cpp
@@ -64,8 +64,8 @@
            visit("truncate", f.truncate) ||
            visit("close_before_answer", f.close_before_answer) ||
            visit("reset_on_accept", f.reset_on_accept) ||
-           visit("drain", f.drain) || visit("shed_all", f.shed_all) ||
-           visit("health", f.health);
+           visit("drain", f.drain) || visit("quiet_s", f.quiet_s) ||
+           visit("shed_all", f.shed_all) || visit("health", f.health);
 }
 
 json::value write(bool v)
@@ -123,6 +123,9 @@
                    std::string(key.data(), key.size());
         }
     }
+    if (changed.quiet_s > longest_quiet_s) {
+        return "wrong value for quiet_s";
+    }
     faults = changed;
     return {};
 }
--- a/src/programs/oriole-standin/upstream_faults.hpp
+++ b/src/programs/oriole-standin/upstream_faults.hpp
@@ -12,6 +12,9 @@
 
 namespace oriolegrade::programs {
 
+/// Longest wish for quiet; an hour, as the system takes it for.
+inline constexpr double longest_quiet_s = 3600;
+
 enum class truncation : std::uint8_t
 {
     none,
@@ -47,7 +50,11 @@
     bool close_before_answer = false;
     /// New connections are reset, except those that ask for /control.
     bool reset_on_accept = false;
+    /// Answers say `Oriolegrade-Draining: 1`.
     bool drain = false;
+    /// Requests are shed, with the rest of this time in seconds as
+    /// `Retry-After`, until it is over.
+    double quiet_s = 0;
     bool shed_all = false;
     health_report health = health_report::honest;
 
--- a/src/programs/oriole-standin/upstream_server.cpp
+++ b/src/programs/oriole-standin/upstream_server.cpp
@@ -40,6 +40,12 @@
     return {text.data(), text.size()};
 }
 
+bool is_control(std::string_view target)
+{
+    const auto path = protocol::path_of(target);
+    return path == "/control" || path.starts_with("/control/");
+}
+
 } // namespace
 
 upstream_server::upstream_server(upstream_settings settings)
@@ -132,8 +138,7 @@
     if (ex.id.empty()) {
         ex.id = ex.target;
     }
-    const auto path = protocol::path_of(ex.target);
-    if (path == "/control" || path.starts_with("/control/")) {
+    if (is_control(ex.target)) {
         return control(ex);
     }
     const auto body =
@@ -144,7 +149,7 @@
     ex.upload_bytes = body.length;
     ex.upload_crc = body.crc;
     ex.upload_matches = body.matches;
-    return path == "/health" ? health(ex) : work(ex);
+    return protocol::path_of(ex.target) == "/health" ? health(ex) : work(ex);
 }
 
 upstream_server::response upstream_server::make_response(exchange& ex,
@@ -156,7 +161,7 @@
     out.set("X-Request-Id", ex.id);
     out.set(field_name(header_field::load),
             std::to_string(gate_.used()) + "/" + std::to_string(gate_.slots()));
-    if (faults_.drain) {
+    if (faults_.drain && !is_control(ex.target)) {
         out.set(field_name(header_field::draining), "1");
         out.keep_alive(false);
     }
@@ -197,6 +202,10 @@
     ++shed_count_;
     auto out = make_response(ex, http::status::service_unavailable);
     out.set(field_name(header_field::shed), "1");
+    if (const auto left = quiet_until_ - clock::now(); left > 0ms) {
+        out.set(http::field::retry_after,
+                std::to_string(std::chrono::duration<double>(left).count()));
+    }
     out.content_length(0);
     const auto ec =
         write_pattern_message(ex.stream, out, body_pattern(ex.id), 0);
@@ -216,7 +225,10 @@
 
 bool upstream_server::work(exchange& ex)
 {
-    if (faults_.shed_all || !gate_.enter(settings_.queue_time)) {
+    const bool quiet = clock::now() < quiet_until_;
+    in_quiet_ += quiet ? 1 : 0;
+    while_draining_ += faults_.drain ? 1 : 0;
+    if (quiet || faults_.shed_all || !gate_.enter(settings_.queue_time)) {
         return shed(ex);
     }
     if (is_expired(ex)) {
--- a/src/programs/oriole-standin/upstream_server.hpp
+++ b/src/programs/oriole-standin/upstream_server.hpp
@@ -85,6 +85,11 @@
     slot_gate gate_;
     run_counts runs_;
     std::uint64_t shed_count_ = 0;
+    /// End of the time in which the upstream wants no requests.
+    clock::time_point quiet_until_{};
+    /// Requests that came although the upstream wanted none.
+    std::uint64_t in_quiet_ = 0;
+    std::uint64_t while_draining_ = 0;
     std::size_t connections_ = 0;
     std::mt19937_64 random_{std::random_device()()};
 };
--- a/test/transport/standin_upstream_test.cpp
+++ b/test/transport/standin_upstream_test.cpp
@@ -132,6 +132,62 @@
     EXPECT_EQ(runs(upstream, "duplicates"), 1);
 }
 
+// Guards against a wish for quiet that cannot be told from an overload, or that
+// has no end: a proof counts the requests that come within it.
+TEST(standin_upstream, quiet_ends_by_itself)
+{
+    const standin_process upstream({"upstream"});
+    ASSERT_NE(upstream.port(), 0);
+    EXPECT_FALSE(send(upstream, http::verb::post, "/x", "before").ec);
+    control(upstream, R"({"quiet_s":0.4})");
+    const auto refused = send(upstream, http::verb::post, "/x", "within");
+    EXPECT_EQ(refused.message.result_int(), 503U);
+    EXPECT_EQ(refused.message["Oriolegrade-Shed"], "1");
+    const double pause = std::strtod(
+        std::string(refused.message["Retry-After"]).c_str(), nullptr);
+    EXPECT_GT(pause, 0.0);
+    EXPECT_LE(pause, 0.4);
+    std::this_thread::sleep_for(450ms);
+    const auto late = send(upstream, http::verb::post, "/x", "behind");
+    EXPECT_EQ(late.message.result_int(), 200U);
+    EXPECT_EQ(late.message["Retry-After"], "");
+    EXPECT_EQ(runs(upstream, "in_quiet"), 1);
+    EXPECT_EQ(runs(upstream, "total"), 2);
+    control(upstream, R"({"quiet_s":60})");
+    control(upstream, R"({"quiet_s":0})");
+    EXPECT_EQ(
+        send(upstream, http::verb::post, "/x", "ended").message.result_int(),
+        200U);
+    for (const char* value : {"-1", "3601", "1e400", "\"1\""}) {
+        EXPECT_EQ(send(upstream, http::verb::post, "/control", "",
+                       std::string(R"({"quiet_s":)") + value + "}")
+                      .message.result_int(),
+                  400U)
+            << value;
+    }
+}
+
+// Guards against work that nobody counts at an upstream that has said that it
+// leaves.
+TEST(standin_upstream, requests_are_counted_while_it_drains)
+{
+    const standin_process upstream({"upstream"});
+    ASSERT_NE(upstream.port(), 0);
+    EXPECT_FALSE(send(upstream, http::verb::post, "/x", "before").ec);
+    control(upstream, R"({"drain":true})");
+    for (const char* id : {"a", "b"}) {
+        EXPECT_EQ(send(upstream, http::verb::post, "/x", id)
+                      .message["Oriolegrade-Draining"],
+                  "1");
+    }
+    control(upstream, R"({"clear":true})");
+    EXPECT_EQ(send(upstream, http::verb::post, "/x", "behind")
+                  .message["Oriolegrade-Draining"],
+              "");
+    EXPECT_EQ(runs(upstream, "while_draining"), 2);
+    EXPECT_EQ(runs(upstream, "total"), 4);
+}
+
 // Guards against faults that lock the operator of a proof out, and against
 // health answers that ignore the switch.
 TEST(standin_upstream, control_works_under_every_fault)
