Let the load tool switch faults of stand-ins, among them wishes

A plan that cannot be read, or a fault that a stand-in does not take, ends the run with 2, so that no run passes without its faults.

Before: standin_upstream.load_switches_wishes_and_counts_what_came_within fails, as the flag is unknown and the counts of a draining stand-in could not be read. After: passes.

--- a/src/programs/oriole-load/main.cpp
+++ b/src/programs/oriole-load/main.cpp
@@ -1,6 +1,7 @@
 // Open-loop load tool: sends a mix of requests at a fixed rate and checks the
 // answers against what the stand-ins ran.
 
+#include "planned_faults.hpp"
 #include "report.hpp"
 
 #include <oriolegrade/state/identifier.hpp>
@@ -17,6 +18,7 @@
 DEFINE_string(targets, "", "ip:port,ip:port of the hosts under load");
 DEFINE_string(upstreams, "", "ip:port,... of stand-ins whose runs are read");
 DEFINE_string(mix, "", "JSON file of requests; empty: GET /?bytes=64");
+DEFINE_string(faults, "", "JSON file of faults switched at the stand-ins");
 DEFINE_string(report, "", "file for the JSON report");
 DEFINE_double(rate, 100, "requests per second");
 DEFINE_double(duration_s, 10, "seconds during which requests start");
@@ -98,12 +100,47 @@
     return out;
 }
 
+std::optional<std::vector<planned_fault>> read_faults(std::size_t upstreams)
+{
+    if (FLAGS_faults.empty()) {
+        return std::vector<planned_fault>();
+    }
+    std::ifstream in(FLAGS_faults);
+    std::stringstream text;
+    text << in.rdbuf();
+    auto plan = parse_faults(text.str(), upstreams);
+    if (!in || !plan) {
+        std::cerr << FLAGS_faults << ": not a plan of faults\n";
+        return std::nullopt;
+    }
+    return plan;
+}
+
+/// Runs the load, and switches faults beside it.
+/// @return faults that were not taken
+std::vector<planned_fault>
+run_with_faults(const load_settings& settings,
+                const std::vector<state::endpoint>& upstreams,
+                const std::vector<planned_fault>& plan, tally& results)
+{
+    std::vector<planned_fault> failed;
+    std::thread switcher([&] {
+        transport::run_fibers([&](boost::asio::io_context& ioc) {
+            failed = switch_faults(ioc, upstreams, plan);
+        });
+    });
+    run_workers(settings, results);
+    switcher.join();
+    return failed;
+}
+
 int run(const load_settings& settings,
-        const std::vector<state::endpoint>& upstreams)
+        const std::vector<state::endpoint>& upstreams,
+        const std::vector<planned_fault>& plan)
 {
     tally results(
         static_cast<std::size_t>(FLAGS_rate * FLAGS_duration_s * 1.1));
-    run_workers(settings, results);
+    const auto failed = run_with_faults(settings, upstreams, plan, results);
     const load_report report{settings, results,
                              audit(upstreams, settings, results)};
     print_table(std::cout, report);
@@ -115,6 +152,14 @@
             return 2;
         }
     }
+    for (const auto& it : failed) {
+        std::cerr << "fault not taken by "
+                  << state::to_string(upstreams.at(it.upstream)) << ": "
+                  << it.faults << '\n';
+    }
+    if (!failed.empty()) {
+        return 2;
+    }
     return report.is_clean() ? 0 : 1;
 }
 
@@ -127,8 +172,9 @@
     const auto targets = endpoints(FLAGS_targets);
     const auto upstreams = endpoints(FLAGS_upstreams);
     const auto mix = read_mix();
-    if (!targets || targets->empty() || !upstreams || !mix || FLAGS_rate <= 0 ||
-        FLAGS_threads == 0) {
+    const auto plan = read_faults(upstreams ? upstreams->size() : 0);
+    if (!targets || targets->empty() || !upstreams || !mix || !plan ||
+        FLAGS_rate <= 0 || FLAGS_threads == 0) {
         std::cerr << gflags::ProgramUsage() << '\n';
         return 2;
     }
@@ -138,5 +184,5 @@
                 FLAGS_threads, FLAGS_connections, FLAGS_max_in_flight,
                 ms(FLAGS_timeout_ms), FLAGS_repeats, FLAGS_workspaces,
                 state::to_string(state::random_identifier()).substr(0, 8)},
-               *upstreams);
+               *upstreams, *plan);
 }
--- a/src/programs/oriole-load/report.cpp
+++ b/src/programs/oriole-load/report.cpp
@@ -104,6 +104,8 @@
             {"false_not_run_ids", json::value_from(audit.false_not_run_ids)},
             {"ok_never_run", audit.ok_never_run},
             {"once_runs", audit.once_runs},
+            {"in_quiet", audit.in_quiet},
+            {"while_draining", audit.while_draining},
             {"unreadable", unreadable}};
 }
 
@@ -125,7 +127,10 @@
         << "\nfalse not-run: " << audit.false_not_run << " ("
         << audit.false_not_run_after_unknown
         << " after an attempt of unknown outcome)"
-        << "\nok but never run: " << audit.ok_never_run << '\n';
+        << "\nok but never run: " << audit.ok_never_run
+        << "\nrequests within wishes for quiet: " << audit.in_quiet
+        << "\nrequests at upstreams that drain: " << audit.while_draining
+        << '\n';
     for (const auto& it : audit.unreadable) {
         out << "counts not readable: " << state::to_string(it) << '\n';
     }
--- a/src/programs/oriole-load/run_audit.cpp
+++ b/src/programs/oriole-load/run_audit.cpp
@@ -70,8 +70,23 @@
     }
 }
 
+bool read_wishes(boost::beast::tcp_stream& stream, audit_result& out)
+{
+    const auto page = get_json(stream, "/control/runs");
+    const auto add = [&page](const char* key, std::uint64_t& sum) {
+        const auto* n = page ? page->get_object().if_contains(key) : nullptr;
+        if (n == nullptr || !n->is_number()) {
+            return false;
+        }
+        sum += n->to_number<std::uint64_t>();
+        return true;
+    };
+    return add("in_quiet", out.in_quiet) &&
+           add("while_draining", out.while_draining);
+}
+
 bool read_runs(asio::io_context& ioc, const state::endpoint& upstream,
-               const std::string& run_id, run_table& runs)
+               const std::string& run_id, run_table& runs, audit_result& out)
 {
     boost::beast::tcp_stream stream(ioc);
     boost::system::error_code ec;
@@ -81,7 +96,8 @@
                                 upstream.port),
         fiber_yield(ec));
     return !ec && read_pages(stream, "once-" + run_id + "-", runs) &&
-           read_pages(stream, "idem-" + run_id + "-", runs);
+           read_pages(stream, "idem-" + run_id + "-", runs) &&
+           read_wishes(stream, out);
 }
 
 void list_id(std::vector<std::string>& list, const std::string& id)
@@ -100,7 +116,7 @@
     audit_result out;
     run_table runs;
     for (const auto& it : upstreams) {
-        if (!read_runs(ioc, it, run_id, runs)) {
+        if (!read_runs(ioc, it, run_id, runs, out)) {
             out.unreadable.push_back(it);
         }
     }
--- a/src/programs/oriole-load/run_audit.hpp
+++ b/src/programs/oriole-load/run_audit.hpp
@@ -22,6 +22,10 @@
     /// Non-idempotent requests answered with success that no stand-in ran.
     std::uint64_t ok_never_run = 0;
     std::uint64_t once_runs = 0;
+    /// Requests that the stand-ins got, since their start, while they wanted
+    /// none; see oriole-standin's /control.
+    std::uint64_t in_quiet = 0;
+    std::uint64_t while_draining = 0;
     /// Stand-ins whose counts could not be read: nothing is proved.
     std::vector<state::endpoint> unreadable;
 };
--- a/test/transport/standin_upstream_test.cpp
+++ b/test/transport/standin_upstream_test.cpp
@@ -8,6 +8,10 @@
 #include <boost/json.hpp>
 #include <gtest/gtest.h>
 
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
 #include <thread>
 
 namespace {
@@ -188,6 +192,66 @@
     EXPECT_EQ(runs(upstream, "total"), 4);
 }
 
+/// Runs oriole-load with a plan of faults against stand-ins.
+/// @return its report; null when it failed
+json::value load_report(const standin_process& first,
+                        const standin_process& second, const std::string& plan)
+{
+    const auto folder = std::filesystem::temp_directory_path() /
+                        ("load-" + std::to_string(::getpid()));
+    std::filesystem::create_directories(folder);
+    const auto faults = folder / "faults.json";
+    const auto report = folder / "report.json";
+    std::ofstream(faults) << plan;
+    const auto program =
+        std::filesystem::read_symlink("/proc/self/exe").parent_path() /
+        "oriole-load";
+    const auto ports = "127.0.0.1:" + std::to_string(first.port()) +
+                       ",127.0.0.1:" + std::to_string(second.port());
+    const auto command =
+        program.string() + " --targets=" + ports + " --upstreams=" + ports +
+        " --rate=200 --duration_s=1 --settle_ms=0 --faults=" + faults.string() +
+        " --report=" + report.string() + " > /dev/null 2>&1";
+    const int status = std::system(command.c_str());
+    std::ifstream in(report);
+    std::stringstream text;
+    text << in.rdbuf();
+    std::filesystem::remove_all(folder);
+    return status == 0 ? json::parse(text.str()) : json::value();
+}
+
+// Guards against a run that does not switch the wishes that it is about, or
+// whose report hides what came within them. The load goes to the stand-ins
+// directly, so nobody obeys.
+TEST(standin_upstream, load_switches_wishes_and_counts_what_came_within)
+{
+    const standin_process first({"upstream"});
+    const standin_process second({"upstream"});
+    ASSERT_NE(first.port(), 0);
+    ASSERT_NE(second.port(), 0);
+    const auto report =
+        load_report(first, second,
+                    R"([{"at_s":0.6,"upstream":1,"faults":{"drain":true}},
+            {"at_s":0.2,"upstream":0,"faults":{"quiet_s":0.4}}])");
+    ASSERT_TRUE(report.is_object());
+    const auto& audit = report.at("audit");
+    // Each gets 100 requests a second.
+    const auto quiet = audit.at("in_quiet").to_number<int>();
+    EXPECT_GT(quiet, 10);
+    EXPECT_LT(quiet, 60);
+    const auto draining = audit.at("while_draining").to_number<int>();
+    EXPECT_GT(draining, 10);
+    EXPECT_LT(draining, 60);
+    EXPECT_EQ(runs(first, "in_quiet"), quiet);
+    EXPECT_EQ(runs(second, "while_draining"), draining);
+    for (const char* plan :
+         {"{}", R"([{"at_s":0,"upstream":2,"faults":{}}])",
+          R"([{"at_s":-1,"upstream":0,"faults":{}}])",
+          R"([{"at_s":0,"upstream":0,"faults":{"unknown":1}}])"}) {
+        EXPECT_TRUE(load_report(first, second, plan).is_null()) << plan;
+    }
+}
+
 // Guards against faults that lock the operator of a proof out, and against
 // health answers that ignore the switch.
 TEST(standin_upstream, control_works_under_every_fault)
