Ignore a place request whose number is in use

A table of what a peer host may send to a dispatcher (unknown reports, frames above the limit, without end, without content or of no message, work at unknown upstreams, resets within a frame), each row at once and in single bytes, found one fault: a second request with the number of one in progress replaced it in the session, so that nobody could report the end of the first one, and its slot was lost for as long as the dispatcher ran.

Change: the second one is ignored and logged as entry_frame_malformed. Own hosts use each number once.

Before: peer_message.is_misunderstood/number_in_use fails, fed at once and apart. After: passes.

--- a/src/transport/gateway/dispatch_server.cpp
+++ b/src/transport/gateway/dispatch_server.cpp
@@ -77,7 +77,13 @@
         request.host = host;
         request.data_centre = data_centre;
         const auto number = it.number;
-        request_ids[number] = 0;
+        if (!request_ids.try_emplace(number, 0).second) {
+            // Nobody could report the end of the earlier one.
+            event(log_level::error, "entry_frame_malformed")
+                .with("host", host)
+                .with("findings", "number in use");
+            return;
+        }
         dispatch_service::request_id request_id = 0;
         const auto fault = caught([&] {
             request_id =
