Count no more work of a peer at an upstream than it has slots

Seen in a row of the table of peer messages: a hello names 2^32-1 requests at an upstream, and one more in the next entry. The sum of 32 bits became 0, and the dispatcher placed at an upstream that it should have taken for full.

Change: what hosts tell of is bounded by the slots of the upstream; more says nothing more.

Before: peer_message.is_misunderstood/work_without_end fails, fed at once and apart. After: passes.

--- a/src/coordination/upstream_tracker.cpp
+++ b/src/coordination/upstream_tracker.cpp
@@ -220,7 +220,10 @@
 
 void upstream_tracker::adopt(std::uint32_t count, state::time_point now)
 {
-    external_load_ = (now < external_load_until_ ? external_load_ : 0) + count;
+    const auto load = now < external_load_until_ ? external_load_ : 0;
+    // A host may tell of any number; more than the slots says nothing more.
+    external_load_ =
+        load + std::min(count, spec_.slots - std::min(load, spec_.slots));
     external_load_until_ = now + external_load_time;
 }
 
