--- a/include/oriolegrade/transport/gateway/dispatch_router.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_router.hpp
@@ -131,14 +131,16 @@
     void take_answer(const std::string& host, const protocol::rules_notice& it);
     void take_reply(std::uint64_t number, const dispatch_service::reply& what);
     void take_refusal(std::uint64_t number, const state::place_refusal& away);
-    /// Returns the right to an extra send that got no place.
+    /// Returns the right to an extra send that got no place or did not use it.
     void return_budget(const request_state& it);
     void link_lost(const std::string& host);
     /// Services whose dispatchers this host keeps streams to, best first.
     std::vector<std::string>
     kept_services(const state::traffic_rules& rules) const;
     peer& peer_at(const state::host_member& host);
-    protocol::entry_hello hello_for(const std::string& host) const;
+    /// First frame of a new stream, with all requests in flight. The dispatcher
+    /// has forgotten those that it placed itself: an earlier stream was lost.
+    protocol::entry_hello hello() const;
     void note_late(const wait& it);
     coordination::dispatcher_state state_of(const std::string& host,
                                             time_point now);
--- a/test/platform/dispatch_test.cpp
+++ b/test/platform/dispatch_test.cpp
@@ -1,227 +1,18 @@
 // Guards the way from an entry to its dispatcher: silent, old and leaving
 // dispatchers cost waiting and never place on an upstream that has left.
 
-#include "fakes/fiber_thread.hpp"
-
-#include <oriolegrade/transport/gateway/dispatch_router.hpp>
-#include <oriolegrade/transport/gateway/dispatch_server.hpp>
+#include "fakes/dispatch_fleet.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/fiber/operations.hpp>
 #include <gtest/gtest.h>
 
-#include <functional>
-#include <memory>
-#include <utility>
-#include <vector>
-
 namespace {
 
 using namespace oriolegrade;
 using namespace std::chrono_literals;
-
-constexpr std::uint32_t loopback = 0x7f000001;
-
-/// Register that the test writes, as one host sees it.
-struct fake_view
-{
-    coordination::upstream_registry registry;
-    state::duration age = 0s;
-    int refreshes = 0;
-    /// Reads of the register do not end.
-    bool store_silent = false;
-    /// Reads of the register end with end_reads().
-    bool reading = false;
-    std::vector<std::function<void()>> reads;
-
-    void end_reads()
-    {
-        reading = false;
-        age = 0s;
-        for (const auto& it : std::exchange(reads, {})) {
-            it();
-        }
-    }
-
-    transport::register_view view()
-    {
-        return {[this](state::time_point) { return age; },
-                [this](const std::function<void()>& done) {
-                    ++refreshes;
-                    if (reading) {
-                        reads.push_back(done);
-                    } else if (!store_silent) {
-                        done();
-                    }
-                },
-                [] {}, [this] { return !store_silent; }, &registry};
-    }
-
-    void add(const std::string& id)
-    {
-        state::registered_upstream it;
-        it.id = id;
-        it.service = "s";
-        it.address = {loopback, 1};
-        it.data_centre = "dc1";
-        it.slots = 1;
-        registry.apply({state::registry_change_kind::written, id, it}, {});
-    }
-};
-
-transport::gateway_options options_of(const std::string& name,
-                                      std::uint16_t port)
-{
-    transport::gateway_options out;
-    out.self = {name, "dc1", {loopback, port}, 1000};
-    out.budget = {0.2, 100, 10s};
-    return out;
-}
-
-/// One host: dispatcher, its server and its router.
-struct fake_host
-{
-    fake_host(boost::asio::io_context& ioc, const std::string& name,
-              std::uint16_t port)
-        : shared(options_of(name, port))
-        , service({shared.options.budget}, own.view())
-        , router(ioc, shared, service)
-        , server(ioc, shared, service)
-    {
-        service.is_primary = [this](const std::string& s) {
-            return router.is_primary(s);
-        };
-        router.on_rules = [this](const std::string&,
-                                 const protocol::rules_notice& it) {
-            heard = it.version;
-            heard_age = it.confirmed_age;
-        };
-        server.on_rules = router.on_rules;
-        server.confirmed_age = [] {
-            return std::optional<state::duration>(20ms);
-        };
-        server.hosts = [] {
-            return std::vector<state::host_member>();
-        };
-        transport::spawn_fiber([this] { router.run(); });
-        transport::spawn_fiber([this] { service.run(); });
-    }
-
-    using answer_ptr = std::shared_ptr<std::optional<state::place_answer>>;
-
-    /// Asks for a place; the answer arrives later.
-    answer_ptr ask(state::send_kind kind = state::send_kind::first)
-    {
-        state::place_request request;
-        request.service = "s";
-        request.route = "r";
-        request.kind = kind;
-        request.time_left = 5s;
-        request.target_left = 1s;
-        const auto answer =
-            std::make_shared<std::optional<state::place_answer>>();
-        router.ask(++last, request,
-                   [answer](const state::place_answer& it) { *answer = it; });
-        return answer;
-    }
-
-    /// Asks for a place and waits for the answer.
-    std::optional<state::place_answer>
-    place(state::send_kind kind = state::send_kind::first)
-    {
-        const auto answer = ask(kind);
-        const auto until = std::chrono::steady_clock::now() + 1s;
-        while (!*answer && std::chrono::steady_clock::now() < until) {
-            boost::this_fiber::sleep_for(1ms);
-        }
-        return *answer;
-    }
-    void end(std::uint64_t number)
-    {
-        router.report(number, {state::send_result::answered, 10ms, {}});
-        boost::this_fiber::sleep_for(20ms);
-    }
-
-    fake_view own;
-    transport::gateway_shared shared;
-    transport::dispatch_service service;
-    transport::dispatch_router router;
-    transport::dispatch_server server;
-    std::uint64_t last = 0;
-    std::uint64_t heard = 0;
-    std::optional<state::duration> heard_age;
-};
-
-std::string upstream_of(const std::optional<state::place_answer>& answer)
-{
-    if (!answer || !std::holds_alternative<state::place>(*answer)) {
-        return "";
-    }
-    return std::get<state::place>(*answer).upstream;
-}
-
-/// Dispatchers and an entry; the entry is last in the order for "s".
-class fleet
-{
-public:
-    fleet(std::uint16_t base, std::uint16_t size)
-    {
-        std::vector<state::host_member> members;
-        for (std::uint16_t n = 0; n < size; ++n) {
-            hosts.push_back(std::make_unique<fake_host>(
-                test::fiber_context(), "host-" + std::to_string(n),
-                static_cast<std::uint16_t>(base + n)));
-            members.push_back(hosts.back()->shared.options.self);
-        }
-        coordination::dispatcher_ranking ranking;
-        ranking.set_members(members);
-        const auto order =
-            ranking.candidates("s", size, std::chrono::steady_clock::now());
-        for (const auto& it : order) {
-            ranked.push_back(
-                hosts.at(static_cast<std::size_t>(it.name.back() - '0')).get());
-        }
-        for (const auto& it : hosts) {
-            it->router.set_members(members);
-        }
-        first().own.add("u-first");
-        second().own.add("u-second");
-        entry().own.add("u-own");
-        if (size > 3) {
-            third().own.add("u-third");
-        }
-    }
-
-    fake_host& first()
-    {
-        return *ranked.at(0);
-    }
-    fake_host& second()
-    {
-        return *ranked.at(1);
-    }
-    fake_host& entry()
-    {
-        return *ranked.back();
-    }
-    /// Its place in the order is 2.
-    fake_host& third()
-    {
-        return *ranked.at(2);
-    }
-
-    std::vector<state::host_member> members() const
-    {
-        std::vector<state::host_member> out;
-        for (const auto& it : hosts) {
-            out.push_back(it->shared.options.self);
-        }
-        return out;
-    }
-
-    std::vector<std::unique_ptr<fake_host>> hosts;
-    std::vector<fake_host*> ranked;
-};
+using test::loopback;
+using test::make_fleet;
+using test::upstream_of;
 
 /// Gives a member an address that takes connections and never answers.
 void silence(std::vector<state::host_member>& members, const std::string& name)
@@ -238,17 +29,9 @@
     }
 }
 
-/// Kept until the process ends: fibers that wait on sockets refer to it.
-fleet& make_fleet(std::uint16_t base, std::uint16_t size = 3)
-{
-    static std::vector<std::unique_ptr<fleet>> fleets;
-    fleets.push_back(std::make_unique<fleet>(base, size));
-    return *fleets.back();
-}
-
 TEST(dispatch, first_dispatcher_places)
 {
-    auto& f = make_fleet(24100);
+    auto& f = make_fleet();
     EXPECT_EQ(upstream_of(f.entry().place()), "u-first");
     EXPECT_EQ(f.entry().own.refreshes, 0);
 }
@@ -257,7 +40,7 @@
 // first.
 TEST(dispatch, a_request_in_line_is_placed_after_a_report)
 {
-    auto& f = make_fleet(24110);
+    auto& f = make_fleet();
     ASSERT_EQ(upstream_of(f.entry().place()), "u-first");
     const auto waiting = f.entry().ask();
     boost::this_fiber::sleep_for(200ms);
@@ -268,7 +51,7 @@
 
 TEST(dispatch, a_leaving_dispatcher_is_passed_over)
 {
-    auto& f = make_fleet(24120);
+    auto& f = make_fleet();
     f.first().shared.stopping = true;
     EXPECT_EQ(upstream_of(f.entry().place()), "u-second");
 }
@@ -277,7 +60,7 @@
 // has a fresh view.
 TEST(dispatch, a_fresh_view_goes_before_an_old_one)
 {
-    auto& f = make_fleet(24130);
+    auto& f = make_fleet();
     f.first().own.age = 5s;
     EXPECT_EQ(upstream_of(f.entry().place()), "u-second");
 }
@@ -287,7 +70,7 @@
 // hosts, and the requests went on to the next one, which did the same.
 TEST(dispatch, a_silent_store_makes_dispatchers_silent)
 {
-    auto& f = make_fleet(24280);
+    auto& f = make_fleet();
     f.first().own.age = 1400ms;
     f.first().own.store_silent = true;
     // It has not read the register yet.
@@ -311,7 +94,7 @@
 // the register: 83 of 163 hosts did.
 TEST(dispatch, requests_wander_while_dispatchers_read_for_the_first_time)
 {
-    auto& f = make_fleet(24290);
+    auto& f = make_fleet();
     for (auto& it : f.hosts) {
         it->own.age = state::duration::max();
         it->own.reading = true;
@@ -330,7 +113,7 @@
 // it read the whole register and place alone, which took up to 0.9 s.
 TEST(dispatch, requests_of_a_starting_host_are_placed_by_itself)
 {
-    auto& f = make_fleet(24350);
+    auto& f = make_fleet();
     bool known = false;
     f.entry().own.age = state::duration::max();
     f.entry().router.knows_members = [&known] {
@@ -351,7 +134,7 @@
 // The wait for other hosts ends: the store may be away.
 TEST(dispatch, a_starting_host_waits_for_others_without_end)
 {
-    auto& f = make_fleet(24360);
+    auto& f = make_fleet();
     f.entry().router.set_members({f.entry().shared.options.self});
     f.entry().router.knows_members = [] {
         return false;
@@ -367,7 +150,7 @@
 // not lead to a place on the old view.
 TEST(dispatch, own_register_goes_before_an_old_view)
 {
-    auto& f = make_fleet(24140);
+    auto& f = make_fleet();
     f.first().own.age = 5s;
     f.second().own.age = 5s;
     EXPECT_EQ(upstream_of(f.entry().place()), "u-own");
@@ -377,7 +160,7 @@
 // slots are still counted in one place.
 TEST(dispatch, the_first_old_view_is_used_when_all_are_old)
 {
-    auto& f = make_fleet(24150);
+    auto& f = make_fleet();
     for (const auto& it : f.hosts) {
         it->own.age = 5s;
     }
@@ -389,7 +172,7 @@
 // the soak (seed 1) found all slots of a service taken for good.
 TEST(dispatch, a_place_on_the_own_old_view_is_freed)
 {
-    auto& f = make_fleet(24190);
+    auto& f = make_fleet();
     auto& host = f.entry();
     host.router.set_members({host.shared.options.self});
     host.own.age = 5s;
@@ -400,11 +183,12 @@
 
 TEST(dispatch, a_dead_dispatcher_costs_one_wait)
 {
-    auto& f = make_fleet(24160);
+    auto& f = make_fleet();
     auto members = f.entry().shared.options.self;
     // Nobody listens at the first one's address.
     auto dead = f.first().shared.options.self;
-    dead.control.port = 24169;
+    const test::held_port unused(test::fiber_context());
+    dead.control.port = unused.number();
     f.entry().router.set_members(
         {members, dead, f.second().shared.options.self});
     EXPECT_EQ(upstream_of(f.entry().place()), "u-second");
@@ -419,7 +203,7 @@
 // reach.
 TEST(dispatch, two_stopping_dispatchers_spread_the_decision_over_all_hosts)
 {
-    auto& f = make_fleet(24210, 5);
+    auto& f = make_fleet(5);
     f.first().shared.stopping = true;
     f.second().shared.stopping = true;
     EXPECT_EQ(upstream_of(f.entry().place()), "u-third");
@@ -427,7 +211,7 @@
 
 TEST(dispatch, two_old_views_spread_the_decision_over_all_hosts)
 {
-    auto& f = make_fleet(24220, 5);
+    auto& f = make_fleet(5);
     f.first().own.age = 5s;
     f.second().own.age = 5s;
     EXPECT_EQ(upstream_of(f.entry().place()), "u-third");
@@ -435,7 +219,7 @@
 
 TEST(dispatch, two_silent_dispatchers_spread_the_decision_over_all_hosts)
 {
-    auto& f = make_fleet(24230, 5);
+    auto& f = make_fleet(5);
     auto members = f.members();
     for (const auto* host : {&f.first(), &f.second()}) {
         silence(members, host->shared.options.self.name);
@@ -446,9 +230,9 @@
 
 TEST(dispatch, dispatchers_tell_their_rules)
 {
-    auto& f = make_fleet(24170);
+    auto& f = make_fleet();
     ASSERT_EQ(upstream_of(f.entry().place()), "u-first");
-    f.first().server.tell_rules_version(7);
+    f.first().server->tell_rules_version(7);
     boost::this_fiber::sleep_for(50ms);
     EXPECT_EQ(f.entry().heard, 7U);
     EXPECT_EQ(f.entry().heard_age, 20ms);
@@ -461,7 +245,7 @@
 // The entry's process ends: its places are free again.
 TEST(dispatch, places_of_a_lost_entry_are_free)
 {
-    auto& f = make_fleet(24180);
+    auto& f = make_fleet();
     {
         transport::dispatch_link link(
             test::fiber_context(), f.first().shared.options.self.control,
@@ -484,7 +268,7 @@
 // each allowed a whole budget because none knew what the others had.
 TEST(dispatch, successive_dispatchers_allow_a_host_more_than_its_part)
 {
-    auto& f = make_fleet(24200);
+    auto& f = make_fleet();
     auto& host = f.entry();
     const auto repeats = [&host] {
         int placed = 0;
@@ -505,4 +289,36 @@
     EXPECT_LE(sum, budget.slack / static_cast<double>(f.hosts.size()));
 }
 
+// A place came for an upstream that had said that it leaves, or for a caller
+// that had left. Nothing was sent, and yet a host whose extra sends ended like
+// this had none left until the window had passed.
+TEST(dispatch, unused_extra_sends_count_as_sent)
+{
+    auto& host = make_fleet().entry();
+    for (int n = 0; n < 50; ++n) {
+        ASSERT_EQ(upstream_of(host.place(state::send_kind::repeat)), "u-first")
+            << n;
+        host.router.report(host.last,
+                           {state::send_result::cancelled, {}, {}, true});
+    }
+}
+
+// The stream of a host that is alive was lost. Its requests go on at their
+// upstreams, but the host told its dispatcher only of those that others had
+// placed when it came back, and the dispatcher placed further ones beside them.
+TEST(dispatch, requests_behind_a_lost_stream_take_no_slot)
+{
+    auto& f = make_fleet();
+    ASSERT_EQ(upstream_of(f.entry().place()), "u-first");
+    f.first().start_server(test::fiber_context());
+    boost::this_fiber::sleep_for(coordination::initial_probe_backoff + 100ms);
+    // Another dispatcher places it, and the first one is probed.
+    const auto elsewhere = f.entry().ask();
+    boost::this_fiber::sleep_for(50ms);
+    EXPECT_EQ(upstream_of(*elsewhere), "u-second");
+    const auto other = f.second().ask();
+    boost::this_fiber::sleep_for(50ms);
+    EXPECT_FALSE(*other) << upstream_of(*other);
+}
+
 } // namespace
--- a/test/transport/standin_upstream_test.cpp
+++ b/test/transport/standin_upstream_test.cpp
@@ -8,6 +8,10 @@
 #include <boost/json.hpp>
 #include <gtest/gtest.h>
 
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
 #include <thread>
 
 namespace {
@@ -132,6 +136,122 @@
     EXPECT_EQ(runs(upstream, "duplicates"), 1);
 }
 
+// Guards against a wish for quiet that cannot be told from an overload, or that
+// has no end: a proof counts the requests that come within it.
+TEST(standin_upstream, quiet_ends_by_itself)
+{
+    const standin_process upstream({"upstream"});
+    ASSERT_NE(upstream.port(), 0);
+    EXPECT_FALSE(send(upstream, http::verb::post, "/x", "before").ec);
+    control(upstream, R"({"quiet_s":0.4})");
+    const auto refused = send(upstream, http::verb::post, "/x", "within");
+    EXPECT_EQ(refused.message.result_int(), 503U);
+    EXPECT_EQ(refused.message["Oriolegrade-Shed"], "1");
+    const double pause = std::strtod(
+        std::string(refused.message["Retry-After"]).c_str(), nullptr);
+    EXPECT_GT(pause, 0.0);
+    EXPECT_LE(pause, 0.4);
+    std::this_thread::sleep_for(450ms);
+    const auto late = send(upstream, http::verb::post, "/x", "behind");
+    EXPECT_EQ(late.message.result_int(), 200U);
+    EXPECT_EQ(late.message["Retry-After"], "");
+    EXPECT_EQ(runs(upstream, "in_quiet"), 1);
+    EXPECT_EQ(runs(upstream, "total"), 2);
+    control(upstream, R"({"quiet_s":60})");
+    control(upstream, R"({"quiet_s":0})");
+    EXPECT_EQ(
+        send(upstream, http::verb::post, "/x", "ended").message.result_int(),
+        200U);
+    for (const char* value : {"-1", "3601", "1e400", "\"1\""}) {
+        EXPECT_EQ(send(upstream, http::verb::post, "/control", "",
+                       std::string(R"({"quiet_s":)") + value + "}")
+                      .message.result_int(),
+                  400U)
+            << value;
+    }
+}
+
+// Guards against work that nobody counts at an upstream that has said that it
+// leaves.
+TEST(standin_upstream, requests_are_counted_while_it_drains)
+{
+    const standin_process upstream({"upstream"});
+    ASSERT_NE(upstream.port(), 0);
+    EXPECT_FALSE(send(upstream, http::verb::post, "/x", "before").ec);
+    control(upstream, R"({"drain":true})");
+    for (const char* id : {"a", "b"}) {
+        EXPECT_EQ(send(upstream, http::verb::post, "/x", id)
+                      .message["Oriolegrade-Draining"],
+                  "1");
+    }
+    control(upstream, R"({"clear":true})");
+    EXPECT_EQ(send(upstream, http::verb::post, "/x", "behind")
+                  .message["Oriolegrade-Draining"],
+              "");
+    EXPECT_EQ(runs(upstream, "while_draining"), 2);
+    EXPECT_EQ(runs(upstream, "total"), 4);
+}
+
+/// Runs oriole-load with a plan of faults against stand-ins.
+/// @return its report; null when it failed
+json::value load_report(const standin_process& first,
+                        const standin_process& second, const std::string& plan)
+{
+    const auto folder = std::filesystem::temp_directory_path() /
+                        ("load-" + std::to_string(::getpid()));
+    std::filesystem::create_directories(folder);
+    const auto faults = folder / "faults.json";
+    const auto report = folder / "report.json";
+    std::ofstream(faults) << plan;
+    const auto program =
+        std::filesystem::read_symlink("/proc/self/exe").parent_path() /
+        "oriole-load";
+    const auto ports = "127.0.0.1:" + std::to_string(first.port()) +
+                       ",127.0.0.1:" + std::to_string(second.port());
+    const auto command =
+        program.string() + " --targets=" + ports + " --upstreams=" + ports +
+        " --rate=200 --duration_s=1 --settle_ms=0 --faults=" + faults.string() +
+        " --report=" + report.string() + " > /dev/null 2>&1";
+    const int status = std::system(command.c_str());
+    std::ifstream in(report);
+    std::stringstream text;
+    text << in.rdbuf();
+    std::filesystem::remove_all(folder);
+    return status == 0 ? json::parse(text.str()) : json::value();
+}
+
+// Guards against a run that does not switch the wishes that it is about, or
+// whose report hides what came within them. The load goes to the stand-ins
+// directly, so nobody obeys.
+TEST(standin_upstream, load_switches_wishes_and_counts_what_came_within)
+{
+    const standin_process first({"upstream"});
+    const standin_process second({"upstream"});
+    ASSERT_NE(first.port(), 0);
+    ASSERT_NE(second.port(), 0);
+    const auto report =
+        load_report(first, second,
+                    R"([{"at_s":0.6,"upstream":1,"faults":{"drain":true}},
+            {"at_s":0.2,"upstream":0,"faults":{"quiet_s":0.4}}])");
+    ASSERT_TRUE(report.is_object());
+    const auto& audit = report.at("audit");
+    // Each gets 100 requests a second.
+    const auto quiet = audit.at("in_quiet").to_number<int>();
+    EXPECT_GT(quiet, 10);
+    EXPECT_LT(quiet, 60);
+    const auto draining = audit.at("while_draining").to_number<int>();
+    EXPECT_GT(draining, 10);
+    EXPECT_LT(draining, 60);
+    EXPECT_EQ(runs(first, "in_quiet"), quiet);
+    EXPECT_EQ(runs(second, "while_draining"), draining);
+    for (const char* plan :
+         {"{}", R"([{"at_s":0,"upstream":2,"faults":{}}])",
+          R"([{"at_s":-1,"upstream":0,"faults":{}}])",
+          R"([{"at_s":0,"upstream":0,"faults":{"unknown":1}}])"}) {
+        EXPECT_TRUE(load_report(first, second, plan).is_null()) << plan;
+    }
+}
+
 // Guards against faults that lock the operator of a proof out, and against
 // health answers that ignore the switch.
 TEST(standin_upstream, control_works_under_every_fault)
