Write the lines of requests that upstreams refused among many others

What callers saw: a request was refused with 503 behind a send, and no line of the host's log named it, so nothing told which upstreams had got it and what they had answered.

Cause: a process writes 50 request lines in a second, and the first 50 were written whatever they told. Beside a few dozen usual answers a second the requests that were sent twice, or refused or failed behind a send, were left out.

Evidence: frozen_processes.py compares the refusals that callers got with the lines of the log.

Change: requests that were sent more than once, or sent and not answered, have an allowance of their own, 200 lines in a second. Upstreams in trouble and the budget of extra sends bound their number; a storm of callers that are refused without a send still costs 50 lines.

frozen_processes.py also freezes upstreams and the gateway (SIGSTOP, also around SIGTERM) with bodies of up to 1.5 MB on their way, early refusals and copies in pieces.

--- a/src/transport/gateway/request_log.cpp
+++ b/src/transport/gateway/request_log.cpp
@@ -10,30 +10,51 @@
 
 namespace {
 
-/// Lines of requests that one process writes in a second. Beyond it they are
-/// counted, so that a burst of callers costs no burst of log output.
-constexpr std::uint32_t most_lines_per_second = 50;
+/// Lines that one process writes in a second. Beyond it they are counted, so
+/// that a burst of callers costs no burst of log output.
+class line_allowance
+{
+public:
+    explicit line_allowance(std::uint32_t lines_per_second)
+        : lines_per_second_(lines_per_second)
+    {}
+
+    /// True when one more line fits into this second.
+    bool take()
+    {
+        const auto now =
+            std::chrono::duration_cast<std::chrono::seconds>(
+                std::chrono::steady_clock::now().time_since_epoch())
+                .count();
+        if (second_.exchange(now, std::memory_order_relaxed) != now) {
+            lines_.store(0, std::memory_order_relaxed);
+        }
+        return lines_.fetch_add(1, std::memory_order_relaxed) <
+               lines_per_second_;
+    }
 
-std::atomic<std::int64_t> second{0};
-std::atomic<std::uint32_t> lines{0};
+private:
+    const std::uint32_t lines_per_second_;
+    std::atomic<std::int64_t> second_{0};
+    std::atomic<std::uint32_t> lines_{0};
+};
+
+line_allowance usual_lines{50};
+/// Requests whose outcome rests on what several sends, or a failed one, came
+/// to. Upstreams in trouble and the budget of extra sends bound them.
+line_allowance unusual_lines{200};
 std::atomic<std::uint64_t> left_out{0};
 
-std::int64_t milliseconds_of(state::duration d)
+/// True when an upstream got the request and did not answer it at once.
+bool is_unusual(const request_line& line, request_end end)
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+    return !line.sends.empty() &&
+           (end != request_end::answered || line.sends.size() > 1);
 }
 
-/// True when one more line fits into this second.
-bool take_line()
+std::int64_t milliseconds_of(state::duration d)
 {
-    const auto now = std::chrono::duration_cast<std::chrono::seconds>(
-                         std::chrono::steady_clock::now().time_since_epoch())
-                         .count();
-    if (second.exchange(now, std::memory_order_relaxed) != now) {
-        lines.store(0, std::memory_order_relaxed);
-    }
-    return lines.fetch_add(1, std::memory_order_relaxed) <
-           most_lines_per_second;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
 }
 
 } // namespace
@@ -45,7 +66,8 @@
     if (!is_logged(level)) {
         return;
     }
-    if (!take_line()) {
+    auto& allowance = is_unusual(*this, end) ? unusual_lines : usual_lines;
+    if (!allowance.take()) {
         left_out.fetch_add(1, std::memory_order_relaxed);
         return;
     }
