--- a/src/transport/gateway/request_log.cpp
+++ b/src/transport/gateway/request_log.cpp
@@ -4,16 +4,29 @@
 
 #include <oriolegrade/transport/event_log.hpp>
 
+#include <array>
 #include <atomic>
 
 namespace oriolegrade::transport {
 
 namespace {
 
-/// Lines of requests that one process writes in a second, of those that were
-/// answered and of the others each. Beyond it they are counted, so that a burst
-/// of callers costs no burst of log output.
-constexpr std::uint32_t most_lines_per_second = 50;
+/// Kinds of lines that do not displace each other.
+enum class line_kind : std::uint8_t
+{
+    /// Answered by the first upstream that got the request: the most by far.
+    answered,
+    /// Ended without a send. A storm of callers can bring any number.
+    unsent,
+    /// Sent more than once, or sent and not answered. What callers were told
+    /// rests on what became of the sends. Upstreams in trouble and the budget
+    /// of extra sends bound their number.
+    doubtful,
+};
+
+/// Lines that one process writes in a second, by kind. Beyond it they are
+/// counted, so that a burst of callers costs no burst of log output.
+constexpr std::array<std::uint32_t, 3> most_lines_per_second{50, 50, 200};
 
 std::int64_t milliseconds_of(state::duration d)
 {
@@ -26,7 +39,7 @@
 public:
     /// True when one more line fits into this second; otherwise it is counted
     /// as left out.
-    bool take()
+    bool take(std::uint32_t most)
     {
         const auto now =
             std::chrono::duration_cast<std::chrono::seconds>(
@@ -35,8 +48,7 @@
         if (second_.exchange(now, std::memory_order_relaxed) != now) {
             lines_.store(0, std::memory_order_relaxed);
         }
-        const bool fits = lines_.fetch_add(1, std::memory_order_relaxed) <
-                          most_lines_per_second;
+        const bool fits = lines_.fetch_add(1, std::memory_order_relaxed) < most;
         if (!fits) {
             left_out_.fetch_add(1, std::memory_order_relaxed);
         }
@@ -54,13 +66,20 @@
     std::atomic<std::uint64_t> left_out_{0};
 };
 
-/// Answered requests are the most by far, and who looks for a request that was
-/// refused or failed has nothing but its line.
-line_budget& budget_of(request_end end)
+line_kind kind_of(const request_line& line, request_end end)
+{
+    const bool is_answered = end == request_end::answered;
+    if (line.sends.empty() && !is_answered) {
+        return line_kind::unsent;
+    }
+    return is_answered && line.sends.size() <= 1 ? line_kind::answered
+                                                 : line_kind::doubtful;
+}
+
+line_budget& budget_of(line_kind kind)
 {
-    static line_budget answered;
-    static line_budget others;
-    return end == request_end::answered ? answered : others;
+    static std::array<line_budget, most_lines_per_second.size()> budgets;
+    return budgets[static_cast<std::size_t>(kind)];
 }
 
 } // namespace
@@ -72,8 +91,9 @@
     if (!is_logged(level)) {
         return;
     }
-    auto& budget = budget_of(end);
-    if (!budget.take()) {
+    const auto kind = kind_of(*this, end);
+    auto& budget = budget_of(kind);
+    if (!budget.take(most_lines_per_second[static_cast<std::size_t>(kind)])) {
         return;
     }
     std::string upstreams;
--- a/test/transport/request_log_test.cpp
+++ b/test/transport/request_log_test.cpp
@@ -38,6 +38,45 @@
     EXPECT_NE(text.find("id=unrun"), std::string::npos);
 }
 
+/// Writes what a busy host does before the line, and returns the log.
+std::string log_behind_others(const transport::request_line& line,
+                              transport::request_end end)
+{
+    test::captured_output output;
+    auto usual = line_of("usual");
+    usual.sends = {"u1"};
+    usual.results = {state::send_result::answered};
+    const auto unsent = line_of("unsent");
+    for (int n = 0; n < 200; ++n) {
+        usual.write(transport::request_end::answered, "answered");
+        unsent.write(transport::request_end::refused, "no_route");
+    }
+    line.write(end, "reason");
+    return output.take();
+}
+
+// A refusal behind a send is a promise that rests on what the upstream said.
+// Neither answered requests nor a storm that is refused may displace it.
+TEST(request_log, a_refusal_behind_a_send_is_lost_among_usual_lines)
+{
+    auto line = line_of("refused");
+    line.sends = {"u1"};
+    line.results = {state::send_result::refused};
+    EXPECT_NE(log_behind_others(line, transport::request_end::refused)
+                  .find("id=refused"),
+              std::string::npos);
+}
+
+TEST(request_log, a_second_send_is_lost_among_usual_lines)
+{
+    auto line = line_of("repeated");
+    line.sends = {"u1", "u2"};
+    line.results = {state::send_result::refused, state::send_result::answered};
+    EXPECT_NE(log_behind_others(line, transport::request_end::answered)
+                  .find("id=repeated"),
+              std::string::npos);
+}
+
 // Without a bound a burst of refusals would cost a burst of output.
 TEST(request_log, a_burst_of_refusals_writes_without_bound)
 {
