Find a workspace in line at once

With 2,000 workspaces in line each answer walked through all of them: the visit of late requests opened every workspace to find that it had none. It is not begun while no upstream takes a request, as before the visitor would have ended it. Workspaces of a rank lie in a hash table now, and a visit keeps its memory.

Decisions are the same.

--- a/include/oriolegrade/coordination/waiting_line.hpp
+++ b/include/oriolegrade/coordination/waiting_line.hpp
@@ -145,11 +145,13 @@
         /// Last visit that came to it.
         std::uint64_t visit = 0;
     };
-    using workspace_lines = std::map<std::string, workspace_line>;
+    using workspace_lines = std::unordered_map<std::string, workspace_line>;
+    /// Name and line; stays where it is while it is in the map.
+    using workspace_entry = workspace_lines::value_type;
 
     /// The name breaks ties.
     using order_key = std::pair<workspace_shares::tag, std::string_view>;
-    using workspace_order = std::map<order_key, workspace_lines::iterator>;
+    using workspace_order = std::map<order_key, workspace_entry*>;
 
     struct rank_line
     {
@@ -188,7 +190,7 @@
     /// A workspace whose requests are being visited.
     struct open_workspace
     {
-        workspace_lines::iterator line;
+        workspace_entry* line;
         std::vector<cursor> cursors;
         /// Tag, had the requests that were kept been placed.
         workspace_shares::tag tag;
@@ -211,14 +213,17 @@
     struct order_walk
     {
         workspace_order* list;
-        std::optional<order_key> last;
+        /// It has come to all; a visit adds none.
+        bool done = false;
+        std::optional<order_key> last = {};
 
-        workspace_order::iterator next(std::uint64_t visit) const
+        workspace_order::iterator next(std::uint64_t visit)
         {
             auto it = last ? list->upper_bound(*last) : list->begin();
             while (it != list->end() && it->second->second.visit == visit) {
                 ++it;
             }
+            done = it == list->end();
             return it;
         }
     };
@@ -229,9 +234,10 @@
         rank_line* rank;
         line_part part;
         std::uint64_t number;
-        std::vector<order_walk> walks;
+        /// The second is not used by a visit of those in time.
+        std::array<order_walk, 2> walks;
         /// A heap, see comes_later().
-        std::vector<open_workspace> open;
+        std::vector<open_workspace>& open;
     };
 
     template <class Usual>
@@ -258,14 +264,16 @@
     bool visit_rank(rank_line& rank, line_part part, state::time_point now,
                     Usual& usual, Visit& visit)
     {
-        rank_visit state{&rank, part, ++visits_, {{&rank.in_time, {}}}, {}};
-        if (part != line_part::in_time) {
-            state.walks.push_back({&rank.late, {}});
-        }
+        rank_visit state{
+            &rank,
+            part,
+            ++visits_,
+            {{{&rank.in_time}, {&rank.late, part == line_part::in_time}}},
+            open_};
+        open_.clear();
         while (true) {
-            while (const auto next = next_unopened(state)) {
-                open(state, *next,
-                     cursors_of((*next)->second, part, now, usual));
+            while (auto* next = next_unopened(state)) {
+                open(state, *next, cursors_of(next->second, part, now, usual));
             }
             if (state.open.empty()) {
                 return true;
@@ -292,20 +300,19 @@
                                 });
     }
 
-    /// Workspace to open before the next request is visited, if there is one.
-    static std::optional<workspace_lines::iterator>
-    next_unopened(rank_visit& state);
+    /// Workspace to open before the next request is visited; null for none.
+    static workspace_entry* next_unopened(rank_visit& state);
     /// @param cursors of its requests that the visit is for
-    static void open(rank_visit& state, workspace_lines::iterator it,
+    static void open(rank_visit& state, workspace_entry& it,
                      std::vector<cursor> cursors);
     /// Goes on after a request, at the end of the heap, was visited.
     void step(rank_visit& state, open_workspace& at,
               std::vector<cursor>::iterator it, visit_result result);
 
     /// Moves a workspace within the order, or between both.
-    static void move(rank_line& rank, workspace_lines::iterator it,
+    static void move(rank_line& rank, workspace_entry& it,
                      workspace_shares::tag tag, bool is_late);
-    static void erase(rank_line& rank, workspace_lines::iterator it);
+    static void erase(rank_line& rank, workspace_entry& it);
     /// Tag of a workspace, whether it waits or not.
     workspace_shares::tag tag_of(const std::string& workspace) const;
 
@@ -314,6 +321,8 @@
     std::unordered_map<request_id, place> places_;
     workspace_shares shares_;
     std::uint64_t visits_ = 0;
+    /// Of the visit in progress; kept for its memory. A visit starts no other.
+    std::vector<open_workspace> open_;
 };
 
 } // namespace oriolegrade::coordination
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -475,6 +475,10 @@
 void dispatch_queue::place_part(line_part part, bool held,
                                 std::vector<answer>& out, state::time_point now)
 {
+    // Thousands of workspaces may wait without a request of this part.
+    if (!has_candidates(upstreams_, held, now)) {
+        return;
+    }
     const auto usual = [this](const std::string& route) {
         return latencies_.usual(route);
     };
--- a/src/coordination/waiting_line.cpp
+++ b/src/coordination/waiting_line.cpp
@@ -20,9 +20,9 @@
         const auto tag = tag_of(workspace);
         found = rank.workspaces.try_emplace(workspace).first;
         found->second.tag = tag;
-        rank.in_time.emplace(order_key{tag, found->first}, found);
+        rank.in_time.emplace(order_key{tag, found->first}, &*found);
     } else if (found->second.is_late) {
-        move(rank, found, found->second.tag, false);
+        move(rank, *found, found->second.tag, false);
     }
     auto& line = found->second;
     rank.weight -= line.weight;
@@ -53,7 +53,7 @@
     --line.size;
     --rank->second.size;
     if (line.size == 0) {
-        erase(rank->second, workspace);
+        erase(rank->second, *workspace);
     }
     if (rank->second.size == 0) {
         ranks_.erase(rank);
@@ -79,7 +79,7 @@
     for (auto& rank : ranks_) {
         const auto it = rank.second.workspaces.find(workspace);
         if (it != rank.second.workspaces.end()) {
-            move(rank.second, it, next, it->second.is_late);
+            move(rank.second, *it, next, it->second.is_late);
         }
     }
 }
@@ -127,14 +127,15 @@
         return false;
     }
     const auto& same = ranks_.begin()->second;
-    const order_key key{tag_of(workspace), workspace};
+    const auto own = same.workspaces.find(workspace);
+    const bool waits = own != same.workspaces.end();
+    const order_key key{waits ? own->second.tag : tag_of(workspace), workspace};
     for (const auto* order : {&same.in_time, &same.late}) {
         if (!order->empty() && order->begin()->first < key) {
             return false;
         }
     }
-    const auto own = same.workspaces.find(workspace);
-    if (own == same.workspaces.end()) {
+    if (!waits) {
         return true;
     }
     const auto& routes = own->second.routes;
@@ -143,12 +144,14 @@
     });
 }
 
-std::optional<waiting_line::workspace_lines::iterator>
-waiting_line::next_unopened(rank_visit& state)
+waiting_line::workspace_entry* waiting_line::next_unopened(rank_visit& state)
 {
     order_walk* walk = nullptr;
     workspace_order::iterator first;
     for (auto& it : state.walks) {
+        if (it.done) {
+            continue;
+        }
         const auto next = it.next(state.number);
         if (next != it.list->end() &&
             (walk == nullptr || next->first < first->first)) {
@@ -158,20 +161,20 @@
     }
     if (walk == nullptr ||
         (!state.open.empty() && state.open.front().key() < first->first)) {
-        return std::nullopt;
+        return nullptr;
     }
     walk->last = first->first;
     return first->second;
 }
 
-void waiting_line::open(rank_visit& state, workspace_lines::iterator it,
+void waiting_line::open(rank_visit& state, workspace_entry& it,
                         std::vector<cursor> cursors)
 {
-    auto& line = it->second;
+    auto& line = it.second;
     line.visit = state.number;
     // The unnamed workspace stays: without others it is found at once.
     if (state.part == line_part::in_time && cursors.empty() &&
-        !it->first.empty()) {
+        !it.first.empty()) {
         move(*state.rank, it, line.tag, true);
     }
     const bool has_one_in_time =
@@ -181,7 +184,7 @@
         move(*state.rank, it, line.tag, false);
     }
     if (!cursors.empty()) {
-        state.open.push_back({it, std::move(cursors), line.tag});
+        state.open.push_back({&it, std::move(cursors), line.tag});
         std::push_heap(state.open.begin(), state.open.end(),
                        open_workspace::comes_later);
     }
@@ -213,28 +216,27 @@
         return;
     }
     if (line.size == 0) {
-        erase(rank, at.line);
+        erase(rank, *at.line);
     }
     state.open.pop_back();
 }
 
-void waiting_line::move(rank_line& rank, workspace_lines::iterator it,
+void waiting_line::move(rank_line& rank, workspace_entry& it,
                         workspace_shares::tag tag, bool is_late)
 {
-    auto& line = it->second;
-    auto node = rank.order_of(line).extract({line.tag, it->first});
+    auto& line = it.second;
+    auto node = rank.order_of(line).extract({line.tag, it.first});
     line.tag = tag;
     line.is_late = is_late;
     node.key().first = tag;
     rank.order_of(line).insert(std::move(node));
 }
 
-void waiting_line::erase(rank_line& rank, workspace_lines::iterator it)
+void waiting_line::erase(rank_line& rank, workspace_entry& it)
 {
-    const auto& line = it->second;
-    rank.order_of(line).erase({line.tag, it->first});
-    rank.weight -= line.weight;
-    rank.workspaces.erase(it);
+    rank.order_of(it.second).erase({it.second.tag, it.first});
+    rank.weight -= it.second.weight;
+    rank.workspaces.erase(rank.workspaces.find(it.first));
 }
 
 workspace_shares::tag waiting_line::tag_of(const std::string& workspace) const
