--- a/bench/coordination/dispatch_bench.cpp
+++ b/bench/coordination/dispatch_bench.cpp
@@ -1,5 +1,6 @@
-// Runs every load pattern against every placement in virtual time, and writes a
-// Markdown page and pictures.
+// Runs every load pattern against every placement in virtual time, measures how
+// workspaces share a service and what decisions cost, and writes a Markdown
+// page and pictures.
 //
 // usage: dispatch_bench [FOLDER [SEED]]
 //   FOLDER  writes measurements-dispatch.md and dispatch.svg there; without it,
@@ -23,7 +24,8 @@
     }
     const auto measured = measure_dispatch(seed);
     if (folder == "-") {
-        std::cout << dispatch_tables(measured);
+        std::cout << dispatch_tables(measured) << workspace_table(seed)
+                  << cost_table(seed);
         return 0;
     }
     std::ofstream page(folder + "/measurements-dispatch.md");
--- a/bench/coordination/dispatch_report.hpp
+++ b/bench/coordination/dispatch_report.hpp
@@ -5,6 +5,7 @@
 #define ORIOLEGRADE_BENCH_COORDINATION_DISPATCH_REPORT_HPP
 
 #include "../format.hpp"
+#include "decision_cost.hpp"
 #include "dispatch_model.hpp"
 
 #include <string>
@@ -110,6 +111,88 @@
     return out;
 }
 
+/// A full service with one hot workspace, with the workspaces named and not.
+inline std::string workspace_table(std::uint64_t seed)
+{
+    constexpr std::size_t workspaces = 74;
+    std::string out =
+        "## Workspaces\n\n"
+        "74 workspaces, of which one sends 1, 20 or 1,000 times as much as "
+        "another. Without names the queue shares nothing. Columns: served "
+        "share of all requests, mean of the workspaces' served shares, that of "
+        "the worst tenth against the mean, the least against all requests, "
+        "slot time of what was served, share in target.\n\n"
+        "| upstreams | load | hot | workspaces named | all, % | mean, % | "
+        "worst "
+        "tenth | least | work, s | in target, % |\n"
+        "|---|---|---|---|---|---|---|---|---|---|\n";
+    for (const auto& size : {dispatch_sizes[0], dispatch_sizes[1]}) {
+        for (const double load : {1.7, 3.0}) {
+            for (const double hot : {1.0, 20.0, 1000.0}) {
+                for (const bool hides : {true, false}) {
+                    dispatch_options o;
+                    o.hosts = size.hosts;
+                    o.upstreams = size.upstreams;
+                    o.load = load;
+                    o.workspaces = workspaces;
+                    o.hot_factor = hot;
+                    o.hides_workspaces = hides;
+                    o.seed = seed;
+                    const auto it = dispatch_model<queue_placement>(o).run();
+                    const auto shares = it.workspace_shares();
+                    const auto mean = mean_of_first(shares, workspaces);
+                    out += format(
+                        "| %zu | %.1f | %.0f | %s | %.1f | %.1f | %.3f | %.3f "
+                        "| %.0f | %.1f |\n",
+                        size.upstreams, load, hot, hides ? "no" : "yes",
+                        100 * it.served_share(), 100 * mean,
+                        mean_of_first(shares, workspaces / 10) / mean,
+                        shares.front() / it.served_share(),
+                        to_ms(it.served_work) / 1000,
+                        100 * it.in_target_share());
+                }
+            }
+        }
+    }
+    return out + "\n";
+}
+
+inline std::string cost_row(const cost_options& options)
+{
+    const auto it = measure_cost(options);
+    return format("| %zu | %zu | %zu | %.0f | %.0f | %.1f |\n",
+                  options.upstreams, options.line, options.workspaces,
+                  it.arrival_ns, it.answer_ns, it.round_us);
+}
+
+/// Depends on the machine and on what else it does.
+inline std::string cost_table(std::uint64_t seed)
+{
+    std::string out =
+        "## Cost of decisions\n\n"
+        "Processor time while the service is full, tenth percentile of batches "
+        "of 16, on a machine that does other work: a row may be up to 1.9 "
+        "times too high. Arrival: a request that is placed or put in line. "
+        "Answer: the end of a request and the placement of the next. Round: "
+        "what is done each 25 ms.\n\n"
+        "| upstreams | in line | workspaces | arrival, ns | answer, ns | "
+        "round, "
+        "us |\n"
+        "|---|---|---|---|---|---|\n";
+    constexpr std::array<std::size_t, 3> lines{0, 100, 2000};
+    for (const std::size_t upstreams : {20, 100, 479, 2000, 10000}) {
+        for (const auto line : lines) {
+            out += cost_row({upstreams, line, 0, seed});
+        }
+    }
+    for (const auto line : lines) {
+        for (const std::size_t workspaces : {0, 1, 74, 2000}) {
+            out += cost_row({106, line, workspaces, seed});
+        }
+    }
+    return out + "\n";
+}
+
 inline std::string dispatch_page(const std::vector<dispatch_table>& tables,
                                  std::uint64_t seed)
 {
@@ -135,7 +218,7 @@
            "median and p99 time from the start of a spell to the hold; share "
            "of the bookings sent to an upstream in its spell.\n\n"
            "![Served in target](dispatch.svg)\n\n" +
-           dispatch_tables(tables);
+           dispatch_tables(tables) + workspace_table(seed) + cost_table(seed);
 }
 
 /// Share served in target, a bar for each placement and pattern, at the middle
