--- a/src/protocol/quota_messages.cpp
+++ b/src/protocol/quota_messages.cpp
@@ -59,6 +59,7 @@
     ask.set_workspace(it.ask.workspace);
     ask.set_number(it.ask.number);
     ask.set_applied(it.ask.applied);
+    ask.set_holds(it.ask.holds);
     ask.set_need_per_s(it.ask.need_per_s);
     ask.set_waiting(it.ask.waiting);
     ask.set_level(it.ask.level);
@@ -115,6 +116,7 @@
             check_name(out.ask.workspace, "workspace", check);
             out.ask.number = from.number();
             out.ask.applied = from.applied();
+            out.ask.holds = from.holds();
             out.ask.need_per_s = amount(from.need_per_s(), "need_per_s", check);
             out.ask.waiting = from.waiting();
             out.ask.level = amount(from.level(), "level", check);
--- a/test/protocol/quota_messages_test.cpp
+++ b/test/protocol/quota_messages_test.cpp
@@ -20,8 +20,8 @@
 
 TEST(quota_messages, an_ask_loses_a_field)
 {
-    const protocol::quota_ask_call in{"host-1/ab",
-                                      {"shop", 7, 6, 12.5, 3, 0.25, true}};
+    const protocol::quota_ask_call in{
+        "host-1/ab", {"shop", 7, 6, true, 12.5, 3, 0.25, true}};
     const auto out = protocol::decode_quota_ask(protocol::encode(in));
     ASSERT_TRUE(out);
     EXPECT_EQ(out.value().host, in.host);
@@ -29,6 +29,7 @@
     EXPECT_EQ(ask.workspace, "shop");
     EXPECT_EQ(ask.number, 7U);
     EXPECT_EQ(ask.applied, 6U);
+    EXPECT_TRUE(ask.holds);
     EXPECT_EQ(ask.need_per_s, 12.5);
     EXPECT_EQ(ask.waiting, 3U);
     EXPECT_EQ(ask.level, 0.25);
@@ -79,8 +80,9 @@
         auto grant = sample_grant();
         grant.slice.rate_per_s = it;
         EXPECT_FALSE(protocol::decode_quota_grant(protocol::encode(grant)));
-        EXPECT_FALSE(protocol::decode_quota_ask(protocol::encode(
-            protocol::quota_ask_call{"h", {"shop", 1, 0, it, 0, 0, false}})));
+        EXPECT_FALSE(protocol::decode_quota_ask(
+            protocol::encode(protocol::quota_ask_call{
+                "h", {"shop", 1, 0, false, it, 0, 0, false}})));
     }
     EXPECT_FALSE(protocol::decode_quota_delegation(protocol::encode(
         state::quota_delegation{0, 1, state::quota_answer::given, 1.5})));
