--- a/test/transport/request_log_test.cpp
+++ b/test/transport/request_log_test.cpp
@@ -10,11 +10,20 @@
 
 #include <chrono>
 #include <string>
+#include <thread>
 
 namespace {
 
 using namespace oriolegrade;
 
+/// The lines of a second are bounded for the whole process.
+void wait_for_a_new_second()
+{
+    using std::chrono::steady_clock;
+    std::this_thread::sleep_until(
+        std::chrono::ceil<std::chrono::seconds>(steady_clock::now()));
+}
+
 transport::request_line line_of(std::string_view id)
 {
     transport::request_line out;
@@ -27,6 +36,7 @@
 // that it refuses must not be among those left out.
 TEST(request_log, answered_requests_leave_out_a_refused_one)
 {
+    wait_for_a_new_second();
     test::captured_output output;
     for (int n = 0; n < 1000; ++n) {
         line_of("answered").write(transport::request_end::answered, "answered");
@@ -42,6 +52,7 @@
 std::string log_behind_others(const transport::request_line& line,
                               transport::request_end end)
 {
+    wait_for_a_new_second();
     test::captured_output output;
     auto usual = line_of("usual");
     usual.sends = {"u1"};
@@ -80,6 +91,7 @@
 // Without a bound a burst of refusals would cost a burst of output.
 TEST(request_log, a_burst_of_refusals_writes_without_bound)
 {
+    wait_for_a_new_second();
     test::captured_output output;
     for (int n = 0; n < 1000; ++n) {
         line_of("unrun").write(transport::request_end::refused, "shed");
