--- a/include/oriolegrade/state/rcu_cell.hpp
+++ b/include/oriolegrade/state/rcu_cell.hpp
@@ -50,6 +50,17 @@
         return copy;
     }
 
+    /// True when the cell still holds that value, which must not be null.
+    /// Shares no counter with other threads.
+    bool holds(const pointer& value) const
+    {
+        detail::rcu_lock();
+        const bool same =
+            *static_cast<const pointer*>(detail::rcu_load(&slot_)) == value;
+        detail::rcu_unlock();
+        return same;
+    }
+
     /// Replaces the value. Blocks for one grace period.
     void publish(pointer replacement)
     {
--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -162,7 +162,8 @@
         request_plan plan;
         plan.line.began = request.arrival();
         if (shared_.configured) {
-            look_up(plan, shared_.rules.read(), head, request);
+            plan.rules = shared_.rules.read();
+            look_up(plan, head, request);
         }
         // Behind the last change of the head.
         plan.line.request_id = Dialect::request_id(head);
@@ -307,8 +308,11 @@
         /// was allowed by those that it was planned with.
         std::optional<state::reply_reason> objection() const
         {
+            if (worker.shared_.rules.holds(plan.rules)) {
+                return std::nullopt;
+            }
             const auto rules = worker.shared_.rules.read();
-            if (rules == plan.rules || !rules->rules().requires_keys) {
+            if (!rules->rules().requires_keys) {
                 return std::nullopt;
             }
             const auto* route =
@@ -340,12 +344,10 @@
         return plan.route != nullptr && plan.check.passes;
     }
 
-    /// Plans the request by the rules. Ends the view of the head's id.
-    void look_up(request_plan& plan,
-                 std::shared_ptr<const state::route_index> rules,
-                 protocol::request_head& head, caller_request& request)
+    /// Plans the request by its rules. Ends the view of the head's id.
+    static void look_up(request_plan& plan, protocol::request_head& head,
+                        caller_request& request)
     {
-        plan.rules = std::move(rules);
         const auto& all = plan.rules->rules();
         plan.line.rules_version = all.version;
         if (all.requires_keys && !plan.has_taken_key) {
@@ -380,8 +382,9 @@
                 plan.line.began +
                     std::chrono::milliseconds(std::min(ms, longest_wait_ms))));
         }
-        if (const auto rules = shared_.rules.read(); rules != plan.rules) {
-            look_up(plan, rules, head, request);
+        if (!shared_.rules.holds(plan.rules)) {
+            plan.rules = shared_.rules.read();
+            look_up(plan, head, request);
             plan.line.request_id = Dialect::request_id(head);
         }
     }
--- a/test/state/configuration_test.cpp
+++ b/test/state/configuration_test.cpp
@@ -73,6 +73,19 @@
 }
 
 // Guards against a reader that uses content after the writer has freed it.
+// A request compares its rules with those in force before each send.
+TEST(rcu_cell, a_value_is_held_until_another_is_published)
+{
+    const auto first = std::make_shared<const std::uint64_t>(1);
+    rcu_cell<std::uint64_t> cell(first);
+    EXPECT_TRUE(cell.holds(first));
+    EXPECT_TRUE(cell.holds(cell.read()));
+    // Equal, but another value.
+    cell.publish(std::make_shared<const std::uint64_t>(1));
+    EXPECT_FALSE(cell.holds(first));
+    EXPECT_TRUE(cell.holds(cell.read()));
+}
+
 TEST(rcu_cell, readers_never_see_freed_or_older_content)
 {
     rcu_cell<std::uint64_t> cell(std::make_shared<const std::uint64_t>(0));
