Let nothing follow the place of a request

A second table of peer messages, of what a dispatcher may send to a host (answers without a request, frames above the limit or of no message, resets within a frame, and answers behind an answer), found one fault: a dispatcher that sent a refusal behind a place. The host took the request back, or asked another dispatcher while it sent the request, and never reported the end of the place; a second place replaced the first one.

Change: a request that has its place takes no other answer.

--- a/src/transport/gateway/dispatch_router.cpp
+++ b/src/transport/gateway/dispatch_router.cpp
@@ -337,6 +337,10 @@
         return;
     }
     auto& it = found->second;
+    if (it.at == stage::placed) {
+        // The place is in use: whatever follows it, its end is to be reported.
+        return;
+    }
     if (std::holds_alternative<protocol::in_line>(what)) {
         it.at = stage::in_line;
     } else if (const auto* away = std::get_if<state::place_refusal>(&what)) {
--- a/test/platform/peer_cases_test.cpp
+++ b/test/platform/peer_cases_test.cpp
@@ -1,11 +1,16 @@
-// Table of what a peer host may send to a dispatcher, with what is due for each
-// row. Each runs with its bytes at once and apart. Behind it the dispatcher
-// serves another host, and once the peer is gone no slot is lost.
+// Tables of what a peer host may send, with what is due for each row. Each runs
+// with its bytes at once and apart.
+//  - To a dispatcher: behind the row it serves another host, and once the peer
+//    is gone no slot is lost.
+//  - From a dispatcher: the host's request gets its place, from another
+//    dispatcher if need be, and the end of each place is reported once.
 
 #include "fakes/dispatch_fleet.hpp"
 
 #include <oriolegrade/transport/message_frame.hpp>
 #include <oriolegrade/transport/stream_client.hpp>
+#include <oriolegrade/transport/stream_server.hpp>
+#include <oriolegrade/transport/tcp.hpp>
 
 #include <gtest/gtest.h>
 
@@ -157,10 +162,10 @@
     }
 }
 
-void feed(transport::client_stream& stream, const std::string& bytes,
-          feeding how)
+template <class Stream>
+void feed(Stream& stream, const std::string& bytes, feeding how)
 {
-    // The dispatcher may end the stream before the last byte.
+    // The receiver may end the stream before the last byte.
     const auto step = how == feeding::apart && bytes.size() < 1000
                           ? std::size_t{1}
                           : bytes.size();
@@ -233,4 +238,199 @@
                                          : "_at_once");
                          });
 
+/// Number of the request in the rows below: the first of its host.
+constexpr std::uint64_t asked = 1;
+
+struct dispatcher_case
+{
+    const char* name;
+    /// Sent behind the request.
+    std::string bytes;
+    /// Upstream that the request gets.
+    std::string upstream;
+    /// Frames that the host sends, by name, without notices of rules, until its
+    /// request has ended.
+    std::vector<std::string> heard;
+    /// The dispatcher resets the stream behind the bytes.
+    bool resets = false;
+};
+
+std::ostream& operator<<(std::ostream& out, const dispatcher_case& it)
+{
+    return out << it.name;
+}
+
+std::string place(std::uint64_t number, const std::string& upstream = "u-peer")
+{
+    state::place it;
+    it.upstream = upstream;
+    it.address = {test::loopback, 1};
+    it.max_connections = 1;
+    return framed(protocol::encode_dispatcher_frame(
+        protocol::numbered<state::place>{number, it}));
+}
+
+std::string refuse(std::uint64_t number, state::place_refusal_reason reason)
+{
+    return framed(protocol::encode_dispatcher_frame(
+        protocol::numbered<state::place_refusal>{number, {reason, 10ms}}));
+}
+
+std::string in_line(std::uint64_t number)
+{
+    return framed(protocol::encode_dispatcher_frame(
+        protocol::numbered<protocol::in_line>{number, {}}));
+}
+
+const std::vector<dispatcher_case>& dispatcher_cases()
+{
+    using reason = state::place_refusal_reason;
+    static const std::vector<dispatcher_case> rows{
+        {"place", place(asked), "u-peer", {"hello", "ask", "report"}},
+        {"in_line_and_place",
+         in_line(asked) + place(asked),
+         "u-peer",
+         {"hello", "ask", "report"}},
+        {"place_without_request",
+         place(99) + place(asked),
+         "u-peer",
+         {"hello", "ask", "unused", "report"}},
+        {"refusal_without_request",
+         refuse(99, reason::overloaded) + place(asked),
+         "u-peer",
+         {"hello", "ask", "unused", "report"}},
+        {"second_place",
+         place(asked) + place(asked, "u-other"),
+         "u-peer",
+         {"hello", "ask", "report"}},
+        {"in_line_behind_the_place",
+         place(asked) + in_line(asked),
+         "u-peer",
+         {"hello", "ask", "report"}},
+        // The host asked elsewhere, and never reported the end of this place.
+        {"stale_behind_the_place",
+         place(asked) + refuse(asked, reason::stale),
+         "u-peer",
+         {"hello", "ask", "report"}},
+        {"refusal_behind_the_place",
+         place(asked) + refuse(asked, reason::overloaded),
+         "u-peer",
+         {"hello", "ask", "report"}},
+        {"leaving",
+         refuse(asked, reason::leaving),
+         "u-second",
+         {"hello", "ask"}},
+        {"frame_above_the_limit",
+         std::string("\0\1\0\1", 4),
+         "u-second",
+         {"hello", "ask"}},
+        {"frame_that_is_no_message",
+         framed("\xff\xff"),
+         "u-second",
+         {"hello", "ask"}},
+        {"reset_within_a_frame",
+         place(asked).substr(0, 7),
+         "u-second",
+         {"hello", "ask"},
+         true},
+        {"reset_within_a_length",
+         std::string(2, '\0'),
+         "u-second",
+         {"hello", "ask"},
+         true},
+    };
+    return rows;
+}
+
+std::string name_of(const protocol::entry_frame& it)
+{
+    const char* names[] = {"hello", "ask", "report", "notice"};
+    const auto* report =
+        std::get_if<protocol::numbered<state::send_report>>(&it);
+    return report != nullptr && report->what.unused ? "unused"
+                                                    : names[it.index()];
+}
+
+/// A dispatcher that sends the bytes of a row when it is asked.
+class scripted_dispatcher
+{
+public:
+    scripted_dispatcher(const state::endpoint& address,
+                        const dispatcher_case& row, feeding how)
+        : row_(row)
+        , how_(how)
+        , server_(std::move(transport::listen_on(test::fiber_context(),
+                                                 transport::to_tcp(address)))
+                      .value(),
+                  std::string(), transport::gateway_stream_limits(),
+                  [this](transport::server_stream& it) { serve(it); })
+    {
+        server_.start();
+    }
+
+    std::vector<std::string> heard;
+
+private:
+    void serve(transport::server_stream& stream)
+    {
+        (void)stream.respond(200);
+        for (;;) {
+            const auto bytes = transport::read_message(
+                stream, protocol::max_dispatch_frame_bytes);
+            if (!bytes || !bytes.value()) {
+                return;
+            }
+            const auto it = protocol::decode_entry_frame(*bytes.value());
+            const std::string name = it ? name_of(it.value()) : "not decodable";
+            if (name != "notice") {
+                heard.push_back(name);
+            }
+            if (name == "ask") {
+                feed(stream, row_.bytes, how_);
+            }
+            if (name == "ask" && row_.resets) {
+                // Until the bytes have left.
+                sleep_for(20ms);
+                return;
+            }
+        }
+    }
+
+    const dispatcher_case& row_;
+    feeding how_;
+    transport::stream_server server_;
+};
+
+class dispatcher_message
+    : public ::testing::TestWithParam<std::tuple<dispatcher_case, feeding>>
+{};
+
+TEST_P(dispatcher_message, is_misunderstood)
+{
+    const auto& [row, how] = GetParam();
+    auto& f = make_fleet();
+    f.first().server.reset();
+    {
+        scripted_dispatcher peer(f.first().shared.options.self.control, row,
+                                 how);
+        EXPECT_EQ(upstream_of(f.entry().place()), row.upstream);
+        sleep_for(50ms);
+        f.entry().end(asked);
+        sleep_for(50ms);
+        EXPECT_EQ(peer.heard, row.heard);
+    }
+    // The other dispatcher holds no place for it.
+    EXPECT_EQ(upstream_of(f.second().place()), "u-second");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    rows, dispatcher_message,
+    ::testing::Combine(::testing::ValuesIn(dispatcher_cases()),
+                       ::testing::Values(feeding::at_once, feeding::apart)),
+    [](const auto& it) {
+        return std::string(std::get<0>(it.param).name) +
+               (std::get<1>(it.param) == feeding::apart ? "_apart"
+                                                        : "_at_once");
+    });
+
 } // namespace
