--- a/test/platform/peer_cases_test.cpp
+++ b/test/platform/peer_cases_test.cpp
@@ -2,11 +2,13 @@
 // with its bytes at once and apart.
 //  - To a dispatcher: behind the row it serves another host, and once the peer
 //    is gone no slot is lost.
+//  - A call for the rules or the store, beside a stream to the dispatcher.
 //  - From a dispatcher: the host's request gets its place, from another
 //    dispatcher if need be, and the end of each place is reported once.
 
 #include "fakes/dispatch_fleet.hpp"
 
+#include <oriolegrade/protocol/source_messages.hpp>
 #include <oriolegrade/transport/message_frame.hpp>
 #include <oriolegrade/transport/stream_client.hpp>
 #include <oriolegrade/transport/stream_server.hpp>
@@ -433,4 +435,78 @@
                                                         : "_at_once");
     });
 
+struct call_case
+{
+    const char* name;
+    std::string path;
+    std::string body;
+    unsigned status;
+};
+
+std::ostream& operator<<(std::ostream& out, const call_case& it)
+{
+    return out << it.name;
+}
+
+const std::vector<call_case>& call_cases()
+{
+    using transport::fleet_view_path;
+    using transport::source_path;
+    static const std::vector<call_case> rows{
+        {"unknown_path", "/unknown", "", 404},
+        {"path_behind_a_known_one", "/view/", "0", 404},
+        {"path_without_end", "/" + std::string(2000, 'x'), "", 404},
+        {"view", std::string(fleet_view_path), "0", 200},
+        {"view_of_no_version", std::string(fleet_view_path), "", 400},
+        {"view_of_a_negative_version", std::string(fleet_view_path), "-1", 400},
+        {"view_of_a_long_version", std::string(fleet_view_path),
+         std::string(33, '1'), 400},
+        {"view_of_a_version_above_64_bits", std::string(fleet_view_path),
+         "18446744073709551616", 400},
+        {"source_that_is_no_message", std::string(source_path), "\xff\xff",
+         400},
+        {"source_above_the_limit", std::string(source_path),
+         std::string(protocol::max_source_request_bytes + 1, 'x'), 503},
+    };
+    return rows;
+}
+
+class peer_call : public ::testing::TestWithParam<call_case>
+{};
+
+// Each row shares its connection with a stream that waits for a place.
+TEST_P(peer_call, is_misunderstood)
+{
+    const auto& row = GetParam();
+    auto& f = make_fleet();
+    transport::stream_client client(test::fiber_context(),
+                                    f.first().shared.options.self.control, {},
+                                    transport::gateway_stream_limits());
+    {
+        auto opened = client.open(transport::dispatch_path, {}, 1s);
+        ASSERT_TRUE(opened);
+        auto& stream = opened.value();
+        stream.set_deadline(transport::session_stream::time_point::max());
+        feed(stream, hello() + ask(1), feeding::at_once);
+        const auto got = client.call(row.path, {}, row.body, 1s);
+        ASSERT_TRUE(got);
+        EXPECT_EQ(got.value().status, row.status);
+        std::vector<std::string> answers;
+        bool ended = false;
+        transport::fiber_group reader;
+        reader.spawn([&] { read_answers(stream, answers, ended); });
+        sleep_for(50ms);
+        EXPECT_EQ(answers, std::vector<std::string>{"place"});
+        EXPECT_FALSE(ended);
+        stream.cancel();
+        reader.join();
+    }
+    client.stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(rows, peer_call, ::testing::ValuesIn(call_cases()),
+                         [](const auto& it) {
+                             return std::string(it.param.name);
+                         });
+
 } // namespace
