Count an answer whose caller closes at once as answered

What callers saw: nothing; they had their whole answer. The log called such a request end=abandoned results=cancelled, and the dispatcher heard that the send was cancelled: one that must not repeat then counts as presumably not served, and the answer as no evidence of the upstream's health and latency.

Cause: a caller may close its connection as soon as it has the last byte. Where the host reads the close before the fiber that wrote the answer goes on, the run is cancelled, and request_runner::attempt() put caller_lost in place of every result of a cancelled run, also of one that had ended.

Change: a run that has passed on the whole answer ends as answered. The sink reports an error when it could not pass it on, and the result is then caller_lost as before.

--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -286,7 +286,10 @@
         const auto result = exchange(std::move(connection), head, upstream,
                                      report.caller_error);
         active_ = nullptr;
-        return cancelled_ ? state::attempt_result::caller_lost : result;
+        // A caller may leave as soon as it has the whole answer.
+        return cancelled_ && result != state::attempt_result::answered
+                   ? state::attempt_result::caller_lost
+                   : result;
     }
 
     state::attempt_result exchange(connection_ptr connection,
