Let bodies wait at the gateway in the test of frozen processes

An upstream that did not read took whole bodies of 1.5 MB into its socket, so no send was ended while it was being written.

--- a/test/system/frozen_processes.py
+++ b/test/system/frozen_processes.py
@@ -23,6 +23,7 @@
 import random
 import re
 import signal
+import socket
 import sys
 import time
 
@@ -44,8 +45,10 @@
 GATEWAY_STEP = 0.5
 STOP_STEP = 1.5
 # Below and above what a socket buffers and what the gateway keeps for a repeat.
-BODIES = (0, 200, 60_000, 1_500_000)
-BODY_WEIGHTS = (4, 4, 2, 1)
+BODIES = (0, 200, 60_000, 1_500_000, 6_000_000)
+BODY_WEIGHTS = (6, 6, 3, 2, 3)
+# Bytes that a socket of an upstream takes without being read.
+WINDOW = 16 * 1024
 # Shares of the requests that an upstream refuses before, in and behind the body.
 REFUSED = 0.06
 EARLY = 0.5
@@ -54,12 +57,17 @@
 
 
 class FrozenUpstream(Upstream):
-    proxied = False
-
     async def start(self):
         self.awake = asyncio.Event()
         self.awake.set()
-        await super().start()
+        # The window of its connections is small, so that a body waits at the gateway
+        # while the upstream does not read.
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW)
+        sock.bind(("127.0.0.1", 0))
+        self.port = sock.getsockname()[1]
+        await asyncio.start_server(self.handle, sock=sock)
+        asyncio.ensure_future(self.beat())
 
     async def freeze(self, seconds):
         self.awake.clear()
@@ -93,7 +101,11 @@
                 await asyncio.sleep(chance.uniform(0, 0.5))
             if chance.random() < 0.3:
                 raise ConnectionResetError
-        await reader.readexactly(length)
+        try:
+            await reader.readexactly(length)
+        except asyncio.IncompleteReadError:
+            self.soak.seen["body_cut"] += 1
+            raise
         await self.awake.wait()
         if early:
             return
@@ -168,7 +180,7 @@
                           f"Content-Length: {size}\r\n\r\n").encode())
             getting = asyncio.ensure_future(read_message(reader))
             while body and not getting.done():
-                n = chance.choice((1, 1000, 100_000, len(body)))
+                n = chance.choice((1, len(body) // 4 + 1, len(body)))
                 writer.write(body[:n])
                 body = body[n:]
                 await asyncio.wait_for(writer.drain(), 6)
