End a visit of the line with the last upstream

After the last free upstream was used, a visit went on to the next workspace's requests only to be ended there. Whoever is visited last is now removed and ends the visit; late requests are not looked for when all were in time; and a placed request looks its workspace up once for each use.

--- a/include/oriolegrade/coordination/waiting_line.hpp
+++ b/include/oriolegrade/coordination/waiting_line.hpp
@@ -56,6 +56,8 @@
     remove,
     /// Keeps it and ends the visit.
     stop,
+    /// Removes it and ends the visit.
+    remove_and_stop,
 };
 
 /// Requests of a rank that are visited.
@@ -194,7 +196,10 @@
         std::vector<cursor> cursors;
         /// Tag, had the requests that were kept been placed.
         workspace_shares::tag tag;
-        std::size_t kept = 0;
+        /// What a placed request adds to the tag.
+        workspace_shares::tag step;
+        /// What those that were kept would have added.
+        workspace_shares::tag kept = 0;
 
         order_key key() const
         {
@@ -238,6 +243,11 @@
         std::array<order_walk, 2> walks;
         /// A heap, see comes_later().
         std::vector<open_workspace>& open;
+
+        bool is_all_open() const
+        {
+            return walks[0].done && walks[1].done;
+        }
     };
 
     template <class Usual>
@@ -272,7 +282,11 @@
             open_};
         open_.clear();
         while (true) {
-            while (auto* next = next_unopened(state)) {
+            while (!state.is_all_open()) {
+                auto* next = next_unopened(state);
+                if (next == nullptr) {
+                    break;
+                }
                 open(state, *next, cursors_of(next->second, part, now, usual));
             }
             if (state.open.empty()) {
@@ -289,6 +303,9 @@
                 return false;
             }
             step(state, first, it, result);
+            if (result == visit_result::remove_and_stop) {
+                return false;
+            }
         }
     }
 
@@ -323,6 +340,8 @@
     std::uint64_t visits_ = 0;
     /// Of the visit in progress; kept for its memory. A visit starts no other.
     std::vector<open_workspace> open_;
+    /// Of the request that is counted as placed; kept for its memory.
+    std::vector<std::pair<rank_line*, workspace_entry*>> placed_;
 };
 
 } // namespace oriolegrade::coordination
@@ -332,8 +351,8 @@
 template <>
 struct enum_names<coordination::visit_result>
 {
-    static constexpr std::array<std::string_view, 3> value{"keep", "remove",
-                                                           "stop"};
+    static constexpr std::array<std::string_view, 4> value{
+        "keep", "remove", "stop", "remove_and_stop"};
 };
 
 template <>
--- a/include/oriolegrade/coordination/workspace_shares.hpp
+++ b/include/oriolegrade/coordination/workspace_shares.hpp
@@ -93,6 +93,8 @@
 
     use* find_or_add(const std::string& workspace);
     const use* find(const std::string& workspace) const;
+    /// @param it null for a workspace that is not counted
+    double weight(const use* it) const;
     /// Ages the demands and computes their cap anew.
     void end_round(state::time_point now);
     void lower_cap();
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -469,7 +469,9 @@
         return visit_result::remove;
     };
     line_.visit(line_part::in_time, now, usual, check);
-    line_.visit(line_part::late, now, usual, check);
+    if (ahead < line_.size()) {
+        line_.visit(line_part::late, now, usual, check);
+    }
 }
 
 void dispatch_queue::place_part(line_part part, bool held,
@@ -484,15 +486,17 @@
     };
     line_.visit(
         part, now, usual, [&](request_id number, const waiting_request& it) {
-            if (!has_candidates(upstreams_, held, now)) {
-                return visit_result::stop;
-            }
             auto* entry = choose(it, held, now);
-            if (entry == nullptr) {
-                return visit_result::keep;
+            const bool is_placed = entry != nullptr;
+            if (is_placed) {
+                out.push_back(
+                    {number, place_or_refuse(number, it, *entry, now)});
+            }
+            if (has_candidates(upstreams_, held, now)) {
+                return is_placed ? visit_result::remove : visit_result::keep;
             }
-            out.push_back({number, place_or_refuse(number, it, *entry, now)});
-            return visit_result::remove;
+            return is_placed ? visit_result::remove_and_stop
+                             : visit_result::stop;
         });
 }
 
--- a/src/coordination/waiting_line.cpp
+++ b/src/coordination/waiting_line.cpp
@@ -66,21 +66,23 @@
     if (shares_.size() == 0) {
         return;
     }
-    const auto at = tag_of(workspace);
+    placed_.clear();
     auto least = std::numeric_limits<workspace_shares::tag>::infinity();
-    for (const auto& rank : ranks_) {
-        const auto& order = rank.second.in_time;
-        if (!order.empty()) {
-            least = std::min(least, order.begin()->first.first);
+    for (auto& [number, rank] : ranks_) {
+        if (!rank.in_time.empty()) {
+            least = std::min(least, rank.in_time.begin()->first.first);
+        }
+        const auto it = rank.workspaces.find(workspace);
+        if (it != rank.workspaces.end()) {
+            placed_.emplace_back(&rank, &*it);
         }
     }
+    const auto at = placed_.empty() ? shares_.current(workspace)
+                                    : placed_.front().second->second.tag;
     const bool none_waits = std::isinf(least);
     const auto next = shares_.placed(workspace, at, none_waits ? at : least);
-    for (auto& rank : ranks_) {
-        const auto it = rank.second.workspaces.find(workspace);
-        if (it != rank.second.workspaces.end()) {
-            move(rank.second, *it, next, it->second.is_late);
-        }
+    for (const auto& [rank, it] : placed_) {
+        move(*rank, *it, next, it->second.is_late);
     }
 }
 
@@ -184,7 +186,8 @@
         move(*state.rank, it, line.tag, false);
     }
     if (!cursors.empty()) {
-        state.open.push_back({&it, std::move(cursors), line.tag});
+        state.open.push_back(
+            {&it, std::move(cursors), line.tag, 1 / line.weight});
         std::push_heap(state.open.begin(), state.open.end(),
                        open_workspace::comes_later);
     }
@@ -195,14 +198,14 @@
 {
     auto& line = at.line->second;
     auto& rank = *state.rank;
-    if (result == visit_result::remove) {
+    if (result != visit_result::keep) {
         places_.erase(it->it->first.second);
         it->it = it->line->erase(it->it);
         --line.size;
         --rank.size;
     } else {
         ++it->it;
-        ++at.kept;
+        at.kept += at.step;
     }
     if (it->it == it->end) {
         at.cursors.erase(it);
@@ -210,7 +213,7 @@
                       [](const auto& route) { return route.second.empty(); });
     }
     if (!at.cursors.empty()) {
-        at.tag = line.tag + static_cast<double>(at.kept) / line.weight;
+        at.tag = line.tag + at.kept;
         std::push_heap(state.open.begin(), state.open.end(),
                        open_workspace::comes_later);
         return;
--- a/src/coordination/workspace_shares.cpp
+++ b/src/coordination/workspace_shares.cpp
@@ -108,16 +108,17 @@
 
 double workspace_shares::weight(const std::string& workspace) const
 {
-    if (uses_.empty()) {
-        return 1;
-    }
-    const auto* it = find(workspace);
+    return uses_.empty() ? 1 : weight(find(workspace));
+}
+
+double workspace_shares::weight(const use* it) const
+{
     // A request that waits has been asked for, however long ago.
     const double demand =
         std::max(it != nullptr ? it->demand : 0, single_request);
+    const double capped = std::min(demand, cap_);
     return by_demand * demand / std::max(total_, demand) +
-           (1 - by_demand) * std::min(demand, cap_) /
-               std::max(capped_, std::min(demand, cap_));
+           (1 - by_demand) * capped / std::max(capped_, capped);
 }
 
 workspace_shares::tag
@@ -134,10 +135,11 @@
         return at;
     }
     virtual_time_ = std::max(virtual_time_, least);
-    const auto next = at + 1 / weight(workspace);
     const auto found = uses_.find(workspace);
-    if (found != uses_.end()) {
-        found->second.next = next;
+    auto* it = found != uses_.end() ? &found->second : nullptr;
+    const auto next = at + 1 / weight(it);
+    if (it != nullptr) {
+        it->next = next;
     }
     return next;
 }
