Place requests that can meet their target again

A workspace whose requests were all late, and could all meet their target again when answers became faster, was left out by visits of both kinds until its next request came. The new test placed none of its three requests before. Another new test compares the order of requests without a workspace with rank and target.

--- a/src/coordination/waiting_line.cpp
+++ b/src/coordination/waiting_line.cpp
@@ -179,10 +179,11 @@
         !it.first.empty()) {
         move(*state.rank, it, line.tag, true);
     }
-    const bool has_one_in_time =
-        std::any_of(cursors.begin(), cursors.end(),
-                    [](const cursor& c) { return c.end != c.line->end(); });
-    if (state.part == line_part::late && line.is_late && has_one_in_time) {
+    const bool all_late =
+        cursors.size() == line.routes.size() &&
+        std::all_of(cursors.begin(), cursors.end(),
+                    [](const cursor& c) { return c.end == c.line->end(); });
+    if (state.part == line_part::late && line.is_late && !all_late) {
         move(*state.rank, it, line.tag, false);
     }
     if (!cursors.empty()) {
--- a/test/coordination/workspace_shares_test.cpp
+++ b/test/coordination/workspace_shares_test.cpp
@@ -8,8 +8,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
+#include <random>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace {
@@ -120,11 +123,11 @@
         line.push(++last, it);
     }
     /// Workspaces in the order in which they are placed.
-    std::string place(line_part part, std::size_t n)
+    std::string place(line_part part, std::size_t n, state::duration usual = {})
     {
         std::string out;
         line.visit(
-            part, start, [](const std::string&) { return state::duration{}; },
+            part, start, [&](const std::string&) { return usual; },
             [&](waiting_line::request_id, const auto& it) {
                 if (n == 0) {
                     return visit_result::stop;
@@ -182,6 +185,51 @@
     EXPECT_TRUE(line.empty());
 }
 
+// Guards against requests that count as late for good: when answers become
+// faster, they can meet their target again.
+TEST_F(shared_line, late_requests_stay_late)
+{
+    push("a", 100ms);
+    push("b", 100ms);
+    push("b", 300ms);
+    EXPECT_EQ(place(line_part::in_time, 0, 400ms), "");
+    EXPECT_EQ(place(line_part::in_time, 9, 400ms), "");
+    EXPECT_EQ(place(line_part::late, 0, 50ms), "");
+    EXPECT_EQ(place(line_part::late, 9, 50ms), "");
+    EXPECT_EQ(place(line_part::in_time, 9, 50ms), "abb");
+}
+
+// Guards against another order than by rank and target where requests name no
+// workspace.
+TEST_F(shared_line, unnamed_requests_are_reordered)
+{
+    std::mt19937 random(3);
+    using key = std::tuple<std::uint32_t, state::duration, std::uint64_t>;
+    std::vector<key> expected;
+    for (int n = 0; n < 500; ++n) {
+        const std::uint32_t rank = random() % 3;
+        const state::duration target = 1ms * (random() % 50);
+        push("", target, rank);
+        expected.emplace_back(rank, target, last);
+    }
+    for (std::size_t n = 0; n < 100; ++n) {
+        const auto at = random() % expected.size();
+        EXPECT_TRUE(line.remove(std::get<2>(expected[at])));
+        expected.erase(expected.begin() + static_cast<std::ptrdiff_t>(at));
+    }
+    std::sort(expected.begin(), expected.end());
+    std::vector<key> seen;
+    line.visit(
+        line_part::all, start,
+        [](const std::string&) { return state::duration{}; },
+        [&](waiting_line::request_id number, const auto& it) {
+            line.note_placed(it.request.workspace);
+            seen.emplace_back(it.request.rank, it.target - start, number);
+            return number % 2 == 0 ? visit_result::keep : visit_result::remove;
+        });
+    EXPECT_EQ(seen, expected);
+}
+
 // Guards against workspaces that move in the order while they are visited.
 TEST_F(shared_line, requests_are_visited_twice_or_never)
 {
