Return the shares of idle workspaces with what they gained

Delegations of an idle shard ran out, and hosts began with empty shares: a workspace of one request a second with a burst of 5 was refused 3 of 131 requests within its limit at 443 hosts.

--- a/include/oriolegrade/coordination/quota_owner.hpp
+++ b/include/oriolegrade/coordination/quota_owner.hpp
@@ -156,6 +156,12 @@
 
     /// Ends delegations whose time is over.
     void settle(shard_state& shard, state::time_point now);
+    /// Ends the delegations of a shard that is idle, and returns what they have
+    /// gained.
+    void release(
+        std::uint32_t number,
+        std::vector<quota_to_host<state::quota_delegation_request>>& requests,
+        state::time_point now);
     /// Forgets workspaces that are idle.
     void sweep(shard_state& shard, state::time_point now);
     static bool is_awaited(const shard_state& shard,
--- a/include/oriolegrade/coordination/quota_share.hpp
+++ b/include/oriolegrade/coordination/quota_share.hpp
@@ -50,6 +50,8 @@
     struct shard_state
     {
         std::string owner;
+        /// Number of the owner's last request that was granted.
+        std::uint64_t number = 0;
         /// The share is the owner's until then, and has gained tokens since.
         state::time_point delegated_until{};
     };
--- a/include/oriolegrade/state/quota_type.hpp
+++ b/include/oriolegrade/state/quota_type.hpp
@@ -81,14 +81,18 @@
     duration retry_after{};
 };
 
-/// Asks a host to delegate its own share of the workspaces of a shard.
+/// Asks a host to delegate its own share of the workspaces of a shard, or
+/// returns it.
 struct quota_delegation_request
 {
     std::uint32_t shard = 0;
     /// Increases with each request of an owner.
     std::uint64_t number = 0;
-    /// The delegation lasts this long after the host's answer.
+    /// The delegation lasts this long after the host's answer; 0 ends it.
     duration term{};
+    /// With a term of 0: time for which the share of each workspace has gained
+    /// tokens that are returned with it.
+    duration age{};
 };
 
 enum class quota_answer : std::uint8_t
--- a/src/coordination/quota_owner.cpp
+++ b/src/coordination/quota_owner.cpp
@@ -443,8 +443,9 @@
     if (out.slice.rate_per_s <= 0) {
         // Beyond the limit a host gets what its part gains between two asks,
         // and uses it by the time at which it would see as many requests.
-        const auto due =
-            is_far_over ? it.fair_rate * seconds(from.ask_gap) + from.owed : 0.0;
+        const auto due = is_far_over
+                             ? it.fair_rate * seconds(from.ask_gap) + from.owed
+                             : 0.0;
         const auto most = waiting + std::floor(ask.need_per_s * spare_time_s);
         const auto tokens = std::floor(
             std::min({free_cap, held + it.level,
@@ -520,8 +521,7 @@
             continue;
         }
         if (now - shard.asked_at >= shard_idle) {
-            shard.active = false;
-            shard.requests.clear();
+            release(n, out, now);
             continue;
         }
         if (now < shard.next_request) {
@@ -545,6 +545,43 @@
     return out;
 }
 
+void quota_owner::release(
+    std::uint32_t number,
+    std::vector<quota_to_host<state::quota_delegation_request>>& requests,
+    state::time_point now)
+{
+    auto& shard = shards_[number];
+    shard.active = false;
+    shard.requests.clear();
+    auto age = state::duration::max();
+    for (auto& [name, it] : shard.buckets) {
+        const auto& limit = limits_.at(name);
+        drop_expired(it, now);
+        accrue(shard.fraction, it, limit, now);
+        if (std::any_of(
+                it.borrowers.begin(), it.borrowers.end(),
+                [](const auto& from) { return !from.second.slices.empty(); })) {
+            // What is lent may be spent yet; the delegations expire.
+            return;
+        }
+        const auto rate = limit.rate_per_s * shard.fraction;
+        if (it.level < limit.burst * shard.fraction * full_part) {
+            age = std::min(age, rate > 0 ? from_seconds(it.level / rate)
+                                         : state::duration{});
+        }
+    }
+    for (const auto& [host, it] : shard.delegations) {
+        requests.push_back(
+            {host,
+             {number, ++last_number_, {}, std::min(age, now - it.since)}});
+    }
+    shard.delegations.clear();
+    shard.buckets.clear();
+    shard.fraction = 0;
+    shard.backed_until = {};
+    shard.earliest_end = state::time_point::max();
+}
+
 bool quota_owner::is_awaited(const shard_state& shard,
                              const std::string& workspace)
 {
--- a/src/coordination/quota_share.cpp
+++ b/src/coordination/quota_share.cpp
@@ -48,7 +48,20 @@
     out.shard = request.shard;
     out.number = request.number;
     out.answer = state::quota_answer::held_elsewhere;
-    if (request.shard >= quota_shards || owner != preferred) {
+    if (request.shard >= quota_shards) {
+        return out;
+    }
+    auto& it = shards_[request.shard];
+    if (request.term <= state::duration{}) {
+        // An older one than the last request came late, and ends nothing.
+        if (owner == it.owner && now < it.delegated_until &&
+            request.number > it.number) {
+            it.owner.clear();
+            it.delegated_until = now - request.age;
+        }
+        return out;
+    }
+    if (owner != preferred) {
         return out;
     }
     const auto part = fraction(now);
@@ -57,7 +70,6 @@
         out.free_in = std::max(state::duration{}, owns_from_ - now);
         return out;
     }
-    auto& it = shards_[request.shard];
     if (now < it.delegated_until && owner != it.owner) {
         out.free_in = it.delegated_until - now;
         return out;
@@ -66,6 +78,7 @@
     out.fraction = part;
     out.age = std::max(state::duration{}, now - it.delegated_until);
     it.owner = owner;
+    it.number = request.number;
     it.delegated_until = now + std::min(request.term, delegation_term);
     return out;
 }
