--- a/include/oriolegrade/coordination/quota_times.hpp
+++ b/include/oriolegrade/coordination/quota_times.hpp
@@ -32,7 +32,7 @@
 /// use of the limit for so long.
 inline constexpr state::duration delegation_term = std::chrono::seconds(3);
 /// An owner renews so often, and repeats a request without an answer after
-/// delegation_retry; after some repeats only every delegation_refresh.
+/// delegation_retry; after some repeats more rarely.
 inline constexpr state::duration delegation_refresh =
     std::chrono::milliseconds(1250);
 inline constexpr state::duration delegation_retry =
--- a/src/coordination/quota_owner.cpp
+++ b/src/coordination/quota_owner.cpp
@@ -49,6 +49,8 @@
 constexpr double use_margin = 1.6;
 /// More tokens than a host needs in this time would expire with it.
 constexpr double spare_time_s = 0.8;
+/// What is left of a rate below this is not lent; it may be rounding.
+constexpr double min_lent_rate = 0.01;
 /// With a smaller cap, a slice loses more than it saves in asks.
 constexpr double min_slice_cap = 1.5;
 /// With this part of the burst at hand, no host is refused for the needs of
@@ -61,6 +63,8 @@
 constexpr state::duration quick_ask_gap = std::chrono::milliseconds(300);
 /// Requests that are repeated at delegation_retry.
 constexpr std::uint32_t quick_retries = 6;
+/// Time between further ones, to hosts that are lost or have another owner.
+constexpr state::duration silent_retry = std::chrono::seconds(5);
 /// A bucket with this part of its cap is full; the rest is rounding.
 constexpr double full_part = 1 - 1e-9;
 constexpr state::duration sweep_period = std::chrono::seconds(1);
@@ -70,10 +74,14 @@
     return std::chrono::duration<double>(it).count();
 }
 
+/// Longer times are cut: nothing here waits for so long, and nanoseconds would
+/// overflow.
+constexpr double max_seconds = 3600;
+
 state::duration from_seconds(double it)
 {
     return std::chrono::duration_cast<state::duration>(
-        std::chrono::duration<double>(it));
+        std::chrono::duration<double>(std::min(it, max_seconds)));
 }
 
 /// Cap at which a host with random arrivals rarely asks between replacements.
@@ -173,6 +181,13 @@
         shard.next_request = now;
     }
     shard.asked_at = now;
+    // A host that asks takes this one for the owner, and answers.
+    const auto request = shard.requests.find(host);
+    if (request != shard.requests.end() && !shard.delegations.contains(host)) {
+        auto& at = request->second.next_at;
+        at = std::min(at, request->second.sent_at + delegation_retry);
+        shard.next_request = std::min(shard.next_request, at);
+    }
     auto& it = bucket_of(shard, ask.workspace, limit->second, now);
     auto& from = it.borrowers[host];
     if (ask.number <= from.last_number) {
@@ -435,7 +450,7 @@
     const auto fair_cap =
         is_short ? burst * std::min(1.0, it.fair_rate / rate) : part;
     if (ask.need_per_s >= min_slice_rate && fair_cap >= least_cap &&
-        free_rate > 0 && cap >= 1) {
+        free_rate >= min_lent_rate && cap >= 1) {
         out.slice.rate_per_s = std::min(wanted, free_rate);
         out.slice.cap = cap;
         out.slice.level = std::min(it.level, cap - std::min(held, cap));
@@ -534,8 +549,7 @@
                 const bool is_quick = ++it.failures <= quick_retries;
                 it.number = ++last_number_;
                 it.sent_at = now;
-                it.next_at =
-                    now + (is_quick ? delegation_retry : delegation_refresh);
+                it.next_at = now + (is_quick ? delegation_retry : silent_retry);
                 it.is_open = true;
                 out.push_back({host, {n, it.number, delegation_term}});
             }
--- a/src/coordination/quota_wallet.cpp
+++ b/src/coordination/quota_wallet.cpp
@@ -17,7 +17,7 @@
 /// So many may wait by chance.
 constexpr double usual_waiting = 3;
 /// Least time over which the need is computed.
-constexpr double min_known_s = 0.5;
+constexpr double min_known_s = 2;
 /// Time in which several requests that wait for an ask have come, at most.
 constexpr double wait_time_s = 0.1;
 /// A workspace without requests for this time is forgotten.
@@ -32,10 +32,14 @@
     return std::chrono::duration<double>(it).count();
 }
 
+/// Longer times are cut: nothing here waits for so long, and nanoseconds would
+/// overflow.
+constexpr double max_seconds = 3600;
+
 state::duration from_seconds(double it)
 {
     return std::chrono::duration_cast<state::duration>(
-        std::chrono::duration<double>(it));
+        std::chrono::duration<double>(std::min(it, max_seconds)));
 }
 
 std::int64_t to_ticks(state::time_point it)
