--- a/test/coordination/quota_wallet_test.cpp
+++ b/test/coordination/quota_wallet_test.cpp
@@ -109,6 +109,25 @@
     EXPECT_EQ(count_passed(), 0);
 }
 
+// The owner would take the tokens of an expired slice for unspent ones.
+TEST_F(quota_wallet, denies_a_grant_that_it_spent)
+{
+    EXPECT_EQ(take(), quota_verdict::wait);
+    grant({0, 2, 2}, 200ms);
+    EXPECT_EQ(count_passed(), 2);
+    const auto first = last.number;
+    now += 1s;
+    EXPECT_EQ(take(), quota_verdict::wait);
+    grant({0, 2, 2}, 200ms);
+    EXPECT_EQ(last.applied, first);
+    EXPECT_FALSE(last.holds);
+    EXPECT_EQ(count_passed(), 2);
+    EXPECT_EQ(take(), quota_verdict::wait);
+    now += 50ms;
+    grant({0, 2, 2}, 200ms);
+    EXPECT_TRUE(last.holds);
+}
+
 TEST_F(quota_wallet, callers_beyond_the_limit_cost_messages)
 {
     EXPECT_EQ(take(), quota_verdict::wait);
