--- a/test/coordination/quota_load_test.cpp
+++ b/test/coordination/quota_load_test.cpp
@@ -43,6 +43,65 @@
     return out;
 }
 
+/// Messages per host, second and active workspace.
+double messages(const quota_fleet::outcome& it, double active)
+{
+    return static_cast<double>(it.asks + it.delegation_requests) /
+           it.host_seconds / active;
+}
+
+void lose_owner(quota_fleet& fleet)
+{
+    fleet.lose(fleet.owner_of(0));
+}
+
+void freeze_owner(quota_fleet& fleet)
+{
+    fleet.freeze(fleet.owner_of(0), 7s);
+}
+
+void restart_all(quota_fleet& fleet)
+{
+    for (std::size_t n = 0; n < fleet.hosts(); ++n) {
+        fleet.restart(n);
+    }
+}
+
+/// Half of the hosts do not know the owners of the first workspaces.
+void split_views(quota_fleet& fleet)
+{
+    const auto first = fleet.owner_of(0);
+    const auto second = fleet.owner_of(1);
+    for (std::size_t n = 0; n < fleet.hosts(); n += 2) {
+        fleet.set_view(n, [&](std::size_t member) {
+            return member != first && member != second;
+        });
+    }
+}
+
+/// A fifth of the hosts reach each other alone.
+void cut_fifth(quota_fleet& fleet)
+{
+    for (std::size_t n = 0; n < fleet.hosts() / 5; ++n) {
+        fleet.set_part(n, 1);
+    }
+}
+
+/// A fifth of the hosts reach no other host.
+void isolate_fifth(quota_fleet& fleet)
+{
+    for (std::size_t n = 0; n < fleet.hosts() / 5; ++n) {
+        fleet.set_part(n, static_cast<std::uint32_t>(n) + 1);
+    }
+}
+
+void lose_fifth(quota_fleet& fleet)
+{
+    for (std::size_t n = 0; n < fleet.hosts() / 5; ++n) {
+        fleet.lose(n);
+    }
+}
+
 struct quota_load : ::testing::TestWithParam<std::size_t>
 {
     std::size_t hosts() const
@@ -108,14 +167,21 @@
     }
 }
 
-TEST_P(quota_load, requests_of_many_workspaces_are_refused)
+TEST_P(quota_load, requests_of_74_workspaces_are_refused)
+{
+    const auto out =
+        run("74 workspaces, 50% of 20/s", workspaces(74, 20, 20, 10), 30s);
+    EXPECT_EQ(out.wrongly_refused, 0);
+    // Messages per host, second and workspace.
+    EXPECT_LE(messages(out, 74), messages_goal);
+}
+
+TEST_P(quota_load, requests_of_2000_workspaces_are_refused)
 {
-    EXPECT_EQ(run("74 workspaces, 50% of 20/s", workspaces(74, 20, 20, 10), 30s)
-                  .wrongly_refused,
-              0);
-    EXPECT_EQ(run("2000 workspaces, 20% of 5/s", workspaces(2000, 5, 5, 1), 10s)
-                  .wrongly_refused,
-              0);
+    const auto out =
+        run("2000 workspaces, 20% of 5/s", workspaces(2000, 5, 5, 1), 10s);
+    EXPECT_LE(messages(out, 2000), messages_goal);
+    EXPECT_EQ(out.wrongly_refused, 0);
 }
 
 TEST_P(quota_load, a_limit_is_not_usable_beyond_it)
@@ -151,88 +217,61 @@
 
 TEST_P(quota_load, a_lost_owner_costs_too_much)
 {
-    const auto out = run_fault("owner lost", [](quota_fleet& fleet) {
-        fleet.lose(fleet.owner_of(0));
-    });
-    EXPECT_GE(out.usable(), usable_goal);
+    EXPECT_GE(run_fault("owner lost", lose_owner).usable(), usable_goal);
 }
 
 // A suspended owner wakes with delegations and buckets that others have taken
 // over.
-TEST_P(quota_load, an_owner_that_was_frozen_lends_too_much)
+TEST_P(quota_load, an_owner_that_was_frozen_costs_too_much)
 {
-    const auto out = run_fault("owner frozen 7 s", [](quota_fleet& fleet) {
-        fleet.freeze(fleet.owner_of(0), 7s);
-    });
-    EXPECT_GE(out.usable(), usable_goal);
+    EXPECT_GE(run_fault("owner frozen 7 s", freeze_owner).usable(),
+              usable_goal);
 }
 
-TEST_P(quota_load, hosts_that_restart_send_twice)
+TEST_P(quota_load, hosts_that_restart_together_cost_too_much)
 {
-    const auto out = run_fault("all restart", [&](quota_fleet& fleet) {
-        for (std::size_t n = 0; n < hosts(); ++n) {
-            fleet.restart(n);
-        }
-    });
-    EXPECT_GE(out.usable(), usable_goal);
+    EXPECT_GE(run_fault("all restart", restart_all).usable(), usable_goal);
 }
 
-TEST_P(quota_load, two_views_of_the_members_count_twice)
+TEST_P(quota_load, two_views_of_the_members_cost_too_much)
 {
-    const auto out = run_fault("two views", [&](quota_fleet& fleet) {
-        const auto first = fleet.owner_of(0);
-        const auto second = fleet.owner_of(1);
-        for (std::size_t n = 0; n < hosts(); n += 2) {
-            fleet.set_view(n, [&](std::size_t member) {
-                return member != first && member != second;
-            });
-        }
-    });
-    EXPECT_GE(out.usable(), usable_goal);
+    EXPECT_GE(run_fault("two views", split_views).usable(), usable_goal);
 }
 
 TEST_P(quota_load, a_part_that_is_cut_off_cannot_use_its_share)
 {
-    const auto out = run_fault("a fifth cut off", [&](quota_fleet& fleet) {
-        for (std::size_t n = 0; n < hosts() / 5; ++n) {
-            fleet.set_part(n, 1);
-        }
-    });
-    EXPECT_GE(out.usable(), usable_while_cut);
+    EXPECT_GE(run_fault("a fifth cut off", cut_fifth).usable(),
+              usable_while_cut);
 }
 
 TEST_P(quota_load, hosts_that_are_cut_off_alone_cannot_use_their_shares)
 {
-    const auto out = run_fault("a fifth alone", [&](quota_fleet& fleet) {
-        for (std::size_t n = 0; n < hosts() / 5; ++n) {
-            fleet.set_part(n, static_cast<std::uint32_t>(n) + 1);
-        }
-    });
-    EXPECT_GE(out.usable(), usable_while_cut);
+    EXPECT_GE(run_fault("a fifth alone", isolate_fifth).usable(),
+              usable_while_cut);
 }
 
 TEST_P(quota_load, lost_hosts_take_their_shares_with_them)
 {
-    const auto out = run_fault("a fifth lost", [&](quota_fleet& fleet) {
-        for (std::size_t n = 0; n < hosts() / 5; ++n) {
-            fleet.lose(n);
-        }
-    });
-    EXPECT_GE(out.usable(), usable_goal);
+    EXPECT_GE(run_fault("a fifth lost", lose_fifth).usable(), usable_goal);
+}
+
+// The tests above may miss goals of use; this one only counts.
+TEST_P(quota_load, a_window_holds_too_many_while_hosts_fail)
+{
+    for (const auto fault : {lose_owner, freeze_owner, restart_all, split_views,
+                             cut_fifth, isolate_fifth, lose_fifth}) {
+        quota_fleet fleet(hosts(), workspaces(2, 200, 200, 400));
+        fleet.run(5s);
+        fault(fleet);
+        EXPECT_EQ(fleet.run(20s).over, 0);
+    }
 }
 
-TEST_P(quota_load, workspaces_cost_more_than_a_message_per_host_and_second)
+TEST_P(quota_load, a_lone_workspace_costs_more_than_a_message)
 {
-    const auto messages = [&](const quota_fleet::outcome& it, double active) {
-        return static_cast<double>(it.asks + it.delegation_requests) /
-               it.host_seconds / active;
-    };
-    const auto many =
-        run("messages, 74 workspaces", workspaces(74, 20, 20, 10), 30s);
-    EXPECT_LE(messages(many, 74), messages_goal);
-    const auto one =
+    const auto out =
         run("messages, one at 10 times", workspaces(1, 200, 200, 2000));
-    EXPECT_LE(messages(one, 1), messages_goal);
+    EXPECT_LE(messages(out, 1), messages_goal);
 }
 
 TEST_P(quota_load, idle_workspaces_cost_messages_or_state)
--- a/test/fakes/quota_fleet.hpp
+++ b/test/fakes/quota_fleet.hpp
@@ -200,6 +200,11 @@
         return n;
     }
 
+    std::size_t hosts() const
+    {
+        return hosts_.size();
+    }
+
     time_point now() const
     {
         return now_;
