--- a/bench/request_path.py
+++ b/bench/request_path.py
@@ -184,4 +184,5 @@
         sys.exit("targets missed: " + "; ".join(missed))
 
 
-main()
+if __name__ == "__main__":
+    main()
