Tell the load of a stand-in upstream when it answers

Stand-in upstreams took the load that they tell in Server-Load when a request arrived, and told it when its work had ended, up to 0.3 s later. A dispatcher counted the requests of its own that had ended meanwhile as load of others and held its line back for up to 600 ms.

The load is read when the answer is written, as the field tells the present requests. No check changes.

--- a/test/system/fault_soak.py
+++ b/test/system/fault_soak.py
@@ -327,6 +327,9 @@
             return False
         return True
 
+    def load(self):
+        return ("Server-Load", f"{self.running},0,{SLOTS}")
+
     async def run(self, writer, line, fields, body):
         if await self.turn_away(writer, fields):
             return
@@ -335,12 +338,12 @@
         name = self.name
         self.last_run = time.monotonic()
         self.soak.note_run(rid, self, line)
-        load = [("Server-Load", f"{self.running},0,{SLOTS}"), ("Request-Id", rid)]
+        own = [("Server-Stamp", name), ("Request-Id", rid)]
         if self.condition == "leaving":
-            load.append(("Server-Leaving", "1"))
+            own.append(("Server-Leaving", "1"))
             self.soak.said_leaving.add((rid, name))
         if self.mode == "errors" and self.soak.random.random() < 0.8:
-            writer.write(answer(500, b"", [("Server-Stamp", name), *load]))
+            writer.write(answer(500, b"", [*own, self.load()]))
             return
         self.running += 1
         await asyncio.sleep(self.soak.random.uniform(*self.work))
@@ -351,7 +354,7 @@
             writer.transport.abort()
             return
         text = f"{rid}/{name}/".encode() * 20 + body
-        whole = answer(200, text, [("Server-Stamp", name), *load])
+        whole = answer(200, text, [*own, self.load()])
         if self.mode == "cut" and self.soak.random.random() < 0.5:
             writer.write(whole[: len(whole) // 2])
             await writer.drain()
