Keep a copy of the name that a visit of the line came to last

The key of the workspace visited last referred to its name, also after its last request had left the line and the workspace with it. The address sanitizer saw the read in shared_line.a_hot_workspace_is_served_first. The visit now keeps a copy. With it, the tests of shares, line, queue and workspace_load pass under the address and undefined behaviour sanitizers.

--- a/include/oriolegrade/coordination/waiting_line.hpp
+++ b/include/oriolegrade/coordination/waiting_line.hpp
@@ -32,7 +32,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -213,18 +212,28 @@
         }
     };
 
-    /// Progress of a visit through the workspaces of an order. It keeps a key
-    /// and no iterator, as workspaces move while they are visited.
+    /// Progress of a visit through the workspaces of an order. It keeps a copy
+    /// of the last key and no iterator, as workspaces move or leave the line
+    /// while they are visited.
     struct order_walk
     {
         workspace_order* list;
         /// It has come to all; a visit adds none.
         bool done = false;
-        std::optional<order_key> last = {};
+        bool began = false;
+        workspace_shares::tag last_tag = 0;
+        std::string last_name = {};
 
+        void pass(const order_key& key)
+        {
+            began = true;
+            last_tag = key.first;
+            last_name = key.second;
+        }
         workspace_order::iterator next(std::uint64_t visit)
         {
-            auto it = last ? list->upper_bound(*last) : list->begin();
+            auto it = began ? list->upper_bound({last_tag, last_name})
+                            : list->begin();
             while (it != list->end() && it->second->second.visit == visit) {
                 ++it;
             }
--- a/src/coordination/waiting_line.cpp
+++ b/src/coordination/waiting_line.cpp
@@ -165,7 +165,7 @@
         (!state.open.empty() && state.open.front().key() < first->first)) {
         return nullptr;
     }
-    walk->last = first->first;
+    walk->pass(first->first);
     return first->second;
 }
 
