--- a/test/system/fault_soak.py
+++ b/test/system/fault_soak.py
@@ -375,6 +375,8 @@
         self.name = f"host-{number}"
         self.ports = {k: free_port() for k in ("front", "ready", "control")}
         self.process = None
+        # Told to every process: the whole fleet starts for the first time.
+        self.bootstrap = False
         self.life = 0
         self.version = 0
         self.stopped_at = None
@@ -388,6 +390,7 @@
             "zone": "dc",
             "listen": {k: f"127.0.0.1:{p}" for k, p in self.ports.items()},
             "seeds": seeds,
+            "bootstrap": self.bootstrap,
             "limits": {"cpu_share": 0.2, "cpu_cores": 1, "max_fds": 2000},
             "bounds": {**self.bounds, "grace": f"{int(GRACE)}s"},
             "platform": {"address": f"127.0.0.1:{store}"},
