--- a/include/oriolegrade/coordination/workspace_shares.hpp
+++ b/include/oriolegrade/coordination/workspace_shares.hpp
@@ -36,14 +36,11 @@
     /// workspaces wait.
     using tag = double;
 
-    /// Part of the service that is shared by demand alone. So a workspace that
+    /// Part of the service that is shared by demand alone. A workspace that
     /// always waits is served at least about this often against all requests of
-    /// its rank; users count one as starved below a quarter. With one workspace
-    /// at twenty times the load of 73 others, 20 upstreams and 1.7 times the
-    /// capacity, the worst tenth is served 0.890 to 0.899 times as often as the
-    /// mean at 0.5, 0.901 to 0.909 at 0.6 and 0.916 to 0.921 at 0.7 (four
-    /// seeds; the users ask for 0.9). The larger it is, the more the others
-    /// lose to the hot one.
+    /// its rank; users count one as starved below a quarter. With 0.5 the worst
+    /// tenth of the others is served less than 0.9 times as often as the mean;
+    /// a larger part takes more from them.
     static constexpr double by_demand = 0.6;
     /// Multiple of the mean demand of the others up to which the demand of a
     /// workspace counts in the rest. Below it, differences between workspaces
@@ -86,9 +83,9 @@
     };
 
     static constexpr state::duration round = std::chrono::milliseconds(250);
-    /// Of the demand that is left after a round: the mean age is 1.1 s. With
-    /// one of 4 s, the above is 0.880 to 0.897 at 0.6: workspaces that happen
-    /// to send more than usual for a moment are served worse.
+    /// Part of the demand that is left after a round: the mean age is 1.1 s.
+    /// With 4 s, workspaces that send more than usual for a moment are served
+    /// worse.
     static constexpr double kept_per_round = 0.8;
     /// A workspace with less demand is forgotten: 5 s after a single request.
     static constexpr double least_demand = 0.01;
