--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -3,12 +3,12 @@
 #ifndef ORIOLEGRADE_TRANSPORT_GATEWAY_GATEWAY_WORKER_HPP
 #define ORIOLEGRADE_TRANSPORT_GATEWAY_GATEWAY_WORKER_HPP
 
-#include <oriolegrade/state/key_check.hpp>
 #include <oriolegrade/transport/caller_session.hpp>
 #include <oriolegrade/transport/gateway/dispatched_choice.hpp>
 #include <oriolegrade/transport/gateway/gateway_shared.hpp>
 #include <oriolegrade/transport/gateway/quota_client.hpp>
 #include <oriolegrade/transport/gateway/request_log.hpp>
+#include <oriolegrade/transport/gateway/request_plan.hpp>
 #include <oriolegrade/transport/gateway/rules_client.hpp>
 #include <oriolegrade/transport/hedged_run.hpp>
 #include <oriolegrade/transport/listener.hpp>
@@ -128,25 +128,7 @@
         return listener_.address();
     }
 
-    /// What is looked up before a request may start.
-    struct request_plan
-    {
-        request_line line;
-        /// Holds the route; null when the host has no rules yet.
-        std::shared_ptr<const state::route_index> rules;
-        /// Null when there is none.
-        const state::traffic_route* route = nullptr;
-        bool repeatable = false;
-        /// The fields that only the system may set have been taken out of the
-        /// head.
-        bool has_taken_key = false;
-        /// Key that the caller sent where the rules require one; a secret that
-        /// is written nowhere.
-        std::string key = {};
-        state::key_check check = {};
-        /// Set before the first send.
-        std::optional<request_sends> sends = {};
-    };
+    using request_plan = transport::request_plan;
 
     caller_io_limits io_limits() const
     {
@@ -211,9 +193,9 @@
         if (!line.workspace.empty()) {
             head.fields.add(Dialect::workspace_field, line.workspace);
         }
-        const watched_request watched{*this, plan, head};
-        sends.objection = [&watched] {
-            return watched.objection();
+        // The head must not change any more: sends in progress refer to it.
+        sends.objection = [this, &plan, &head] {
+            return objection_to(plan, head, shared_.rules);
         };
         if (!has_limit(plan)) {
             return run(head, request, answer, sends, line);
@@ -312,60 +294,6 @@
     using choice_type = dispatched_choice<Placement, Dialect>;
     using session_type = caller_session<gateway_worker>;
 
-    /// A request whose sends may begin after the rules have changed. The head
-    /// must not change any more: sends in progress refer to it.
-    struct watched_request
-    {
-        const gateway_worker& worker;
-        const request_plan& plan;
-        const protocol::request_head& head;
-
-        /// Why the request may not be sent by the rules in force, though it
-        /// was allowed by those that it was planned with.
-        std::optional<state::reply_reason> objection() const
-        {
-            if (worker.shared_.rules.holds(plan.rules)) {
-                return std::nullopt;
-            }
-            const auto rules = worker.shared_.rules.read();
-            if (!rules->rules().requires_keys) {
-                return std::nullopt;
-            }
-            const auto* route =
-                rules->find(head.host, protocol::path_of(head.target));
-            const auto check = state::check_key(
-                *rules, route != nullptr ? *route : *plan.route, plan.key);
-            if (plan.has_taken_key && !check.passes) {
-                return state::reply_reason::unknown_key;
-            }
-            // The head holds a key that was not required, or names a workspace
-            // that the key belonged to before. The caller sends it again, under
-            // the rules in force.
-            if (!plan.has_taken_key ||
-                name_of(check.workspace) != plan.line.workspace) {
-                return state::reply_reason::shed;
-            }
-            return std::nullopt;
-        }
-    };
-
-    static std::string_view name_of(const state::traffic_workspace* workspace)
-    {
-        return workspace != nullptr ? std::string_view(workspace->name)
-                                    : std::string_view();
-    }
-
-    static bool has_limit(const request_plan& plan)
-    {
-        const auto* workspace = plan.check.workspace;
-        return workspace != nullptr && workspace->rate_per_s > 0;
-    }
-
-    static bool is_allowed(const request_plan& plan)
-    {
-        return plan.route != nullptr && plan.check.passes;
-    }
-
     /// Plans the request by its rules. Ends the view of the head's id.
     static void look_up(request_plan& plan, protocol::request_head& head,
                         caller_request& request)
@@ -388,7 +316,7 @@
             plan.check = state::check_key(*plan.rules, *plan.route, plan.key);
             request.set_body_limit(all.limits.body_bytes);
         }
-        plan.line.workspace = name_of(plan.check.workspace);
+        plan.line.workspace = workspace_of(plan.check);
     }
 
     /// Before a request is turned away: plans it by the newest rules. A host
