Count no connection of the stand-in's control against its limit

Cause: since an answer of /control does not close its connection while the stand-in drains. With a limit of one connection, the next one was refused as long as the stand-in had not noticed the end of the one before.

Change: a connection that has carried a control request does not count.

--- a/src/programs/oriole-standin/upstream_server.hpp
+++ b/src/programs/oriole-standin/upstream_server.hpp
@@ -65,8 +65,10 @@
     void connection(boost::asio::ip::tcp::socket socket);
     bool is_refused(boost::asio::ip::tcp::socket& socket);
     /// One request; false when the connection must be closed.
+    /// @param counts the connection counts against the limit; false once it has
+    ///        carried a control request
     bool serve_one(boost::beast::tcp_stream& stream,
-                   boost::beast::flat_buffer& buffer);
+                   boost::beast::flat_buffer& buffer, bool& counts);
     bool control(exchange& ex);
     bool health(exchange& ex);
     bool work(exchange& ex);
@@ -90,6 +92,8 @@
     /// Requests that came although the upstream wanted none.
     std::uint64_t in_quiet_ = 0;
     std::uint64_t while_draining_ = 0;
+    /// Open connections but those that carry control requests: the next one
+    /// must not be refused because the end of such a one is not noticed yet.
     std::size_t connections_ = 0;
     std::mt19937_64 random_{std::random_device()()};
 };
