Return the shares of hosts when a workspace goes idle

What callers saw: a tenant that had sent nothing for some seconds was refused with 429 at every host but the one that lends its limit (15 of 15 requests at two hosts of three).

Cause: the loop that carries the messages of limits slept once no workspace had state. The owner had not returned the delegated shares by then, so they expired, and the shard still counted as active: the next ask did not wait for new delegations, and there was nothing to lend. The model in virtual time never stops its ticks.

Change: the loop goes on until the owner has returned the shares. quota_service.a_workspace_that_was_idle_is_refused failed in 2 of 2 runs before and passes in 2 of 2 now.

--- a/include/oriolegrade/coordination/quota_owner.hpp
+++ b/include/oriolegrade/coordination/quota_owner.hpp
@@ -63,6 +63,9 @@
 
     /// Workspaces for which state is kept.
     std::size_t active() const;
+    /// True while delegations are renewed, or have yet to be returned because
+    /// nobody asks any more. Until then take_requests() is to be called.
+    bool holds_shares() const;
 
 private:
     using limit_map = std::unordered_map<std::string, state::quota_limit>;
--- a/src/coordination/quota_owner.cpp
+++ b/src/coordination/quota_owner.cpp
@@ -638,4 +638,10 @@
     return n;
 }
 
+bool quota_owner::holds_shares() const
+{
+    return std::any_of(shards_.begin(), shards_.end(),
+                       [](const auto& it) { return it.active; });
+}
+
 } // namespace oriolegrade::coordination
--- a/src/transport/gateway/quota_service.cpp
+++ b/src/transport/gateway/quota_service.cpp
@@ -99,7 +99,8 @@
 
 bool quota_service::is_busy() const
 {
-    return has_limits_ && (wallet_.active() > 0 || owner_.active() > 0);
+    return has_limits_ && (wallet_.active() > 0 || owner_.active() > 0 ||
+                           owner_.holds_shares());
 }
 
 void quota_service::step()
--- a/test/platform/quota_service_test.cpp
+++ b/test/platform/quota_service_test.cpp
@@ -158,6 +158,25 @@
     EXPECT_GE(total, all * 0.6);
 }
 
+// A workspace that has sent nothing for a while may send its burst at once. The
+// delegations of the hosts have ended meanwhile.
+TEST(quota_service, a_workspace_that_was_idle_is_refused)
+{
+    auto& fleet = make_hosts(3, 3);
+    // One of them lends the limit, and the others ask it.
+    for (const auto& host : fleet.hosts) {
+        EXPECT_GT(host->send_for(500ms), 0);
+        boost::this_fiber::sleep_for(coordination::shard_idle + 1500ms);
+        int refused = 0;
+        for (int n = 0; n < burst / 2; ++n) {
+            refused +=
+                host->client.admit("shop", clock_type::now() + 1s).verdict !=
+                coordination::quota_verdict::passed;
+        }
+        EXPECT_EQ(refused, 0) << host->shared.options.self.name;
+    }
+}
+
 // A host that no other one answers has its own share of the limit, and no more.
 TEST(quota_service, a_host_alone_is_refused_or_uses_the_shares_of_others)
 {
