Carry what returned shares have gained between hosts

What callers saw: after an idle time, less of a tenant's burst than it had saved.

Cause: the request that returns a share tells for how long it has gained tokens, and the message between hosts had no field for that.

Change: the field. quota_messages.a_delegation_loses_a_field failed with the field checked, and passes now; all fields of quota_type.hpp were compared with the messages by reading.

--- a/src/protocol/quota_messages.cpp
+++ b/src/protocol/quota_messages.cpp
@@ -89,6 +89,7 @@
     out.set_shard(it.request.shard);
     out.set_number(it.request.number);
     out.set_term_ms(wire_time<milliseconds>(it.request.term));
+    out.set_age_ms(wire_time<milliseconds>(it.request.age));
     return out.SerializeAsString();
 }
 
@@ -156,6 +157,7 @@
             out.request.shard = it.shard();
             out.request.number = it.number();
             out.request.term = milliseconds(it.term_ms());
+            out.request.age = milliseconds(it.age_ms());
             return out;
         });
 }
--- a/test/protocol/quota_messages_test.cpp
+++ b/test/protocol/quota_messages_test.cpp
@@ -62,6 +62,13 @@
     EXPECT_EQ(asked.value().request.shard, 5U);
     EXPECT_EQ(asked.value().request.number, 9U);
     EXPECT_EQ(asked.value().request.term, 3s);
+    // A share is returned with the time for which it has gained tokens.
+    const auto returned =
+        protocol::decode_quota_delegation_call(protocol::encode(
+            protocol::quota_delegation_call{"host-2/cd", {5, 10, {}, 7s}}));
+    ASSERT_TRUE(returned);
+    EXPECT_EQ(returned.value().request.term, 0s);
+    EXPECT_EQ(returned.value().request.age, 7s);
     const state::quota_delegation answer{
         5, 9, state::quota_answer::held_elsewhere, 0.25, 1500ms, 20ms};
     const auto out =
