--- a/src/coordination/quota_owner.cpp
+++ b/src/coordination/quota_owner.cpp
@@ -11,6 +11,8 @@
 
 #include <oriolegrade/coordination/quota_owner.hpp>
 
+#include <oriolegrade/coordination/duration_seconds.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <cmath>
@@ -69,21 +71,6 @@
 constexpr double full_part = 1 - 1e-9;
 constexpr state::duration sweep_period = std::chrono::seconds(1);
 
-double seconds(state::duration it)
-{
-    return std::chrono::duration<double>(it).count();
-}
-
-/// Longer times are cut: nothing here waits for so long, and nanoseconds would
-/// overflow.
-constexpr double max_seconds = 3600;
-
-state::duration from_seconds(double it)
-{
-    return std::chrono::duration_cast<state::duration>(
-        std::chrono::duration<double>(std::min(it, max_seconds)));
-}
-
 /// Cap at which a host with random arrivals rarely asks between replacements.
 double comfortable_cap(double need)
 {
@@ -264,7 +251,7 @@
             const auto& limit = limits_.at(name);
             active.level +=
                 it.fraction *
-                std::min(limit.burst, limit.rate_per_s * seconds(it.age));
+                std::min(limit.burst, limit.rate_per_s * to_seconds(it.age));
             accrue(shard.fraction, active, limit, now);
         }
     }
@@ -326,8 +313,8 @@
         it.at = now;
         for (const auto& [host, from] : shard.delegations) {
             it.level += from.fraction *
-                        std::min(limit.burst,
-                                 limit.rate_per_s * seconds(now - from.since));
+                        std::min(limit.burst, limit.rate_per_s *
+                                                  to_seconds(now - from.since));
         }
     }
     drop_expired(it, now);
@@ -340,7 +327,7 @@
 {
     const auto rate = limit.rate_per_s * fraction - it.lent_rate;
     if (now > it.at) {
-        it.level += std::max(0.0, rate) * seconds(now - it.at);
+        it.level += std::max(0.0, rate) * to_seconds(now - it.at);
         it.at = now;
     }
     const auto cap = limit.burst * fraction - it.lent_cap;
@@ -458,9 +445,9 @@
     if (out.slice.rate_per_s <= 0) {
         // Beyond the limit a host gets what its part gains between two asks,
         // and uses it by the time at which it would see as many requests.
-        const auto due = is_far_over
-                             ? it.fair_rate * seconds(from.ask_gap) + from.owed
-                             : 0.0;
+        const auto due =
+            is_far_over ? it.fair_rate * to_seconds(from.ask_gap) + from.owed
+                        : 0.0;
         const auto most = waiting + std::floor(ask.need_per_s * spare_time_s);
         const auto tokens = std::floor(
             std::min({free_cap, held + it.level,
--- a/src/coordination/quota_wallet.cpp
+++ b/src/coordination/quota_wallet.cpp
@@ -2,6 +2,8 @@
 
 #include <oriolegrade/coordination/quota_wallet.hpp>
 
+#include <oriolegrade/coordination/duration_seconds.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <cmath>
@@ -27,21 +29,6 @@
 /// Asks after a failed one follow at this distance.
 constexpr state::duration failed_ask_gap = std::chrono::milliseconds(50);
 
-double seconds(state::duration it)
-{
-    return std::chrono::duration<double>(it).count();
-}
-
-/// Longer times are cut: nothing here waits for so long, and nanoseconds would
-/// overflow.
-constexpr double max_seconds = 3600;
-
-state::duration from_seconds(double it)
-{
-    return std::chrono::duration_cast<state::duration>(
-        std::chrono::duration<double>(std::min(it, max_seconds)));
-}
-
 std::int64_t to_ticks(state::time_point it)
 {
     return it.time_since_epoch().count();
@@ -208,7 +195,7 @@
         return;
     }
     const auto gained = static_cast<std::int64_t>(
-        it.rate_per_s * seconds(now - it.accrued_at) * token);
+        it.rate_per_s * to_seconds(now - it.accrued_at) * token);
     it.accrued_at = now;
     const auto cap = static_cast<std::int64_t>(it.cap * token);
     auto n = it.level.load();
@@ -324,7 +311,7 @@
     if (it.taken.exchange(0) > 0) {
         it.last_taken = now;
     }
-    const auto elapsed = seconds(now - it.polled_at);
+    const auto elapsed = to_seconds(now - it.polled_at);
     it.polled_at = now;
     const auto kept = std::exp(-elapsed / need_time_s);
     it.need_per_s = it.need_per_s * kept + requests / need_time_s;
@@ -368,7 +355,8 @@
                             state::time_point now)
 {
     // Before need_time_s has passed, the average contains less than all.
-    const auto known_s = std::max(seconds(now - it.active_since), min_known_s);
+    const auto known_s =
+        std::max(to_seconds(now - it.active_since), min_known_s);
     const auto known = 1 - std::exp(-known_s / need_time_s);
     if (waiting == 0) {
         return it.need_per_s / known;
