--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -194,9 +194,11 @@
             head.fields.add(Dialect::workspace_field, line.workspace);
         }
         // The head must not change any more: sends in progress refer to it.
-        sends.objection = [this, &plan, &head] {
+        const auto objection = [this, &plan, &head] {
             return objection_to(plan, head, shared_.rules);
         };
+        // By reference: a copy of it does not fit without memory of its own.
+        sends.objection = std::cref(objection);
         if (!has_limit(plan)) {
             return run(head, request, answer, sends, line);
         }
