--- a/src/transport/gateway/request_log.cpp
+++ b/src/transport/gateway/request_log.cpp
@@ -2,6 +2,7 @@
 
 #include <oriolegrade/transport/gateway/request_log.hpp>
 
+#include <oriolegrade/state/enum_names.hpp>
 #include <oriolegrade/transport/event_log.hpp>
 
 #include <array>
@@ -9,8 +10,6 @@
 
 namespace oriolegrade::transport {
 
-namespace {
-
 /// Kinds of lines that do not displace each other.
 enum class line_kind : std::uint8_t
 {
@@ -24,9 +23,27 @@
     doubtful,
 };
 
+} // namespace oriolegrade::transport
+
+namespace oriolegrade::state {
+
+template <>
+struct enum_names<transport::line_kind>
+{
+    static constexpr std::array<std::string_view, 3> value{"answered", "unsent",
+                                                           "doubtful"};
+};
+
+} // namespace oriolegrade::state
+
+namespace oriolegrade::transport {
+
+namespace {
+
 /// Lines that one process writes in a second, by kind. Beyond it they are
 /// counted, so that a burst of callers costs no burst of log output.
-constexpr std::array<std::uint32_t, 3> most_lines_per_second{50, 50, 200};
+constexpr std::array<std::uint32_t, state::enum_size<line_kind>>
+    most_lines_per_second{50, 50, 200};
 
 std::int64_t milliseconds_of(state::duration d)
 {
@@ -78,8 +95,8 @@
 
 line_budget& budget_of(line_kind kind)
 {
-    static std::array<line_budget, most_lines_per_second.size()> budgets;
-    return budgets[static_cast<std::size_t>(kind)];
+    static std::array<line_budget, state::enum_size<line_kind>> budgets;
+    return budgets[state::index_of(kind)];
 }
 
 } // namespace
@@ -93,7 +110,7 @@
     }
     const auto kind = kind_of(*this, end);
     auto& budget = budget_of(kind);
-    if (!budget.take(most_lines_per_second[static_cast<std::size_t>(kind)])) {
+    if (!budget.take(most_lines_per_second[state::index_of(kind)])) {
         return;
     }
     std::string upstreams;
