--- a/test/system/cut_hosts.py
+++ b/test/system/cut_hosts.py
@@ -12,16 +12,14 @@
 """
 
 import asyncio
-import functools
 import itertools
 import pathlib
-import sys
 import tempfile
 import time
 
 import fault_soak
-from fault_soak import Proxy, Store, print_failures, run_seeds, run_to_end, serve
-from two_dispatchers import CALLERS, Host, SlowUpstream, TwoDispatchers
+from fault_soak import Proxy, Store, print_failures, run_given_seeds, run_to_end, serve
+from two_dispatchers import Host, TwoDispatchers
 
 SEED = 31
 SECONDS = 6.0
@@ -101,6 +99,8 @@
 
 
 class CutHosts(TwoDispatchers):
+    wanted = WANTED
+
     def __init__(self, binary, seed, directory):
         super().__init__(binary, seed, directory)
         self.seconds = SECONDS
@@ -174,13 +174,10 @@
         finally:
             self.busy -= 1
 
-    async def run(self):
-        self.begun = time.monotonic()
+    async def start_store(self):
         self.store = FleetStore()
-        await self.publish()
-        self.upstreams = [SlowUpstream(self, f"i-{n}") for n in range(fault_soak.UPSTREAMS)]
-        for it in self.upstreams:
-            await it.start()
+
+    async def start_hosts(self):
         self.gateways = [ReachedHost(self, n) for n in range(fault_soak.GATEWAYS)]
         for it in self.gateways:
             await it.open_ways(self.gateways)
@@ -188,17 +185,6 @@
             await it.start([])
         await asyncio.sleep(2.5)
         self.begun = time.monotonic()
-        callers = [asyncio.ensure_future(self.caller(n)) for n in range(CALLERS)]
-        await asyncio.gather(self.inject(), self.inject_spells(), self.inject_changes())
-        while self.busy or self.changing:
-            await asyncio.sleep(0.1)
-        await self.check_recovery()
-        await self.end(callers)
-        self.judge_budget()
-        self.read_logs()
-        missing = [it for it in WANTED if not self.seen_in_logs[it]]
-        if missing or not self.extras:
-            self.fail(f"an empty run: {len(self.extras)} extra sends, none of {missing}")
 
 
 def run_seed(binary, seed):
@@ -216,9 +202,7 @@
 
 
 def main():
-    binary = pathlib.Path(sys.argv[1]).resolve() / "oriole-gateway"
-    seeds = [int(it) for it in sys.argv[2:]] or [SEED]
-    run_seeds(seeds, functools.partial(run_seed, binary))
+    run_given_seeds(SEED, run_seed)
 
 
 if __name__ == "__main__":
--- a/test/system/fault_soak.py
+++ b/test/system/fault_soak.py
@@ -777,6 +777,14 @@
         sys.exit(f"failed seeds: {failed}")
 
 
+def run_given_seeds(default, run_seed):
+    """main() of a test that takes BUILD [SEED...]; run_seed gets the program and
+    a seed."""
+    binary = pathlib.Path(sys.argv[1]).resolve() / "oriole-gateway"
+    seeds = [int(it) for it in sys.argv[2:]] or [default]
+    run_seeds(seeds, lambda seed: run_seed(binary, seed))
+
+
 def run_seed(binary, seed, seconds):
     directory = pathlib.Path(tempfile.mkdtemp(prefix=f"oriole-soak-{seed}-"))
     soak = Soak(binary, seed, seconds, directory)
--- a/test/system/odd_http.py
+++ b/test/system/odd_http.py
@@ -37,12 +37,11 @@
 import pathlib
 import random
 import re
-import sys
 import tempfile
 import time
 
 import fault_soak
-from fault_soak import (Gateway, Upstream, answer, print_failures, run_seeds,
+from fault_soak import (Gateway, Upstream, answer, print_failures, run_given_seeds,
                         run_to_end)
 from faulty_upstreams import SERVED_SHARE, reset
 from planned_stop import CROSSING, PlannedStop
@@ -892,9 +891,7 @@
 
 
 def main():
-    binary = pathlib.Path(sys.argv[1]).resolve() / "oriole-gateway"
-    seeds = [int(it) for it in sys.argv[2:]] or [SEED]
-    run_seeds(seeds, lambda seed: run_seed(binary, seed))
+    run_given_seeds(SEED, run_seed)
 
 
 if __name__ == "__main__":
--- a/test/system/tenant_keys.py
+++ b/test/system/tenant_keys.py
@@ -19,12 +19,11 @@
 import asyncio
 import json
 import pathlib
-import sys
 import tempfile
 import time
 
 import fault_soak
-from fault_soak import (Gateway, Soak, Upstream, print_failures, read_message, run_seeds,
+from fault_soak import (Gateway, Soak, Upstream, print_failures, read_message, run_given_seeds,
                         run_to_end, serve)
 
 SEED = 45
@@ -225,9 +224,7 @@
 
 
 def main():
-    binary = pathlib.Path(sys.argv[1]).resolve() / "oriole-gateway"
-    seeds = [int(it) for it in sys.argv[2:]] or [SEED]
-    run_seeds(seeds, lambda seed: run_seed(binary, seed))
+    run_given_seeds(SEED, run_seed)
 
 
 if __name__ == "__main__":
--- a/test/system/two_dispatchers.py
+++ b/test/system/two_dispatchers.py
@@ -24,12 +24,11 @@
 import collections
 import pathlib
 import re
-import sys
 import tempfile
 import time
 
 import fault_soak
-from fault_soak import (GRACE, Gateway, Soak, Upstream, print_failures, run_seeds,
+from fault_soak import (GRACE, Gateway, Soak, Upstream, print_failures, run_given_seeds,
                         run_to_end, serve)
 
 SEED = 30
@@ -87,6 +86,8 @@
 
 
 class TwoDispatchers(Soak):
+    wanted = WANTED
+
     def __init__(self, binary, seed, directory):
         super().__init__(binary, seed, SECONDS, directory)
         self.held = set()
@@ -221,19 +222,25 @@
                 if "in_line=0" not in line:
                     out["line_at_first" if "primary=yes" in line else "line_at_other"] += 1
 
-    async def run(self):
-        self.begun = time.monotonic()
+    async def start_store(self):
         self.store = fault_soak.Store()
         _, self.store_port = await serve(self.store.handle)
-        await self.publish()
-        self.upstreams = [SlowUpstream(self, f"i-{n}") for n in range(fault_soak.UPSTREAMS)]
-        for it in self.upstreams:
-            await it.start()
+
+    async def start_hosts(self):
         self.gateways = [Host(self, n) for n in range(fault_soak.GATEWAYS)]
         seeds = [f"127.0.0.1:{g.ports['control']}" for g in self.gateways[:2]]
         for it in self.gateways:
             await it.start(seeds)
         await asyncio.sleep(2.5)
+
+    async def run(self):
+        self.begun = time.monotonic()
+        await self.start_store()
+        await self.publish()
+        self.upstreams = [SlowUpstream(self, f"i-{n}") for n in range(fault_soak.UPSTREAMS)]
+        for it in self.upstreams:
+            await it.start()
+        await self.start_hosts()
         callers = [asyncio.ensure_future(self.caller(n)) for n in range(CALLERS)]
         await asyncio.gather(self.inject(), self.inject_spells(), self.inject_changes())
         while self.busy or self.changing:
@@ -242,7 +249,7 @@
         await self.end(callers)
         self.judge_budget()
         self.read_logs()
-        missing = [it for it in WANTED if not self.seen_in_logs[it]]
+        missing = [it for it in self.wanted if not self.seen_in_logs[it]]
         if missing or not self.extras:
             self.fail(f"an empty run: {len(self.extras)} extra sends, none of {missing}")
 
@@ -261,9 +268,7 @@
 
 
 def main():
-    binary = pathlib.Path(sys.argv[1]).resolve() / "oriole-gateway"
-    seeds = [int(it) for it in sys.argv[2:]] or [SEED]
-    run_seeds(seeds, lambda seed: run_seed(binary, seed))
+    run_given_seeds(SEED, run_seed)
 
 
 if __name__ == "__main__":
