Fail answers that their upstream cuts while the request is being written

An upstream answered an upload of 4 MB at once with a 200 without a length, sent 18 bytes and reset the connection. The write of the request was told of the reset, the read then saw an orderly end, and the caller took the 18 bytes for the whole answer. Such an answer now counts as cut unless the whole request had been written. Statuses above 599 become 502 like those below 100; 600 and 999 were passed on.

--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -212,6 +212,14 @@
         body_begun = false;
     }
 
+    /// The answer has ended with its connection, before the whole request was
+    /// written. A reset by the upstream may have been reported to the write,
+    /// and a read then sees an orderly end.
+    bool is_cut() const
+    {
+        return parser->is_done() && parser->need_eof() && !request_done;
+    }
+
     /// Head of the request until it is sent with the first bytes of the body.
     std::string unsent_head;
     const bool chunked;
@@ -299,11 +307,13 @@
         // Beast has a class only for the statuses that it names.
         constexpr unsigned first_interim = 100;
         constexpr unsigned first_final = 200;
+        // RFC 9110, section 15: higher ones are invalid.
+        constexpr unsigned last_final = 599;
         const auto status = x.parser->get().result_int();
-        if (status >= first_final) {
+        if (status >= first_final && status <= last_final) {
             break;
         }
-        if (status < first_interim) {
+        if (status < first_interim || status > last_final) {
             ec = http::error::bad_status;
             return {};
         }
@@ -358,6 +368,9 @@
             ec = {};
         }
         const auto n = buf.size() - body.size;
+        if (!ec && x.is_cut()) {
+            ec = http::error::partial_message;
+        }
         if (ec || n > 0) {
             x.answer_done = !ec && x.parser->is_done();
             return n;
--- a/test/platform/http_cases_test.cpp
+++ b/test/platform/http_cases_test.cpp
@@ -1128,6 +1128,16 @@
          "HTTP/1.1 200 \r\n" + stamp + sized + "\r\none"},
         {"unknown_status", "RFC 9110, 15", "it is changed",
          "HTTP/1.1 299 Odd\r\n" + stamp + sized + "\r\none", 299},
+        {"status_000", "RFC 9110, 15", "it is passed on",
+         "HTTP/1.1 000 None\r\n" + stamp + sized + "\r\none", 502, ""},
+        {"status_001", "RFC 9110, 15", "it is passed on",
+         "HTTP/1.1 001 None\r\n" + stamp + sized + "\r\none", 502, ""},
+        {"status_099", "RFC 9110, 15", "it is passed on",
+         "HTTP/1.1 099 None\r\n" + stamp + sized + "\r\none", 502, ""},
+        {"status_600", "RFC 9110, 15", "it is passed on",
+         "HTTP/1.1 600 Odd\r\n" + stamp + sized + "\r\none", 502, ""},
+        {"status_999", "RFC 9110, 15", "it is passed on",
+         "HTTP/1.1 999 Odd\r\n" + stamp + sized + "\r\none", 502, ""},
     };
 }
 
