Use the shares of restarted hosts at once within the platform's allowance

After a restart of all hosts every request of a workspace with a limit got 429 for 3 s: a new process waited for delegations that an earlier process of its host may have made. A host that stopped in planned work and joined again owned no share for 25 s.

A new process now delegates its share at once and marks it as early. The owner uses it where it held the share of the earlier process itself, and otherwise within quota_overshoot and quota_slack of the settings, as long as it knows of no other owner. A host that joins again does so once the others are known to have counted it all the while. Requests wait for a token that is due within 250 ms instead of being refused, and a quarter of the slack is burst, so that limits with a burst of one token can be used.

--- a/include/oriolegrade/coordination/quota_owner.hpp
+++ b/include/oriolegrade/coordination/quota_owner.hpp
@@ -34,9 +34,15 @@
     Message message;
 };
 
-/// Not thread-safe. Hosts are known by names that change with each of their
+/// Not thread-safe. Borrowers are known by names that change with each of their
 /// processes (name and incarnation), so that one that was restarted does not
 /// answer for the slices of the one before.
+///
+/// Load pattern: all hosts are killed and start again in the same second, while
+/// their callers go on. A new process has an empty share, and an earlier one
+/// may have delegated it. The owner uses such an early share at once where it
+/// held the share of the earlier process itself, and within the allowance where
+/// it knows of no other owner.
 class quota_owner
 {
 public:
@@ -46,6 +52,19 @@
                     state::time_point now);
     /// Hosts that are asked for their share, this one included.
     void set_hosts(std::vector<std::string> hosts);
+    /// Names the process that owns. Until then it uses no early shares.
+    /// @param host name of this host, without its incarnation
+    void set_self(std::string host, state::time_point started);
+    /// Lets a window hold more than the limit while it is not certain to whom
+    /// hosts delegated before they were restarted.
+    /// @param window of the platform's rule
+    void set_allowance(const state::quota_allowance& allowance,
+                       state::duration window);
+    /// Number of hosts to tell with requests; see quota_delegation_request.
+    void set_settled_hosts(std::uint32_t n)
+    {
+        settled_hosts_ = n;
+    }
 
     /// Takes an ask. Its answer is in the next take_grants(), or in a later one
     /// while delegations are awaited.
@@ -66,6 +85,10 @@
     /// True while delegations are renewed, or have yet to be returned because
     /// nobody asks any more. Until then take_requests() is to be called.
     bool holds_shares() const;
+    /// Slices that it has lent, for the metrics.
+    state::quota_holdings lent_slices() const;
+    /// Shares that are delegated to it, over all shards: 1 for a whole shard.
+    double delegated() const;
 
 private:
     using limit_map = std::unordered_map<std::string, state::quota_limit>;
@@ -118,6 +141,12 @@
         /// The share has gained tokens since then.
         state::time_point since{};
         state::time_point until{};
+        /// It began with a share that was early, and with a part of the
+        /// allowance.
+        bool early = false;
+        /// Until then the share may count twice: another owner may hold what an
+        /// earlier process of the host delegated.
+        state::time_point unproven_until{};
     };
     struct pending_request
     {
@@ -128,6 +157,8 @@
         bool is_open = false;
         /// Requests since the last delegation.
         std::uint32_t failures = 0;
+        /// End of the last delegation of the host to this owner.
+        state::time_point held_until{};
     };
     struct waiting_ask
     {
@@ -144,6 +175,8 @@
         state::time_point next_request{};
         /// Time of the last ask for one of its workspaces.
         state::time_point asked_at{};
+        /// Until then another owner holds some host's share.
+        state::time_point other_owner_until{};
         /// Sum of the fractions that are delegated.
         double fraction = 0;
         /// Sum of those that outlast a slice lent before backed_until.
@@ -169,6 +202,23 @@
     void sweep(shard_state& shard, state::time_point now);
     static bool is_awaited(const shard_state& shard,
                            const std::string& workspace);
+    /// How an answer with an early share counts.
+    enum class early_use : std::uint8_t
+    {
+        none,
+        /// No other owner can hold the share.
+        proven,
+        /// Within the allowance.
+        unproven,
+    };
+    early_use use_of(const shard_state& shard, const pending_request& request,
+                     const state::quota_delegation& it,
+                     state::time_point now) const;
+    /// What the allowance adds to the burst of a limit, once.
+    double spare_burst(const state::quota_limit& limit) const;
+    /// Tokens of a whole share that has gained them for some time.
+    double gained(const state::quota_limit& limit, state::duration age,
+                  bool early) const;
     static double backed_fraction(shard_state& shard, state::time_point now);
     bool awaits_delegations(const shard_state& shard,
                             state::time_point now) const;
@@ -185,6 +235,11 @@
 
     limit_map limits_;
     std::vector<std::string> hosts_;
+    std::string self_;
+    state::time_point started_{};
+    state::quota_allowance allowance_;
+    state::duration window_{};
+    std::uint32_t settled_hosts_ = 0;
     std::array<shard_state, quota_shards> shards_;
     std::vector<quota_to_host<state::quota_grant>> grants_;
     std::uint64_t last_number_ = 0;
--- a/include/oriolegrade/coordination/quota_share.hpp
+++ b/include/oriolegrade/coordination/quota_share.hpp
@@ -37,8 +37,12 @@
 
     /// Part of each limit that this host owns at present; 0 while it owns none.
     double fraction(state::time_point now) const;
+    /// Number of hosts that the directory has named for join_delay; 0 when that
+    /// is not known. No other host divides the limits among fewer.
+    std::uint32_t settled_hosts(state::time_point now) const;
 
-    /// Delegates the share of a shard.
+    /// Delegates the share of a shard. A process that has just started does so
+    /// as well, but tells the owner, who decides whether to use it.
     /// @param owner host that asks, with its incarnation
     /// @param preferred host that this one takes for the owner
     state::quota_delegation
@@ -54,11 +58,24 @@
         std::uint64_t number = 0;
         /// The share is the owner's until then, and has gained tokens since.
         state::time_point delegated_until{};
+        /// This process has delegated it before.
+        bool was_delegated = false;
     };
 
+    /// Since when a share has gained tokens that this process has not delegated
+    /// yet. Before it, an owner may have used what an earlier process delegated.
+    state::time_point empty_at(state::time_point now) const;
+    /// Part of each limit, whatever the age of the process.
+    double part(state::time_point now, std::uint32_t least_hosts) const;
+
     std::array<shard_state, quota_shards> shards_;
+    state::time_point started_;
+    bool joined_;
     state::time_point owns_from_;
     state::time_point read_at_{};
+    /// The read with which the number of hosts that counts last rose.
+    state::time_point risen_at_{};
+    std::size_t counted_ = 0;
     /// Reads of the last leave_delay, with decreasing numbers of hosts; the
     /// first counts.
     std::deque<std::pair<state::time_point, std::size_t>> hosts_;
--- a/include/oriolegrade/coordination/quota_times.hpp
+++ b/include/oriolegrade/coordination/quota_times.hpp
@@ -40,6 +40,9 @@
 /// Asks wait this long for the first delegations of a shard.
 inline constexpr state::duration first_delegations =
     std::chrono::milliseconds(100);
+/// A process that started less than this ago may be an owner because all hosts
+/// were restarted together, and knows of no delegation before.
+inline constexpr state::duration young_owner = 2 * delegation_term;
 /// An owner without asks for a shard lets its delegations end after this time.
 inline constexpr state::duration shard_idle = std::chrono::seconds(5);
 
@@ -59,6 +62,9 @@
 /// A request waits this long in all for answers to asks.
 inline constexpr state::duration max_quota_wait =
     std::chrono::milliseconds(700);
+/// A request waits for a token that is expected within this time; beyond it,
+/// it is refused. It is shorter than the distance of asks beyond a limit.
+inline constexpr state::duration token_wait = std::chrono::milliseconds(250);
 /// Least time between two asks for a workspace.
 inline constexpr state::duration min_ask_gap = std::chrono::milliseconds(20);
 /// Time between asks for a workspace beyond its limit: one message per host
@@ -93,8 +99,18 @@
 /// burst that hosts can share: at least one token, and a burst that is small
 /// against the rate is enlarged at the cost of up to 2% of the rate.
 /// @param window of the platform's rule
+/// @param allowance of that rule; a part of its slack is added to the burst. A
+///        burst of one token is never whole at an owner, as the share of some
+///        host is always about to end.
 state::quota_limit usable_limit(const state::quota_limit& limit,
-                                state::duration window);
+                                state::duration window,
+                                const state::quota_allowance& allowance = {});
+
+/// Name of one process among all that the hosts have run, and the host's name
+/// in it.
+std::string quota_process_name(std::string_view host,
+                               std::string_view incarnation);
+std::string_view quota_host_of(std::string_view process);
 
 std::uint32_t quota_shard_of(std::string_view workspace);
 /// Name by which dispatcher_ranking finds the owner of a shard.
--- a/include/oriolegrade/coordination/quota_wallet.hpp
+++ b/include/oriolegrade/coordination/quota_wallet.hpp
@@ -88,6 +88,10 @@
     /// wait for them call take() again, and the next ask goes to another owner.
     std::vector<std::string> take_failed();
 
+    /// True when a request waits for an answer of the workspace's owner.
+    bool awaits(const std::string& workspace) const;
+    /// Slices that the host has borrowed, for the metrics.
+    state::quota_holdings holdings(state::time_point now) const;
     /// Workspaces with state beyond their row in the table.
     std::size_t active() const;
 
--- a/include/oriolegrade/state/quota_type.hpp
+++ b/include/oriolegrade/state/quota_type.hpp
@@ -30,6 +30,17 @@
     bool operator==(const quota_limit&) const = default;
 };
 
+/// What a window may hold beyond rate x window + burst, by the platform's rule.
+struct quota_allowance
+{
+    /// Part of rate x window + burst.
+    double overshoot = 0;
+    /// Requests.
+    double slack = 0;
+
+    bool operator==(const quota_allowance&) const = default;
+};
+
 /// Part of a workspace's token bucket.
 struct quota_slice
 {
@@ -40,6 +51,13 @@
     double level = 0;
 };
 
+/// Sums of slices over workspaces.
+struct quota_holdings
+{
+    double rate_per_s = 0;
+    double cap = 0;
+};
+
 /// Asks the owner of a workspace for a slice, or replaces one.
 struct quota_ask
 {
@@ -93,6 +111,11 @@
     /// With a term of 0: time for which the share of each workspace has gained
     /// tokens that are returned with it.
     duration age{};
+    /// Number of hosts among which the owner, and by now all other hosts,
+    /// divide the limits; 0 when the owner does not know.
+    std::uint32_t hosts = 0;
+    /// The owner knows what to do with an early share.
+    bool accepts_early = false;
 };
 
 enum class quota_answer : std::uint8_t
@@ -126,6 +149,14 @@
     /// Without a delegation: time after which the host can give one, where it
     /// knows that; otherwise 0.
     duration free_in{};
+    /// The host's process started less than a term ago, with an empty share. An
+    /// earlier process of the host may have delegated the share as well.
+    bool early = false;
+    /// With `held_elsewhere`: process to which the share is delegated; empty
+    /// when it is not.
+    std::string holder;
+    /// As in quota_delegation_request, as far as the host knows.
+    std::uint32_t hosts = 0;
 };
 
 } // namespace oriolegrade::state
--- a/include/oriolegrade/transport/gateway/gateway.hpp
+++ b/include/oriolegrade/transport/gateway/gateway.hpp
@@ -91,7 +91,7 @@
                    view())
         , router_(ioc, shared_, service_)
         , quotas_(ioc, shared_.options.self, shared_.quotas,
-                  shared_.options.quota_window)
+                  shared_.options.quota_window, shared_.options.quota_allowance)
         , server_(ioc, shared_, service_)
         , ready_(ioc, shared_.options.ready_listen,
                  [this](const http_request& request) {
@@ -237,6 +237,12 @@
             return members_.is_known() && router_.is_primary(service);
         };
         server_.quotas = &quotas_;
+        quotas_.on_holdings = [this](const state::quota_holdings& lent,
+                                     double delegated) {
+            const auto now = std::chrono::steady_clock::now();
+            shared_.metrics.set_quotas(lent, shared_.quotas.holdings(now),
+                                       delegated);
+        };
         server_.hosts = [this] {
             return members_.members();
         };
--- a/include/oriolegrade/transport/gateway/gateway_metrics.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_metrics.hpp
@@ -6,6 +6,7 @@
 
 #include <oriolegrade/state/dispatch_type.hpp>
 #include <oriolegrade/state/enum_names.hpp>
+#include <oriolegrade/state/quota_type.hpp>
 #include <oriolegrade/state/rcu_cell.hpp>
 #include <oriolegrade/state/reply_reason.hpp>
 #include <oriolegrade/state/text_hash.hpp>
@@ -38,10 +39,29 @@
     dropped,
 };
 
+/// What a host holds of the limits of workspaces.
+enum class quota_gauge : std::uint8_t
+{
+    lent_rate,
+    lent_burst,
+    borrowed_rate,
+    borrowed_burst,
+    /// Whole shards whose shares are delegated to the host.
+    delegated_shards,
+};
+
 } // namespace oriolegrade::transport
 
 namespace oriolegrade::state {
 
+template <>
+struct enum_names<transport::quota_gauge>
+{
+    static constexpr std::array<std::string_view, 5> value{
+        "lent_rate", "lent_burst", "borrowed_rate", "borrowed_burst",
+        "delegated_shards"};
+};
+
 template <>
 struct enum_names<transport::request_end>
 {
@@ -84,6 +104,10 @@
         unknown_keys_.fetch_add(1, std::memory_order_relaxed);
     }
 
+    /// Sets the gauges of the limits of workspaces.
+    void set_quotas(const state::quota_holdings& lent,
+                    const state::quota_holdings& borrowed, double delegated);
+
     /// Counts by workspace from now on. Workspaces that are not listed lose
     /// their counters, so that their number is bounded by the rules. Calls must
     /// not overlap.
@@ -132,6 +156,7 @@
     counter skipped_answers_{0};
     /// Requests without a known key on routes that need one.
     counter unknown_keys_{0};
+    std::array<std::atomic<double>, state::enum_size<quota_gauge>> quotas_{};
     state::rcu_cell<workspace_table> workspaces_{
         std::make_shared<const workspace_table>()};
 };
--- a/include/oriolegrade/transport/gateway/gateway_shared.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_shared.hpp
@@ -37,6 +37,8 @@
     coordination::read_ahead_limits read_ahead;
     /// Shortest window in which the limits of workspaces have to hold.
     state::duration quota_window = std::chrono::seconds(1);
+    /// What such a window may hold beyond them.
+    state::quota_allowance quota_allowance;
     /// The whole fleet starts for the first time.
     bool first_start = false;
     /// Time between the stop signal and the end of the process.
--- a/include/oriolegrade/transport/gateway/quota_service.hpp
+++ b/include/oriolegrade/transport/gateway/quota_service.hpp
@@ -38,8 +38,10 @@
 public:
     /// @param wallet shared with the worker threads
     /// @param window shortest one in which the limits have to hold
+    /// @param allowance what a window may hold beyond them
     quota_service(boost::asio::io_context& ioc, const state::host_member& self,
-                  coordination::quota_wallet& wallet, state::duration window);
+                  coordination::quota_wallet& wallet, state::duration window,
+                  const state::quota_allowance& allowance);
 
     void set_members(const std::vector<state::host_member>& members);
     /// The directory of hosts has just been read. Until then this host has no
@@ -49,6 +51,12 @@
     void directory_read(bool joined);
     void set_limits(const state::traffic_rules& rules);
 
+    /// Called about once a second while limits are in use, with what this host
+    /// has lent and the shares that are delegated to it.
+    std::function<void(const state::quota_holdings&, double)> on_holdings =
+        [](const state::quota_holdings&, double) {
+        };
+
     /// Asks, lends and collects; runs for ever.
     void run();
 
@@ -86,6 +94,7 @@
     /// Looks whether owners that have failed answer again.
     void send_probes();
     void take_grants();
+    void tell_holdings();
     void notify(const std::string& workspace);
     /// Host that owns a shard; null when no host is known.
     const state::host_member* owner_of(std::uint32_t shard);
@@ -99,6 +108,7 @@
     const std::string incarnation_;
     coordination::quota_wallet& wallet_;
     const state::duration window_;
+    const state::quota_allowance allowance_;
     coordination::quota_owner owner_;
     const state::time_point started_;
     std::optional<coordination::quota_share> share_;
@@ -106,6 +116,7 @@
     stream_client_map clients_;
     bool has_limits_ = false;
     bool step_due_ = false;
+    state::time_point holdings_told_{};
     fiber_signal changed_;
     /// Workspaces with an ask under way, and the owner that got it.
     std::map<std::string, std::string> asked_;
--- a/src/coordination/quota_owner.cpp
+++ b/src/coordination/quota_owner.cpp
@@ -69,6 +69,9 @@
 constexpr state::duration silent_retry = std::chrono::seconds(5);
 /// A bucket with this part of its cap is full; the rest is rounding.
 constexpr double full_part = 1 - 1e-9;
+/// Part of the allowance that a start may use at once. Two starts of all hosts
+/// may fall into one window, and shares may count twice beside them.
+constexpr double spare_part = 0.45;
 constexpr state::duration sweep_period = std::chrono::seconds(1);
 
 /// Cap at which a host with random arrivals rarely asks between replacements.
@@ -149,6 +152,19 @@
     }
 }
 
+void quota_owner::set_self(std::string host, state::time_point started)
+{
+    self_ = std::move(host);
+    started_ = started;
+}
+
+void quota_owner::set_allowance(const state::quota_allowance& allowance,
+                                state::duration window)
+{
+    allowance_ = allowance;
+    window_ = window;
+}
+
 void quota_owner::ask(const std::string& host, const state::quota_ask& ask,
                       state::time_point now)
 {
@@ -223,10 +239,21 @@
     }
     auto& request = pending->second;
     request.is_open = false;
-    if (it.answer != state::quota_answer::given || it.fraction <= 0 ||
-        it.fraction > 1) {
+    settled_hosts_ = std::max(settled_hosts_, it.hosts);
+    if (!it.holder.empty() && quota_host_of(it.holder) != self_) {
+        shard.other_owner_until = std::max(
+            shard.other_owner_until,
+            now + std::clamp(it.free_in, state::duration{}, delegation_term));
+    }
+    const bool is_given = it.answer == state::quota_answer::given &&
+                          it.fraction > 0 && it.fraction <= 1;
+    const auto use = is_given && it.early && !shard.delegations.contains(host)
+                         ? use_of(shard, request, it, now)
+                         : early_use::proven;
+    if (!is_given || use == early_use::none) {
         if (it.free_in > state::duration{}) {
-            request.next_at = now + it.free_in;
+            // It may be free sooner: by then more may be known of the hosts.
+            request.next_at = now + std::min(it.free_in, delegation_refresh);
             shard.next_request = std::min(shard.next_request, request.next_at);
         }
         return;
@@ -246,17 +273,22 @@
         shard.fraction += it.fraction - known.fraction;
     }
     if (is_new) {
-        known.since = now - it.age;
+        // The owner has counted what was gained before held_until.
+        known.since = std::max(now - it.age, request.held_until);
+        known.early = it.early;
+        known.unproven_until = use == early_use::unproven
+                                   ? now - it.age + delegation_term
+                                   : state::time_point{};
         for (auto& [name, active] : shard.buckets) {
             const auto& limit = limits_.at(name);
             active.level +=
-                it.fraction *
-                std::min(limit.burst, limit.rate_per_s * to_seconds(it.age));
+                it.fraction * gained(limit, now - known.since, known.early);
             accrue(shard.fraction, active, limit, now);
         }
     }
     known.fraction = it.fraction;
     known.until = until;
+    request.held_until = until;
     shard.earliest_end = std::min(shard.earliest_end, until);
     shard.backed_until = {};
 }
@@ -312,9 +344,8 @@
     if (is_new) {
         it.at = now;
         for (const auto& [host, from] : shard.delegations) {
-            it.level += from.fraction *
-                        std::min(limit.burst, limit.rate_per_s *
-                                                  to_seconds(now - from.since));
+            it.level +=
+                from.fraction * gained(limit, now - from.since, from.early);
         }
     }
     drop_expired(it, now);
@@ -538,7 +569,13 @@
                 it.sent_at = now;
                 it.next_at = now + (is_quick ? delegation_retry : silent_retry);
                 it.is_open = true;
-                out.push_back({host, {n, it.number, delegation_term}});
+                out.push_back({host,
+                               {n,
+                                it.number,
+                                delegation_term,
+                                {},
+                                settled_hosts_,
+                                true}});
             }
             shard.next_request = std::min(shard.next_request, it.next_at);
         }
@@ -583,6 +620,48 @@
     shard.earliest_end = state::time_point::max();
 }
 
+quota_owner::early_use quota_owner::use_of(const shard_state& shard,
+                                           const pending_request& request,
+                                           const state::quota_delegation& it,
+                                           state::time_point now) const
+{
+    // A share has one holder at a time. The earlier process ended before the
+    // delegation to this owner did, so it had no time for another one.
+    if (now - it.age <= request.held_until) {
+        return early_use::proven;
+    }
+    const bool has_allowance = allowance_.overshoot > 0 || allowance_.slack > 0;
+    if (self_.empty() || !has_allowance || now < shard.other_owner_until) {
+        return early_use::none;
+    }
+    if (now - started_ < young_owner) {
+        return early_use::unproven;
+    }
+    // What counts twice for a term must fit into the overshoot.
+    const auto most = allowance_.overshoot * to_seconds(window_) /
+                      to_seconds(delegation_term);
+    auto sum = it.fraction;
+    for (const auto& [host, known] : shard.delegations) {
+        sum += now < known.unproven_until ? known.fraction : 0;
+    }
+    return sum <= most ? early_use::unproven : early_use::none;
+}
+
+double quota_owner::spare_burst(const state::quota_limit& limit) const
+{
+    return spare_part *
+           (allowance_.slack +
+            allowance_.overshoot *
+                (limit.rate_per_s * to_seconds(window_) + limit.burst));
+}
+
+double quota_owner::gained(const state::quota_limit& limit, state::duration age,
+                           bool early) const
+{
+    return std::min(limit.burst, limit.rate_per_s * to_seconds(age) +
+                                     (early ? spare_burst(limit) : 0));
+}
+
 bool quota_owner::is_awaited(const shard_state& shard,
                              const std::string& workspace)
 {
@@ -625,6 +704,27 @@
     return n;
 }
 
+state::quota_holdings quota_owner::lent_slices() const
+{
+    state::quota_holdings out;
+    for (const auto& shard : shards_) {
+        for (const auto& [name, it] : shard.buckets) {
+            out.rate_per_s += it.lent_rate;
+            out.cap += it.lent_cap;
+        }
+    }
+    return out;
+}
+
+double quota_owner::delegated() const
+{
+    double out = 0;
+    for (const auto& it : shards_) {
+        out += it.fraction;
+    }
+    return out;
+}
+
 bool quota_owner::holds_shares() const
 {
     return std::any_of(shards_.begin(), shards_.end(),
--- a/src/coordination/quota_share.cpp
+++ b/src/coordination/quota_share.cpp
@@ -7,7 +7,9 @@
 namespace oriolegrade::coordination {
 
 quota_share::quota_share(state::time_point started, bool joined)
-    : owns_from_(started + (joined ? join_delay : delegation_term))
+    : started_(started)
+    , joined_(joined)
+    , owns_from_(started + (joined ? join_delay : delegation_term))
 {
     for (auto& it : shards_) {
         it.delegated_until = owns_from_;
@@ -24,19 +26,44 @@
     while (hosts_.front().first + leave_delay < read_at) {
         hosts_.pop_front();
     }
+    if (hosts_.front().second > counted_) {
+        risen_at_ = read_at;
+    }
+    counted_ = hosts_.front().second;
 }
 
 double quota_share::fraction(state::time_point now) const
 {
-    if (now < owns_from_ || hosts_.empty() || hosts_.front().second == 0) {
+    return now < owns_from_ ? 0 : part(now, 0);
+}
+
+double quota_share::part(state::time_point now, std::uint32_t least_hosts) const
+{
+    if (hosts_.empty() || hosts_.front().second == 0) {
         return 0;
     }
     const auto age = now - read_at_;
     if (age > leave_delay - delegation_term) {
         return 0;
     }
-    const auto part = age > directory_fresh ? stale_share : 1.0;
-    return part / static_cast<double>(hosts_.front().second);
+    const auto share = age > directory_fresh ? stale_share : 1.0;
+    return share / static_cast<double>(std::max<std::size_t>(
+                       hosts_.front().second, least_hosts));
+}
+
+std::uint32_t quota_share::settled_hosts(state::time_point now) const
+{
+    return now - risen_at_ >= join_delay ? static_cast<std::uint32_t>(counted_)
+                                         : 0;
+}
+
+state::time_point quota_share::empty_at(state::time_point now) const
+{
+    const auto settled_at = started_ + delegation_term;
+    if (now < settled_at) {
+        return started_;
+    }
+    return now < owns_from_ ? settled_at : owns_from_;
 }
 
 state::quota_delegation
@@ -62,21 +89,35 @@
         return out;
     }
     if (owner != preferred) {
+        out.holder = now < it.delegated_until ? it.owner : std::string{};
         return out;
     }
-    const auto part = fraction(now);
-    if (part <= 0) {
+    const bool early = now < started_ + delegation_term;
+    // Where the others have counted as many hosts for long, they have left room
+    // for one that joins again.
+    const bool has_room =
+        !hosts_.empty() && hosts_.front().second <= request.hosts;
+    const bool may_delegate =
+        now >= owns_from_ || (request.accepts_early && (!joined_ || has_room));
+    const auto share =
+        may_delegate ? part(now, joined_ ? request.hosts : 0) : 0;
+    if (share <= 0) {
         out.answer = state::quota_answer::not_ready;
         out.free_in = std::max(state::duration{}, owns_from_ - now);
         return out;
     }
-    if (now < it.delegated_until && owner != it.owner) {
+    if (it.was_delegated && now < it.delegated_until && owner != it.owner) {
         out.free_in = it.delegated_until - now;
+        out.holder = it.owner;
         return out;
     }
     out.answer = state::quota_answer::given;
-    out.fraction = part;
-    out.age = std::max(state::duration{}, now - it.delegated_until);
+    out.fraction = share;
+    out.early = early;
+    out.hosts = settled_hosts(now);
+    const auto since = it.was_delegated ? it.delegated_until : empty_at(now);
+    out.age = std::max(state::duration{}, now - since);
+    it.was_delegated = true;
     it.owner = owner;
     it.number = request.number;
     it.delegated_until = now + std::min(request.term, delegation_term);
--- a/src/coordination/quota_wallet.cpp
+++ b/src/coordination/quota_wallet.cpp
@@ -72,6 +72,8 @@
     /// refused when the last grant left some without a token.
     state::time_point ask_from{};
     bool is_dry = false;
+    /// A token is expected within token_wait; requests wait for it.
+    bool is_next_near = false;
     /// The slice is replaced then.
     state::time_point refresh_at = state::time_point::max();
     double need_per_s = 0;
@@ -159,7 +161,8 @@
     if (it.try_take(now)) {
         return {};
     }
-    const bool may_ask = it.in_flight || !it.is_dry || now >= it.ask_from;
+    const bool may_ask =
+        it.in_flight || !it.is_dry || it.is_next_near || now >= it.ask_from;
     if (may_ask && waited < max_quota_wait) {
         if (!it.is_active) {
             it.is_active = true;
@@ -171,7 +174,7 @@
             active_.emplace(it.name, found);
         }
         ++it.waiting;
-        if (!it.in_flight) {
+        if (!it.in_flight && now >= it.ask_from) {
             wanted_.store(true, std::memory_order_release);
         }
         return {quota_verdict::wait, {}};
@@ -397,6 +400,7 @@
     it.refresh_at =
         slice.rate_per_s > 0 ? now + ask_refresh : state::time_point::max();
     it.is_dry = grant.retry_after > state::duration{};
+    it.is_next_near = grant.retry_after <= token_wait;
     it.ask_from = now + std::max(grant.retry_after, min_ask_gap);
 }
 
@@ -429,6 +433,26 @@
     return std::exchange(failed_, {});
 }
 
+bool quota_wallet::awaits(const std::string& workspace) const
+{
+    const std::lock_guard lock(slow_);
+    const auto found = active_.find(workspace);
+    return found != active_.end() && found->second->waiting > 0;
+}
+
+state::quota_holdings quota_wallet::holdings(state::time_point now) const
+{
+    const std::lock_guard lock(slow_);
+    state::quota_holdings out;
+    for (const auto& [name, it] : active_) {
+        if (to_ticks(now) < it->expires.load()) {
+            out.rate_per_s += it->rate_per_s;
+            out.cap += it->cap;
+        }
+    }
+    return out;
+}
+
 std::size_t quota_wallet::active() const
 {
     const std::lock_guard lock(slow_);
--- a/src/protocol/quota_messages.cpp
+++ b/src/protocol/quota_messages.cpp
@@ -90,6 +90,8 @@
     out.set_number(it.request.number);
     out.set_term_ms(wire_time<milliseconds>(it.request.term));
     out.set_age_ms(wire_time<milliseconds>(it.request.age));
+    out.set_hosts(it.request.hosts);
+    out.set_accepts_early(it.request.accepts_early);
     return out.SerializeAsString();
 }
 
@@ -102,6 +104,9 @@
     out.set_fraction(it.fraction);
     out.set_age_ms(wire_time<milliseconds>(it.age));
     out.set_free_in_ms(wire_time<milliseconds>(it.free_in));
+    out.set_early(it.early);
+    out.set_holder(it.holder);
+    out.set_hosts(it.hosts);
     return out.SerializeAsString();
 }
 
@@ -158,6 +163,8 @@
             out.request.number = it.number();
             out.request.term = milliseconds(it.term_ms());
             out.request.age = milliseconds(it.age_ms());
+            out.request.hosts = it.hosts();
+            out.request.accepts_early = it.accepts_early();
             return out;
         });
 }
@@ -176,6 +183,11 @@
             check.require(out.fraction <= 1, "fraction", "is above 1");
             out.age = milliseconds(it.age_ms());
             out.free_in = milliseconds(it.free_in_ms());
+            out.early = it.early();
+            out.holder = it.holder();
+            out.hosts = it.hosts();
+            check.require(out.holder.size() <= max_name_bytes, "holder",
+                          "is too long");
             return out;
         });
 }
--- a/src/transport/gateway/gateway_metrics.cpp
+++ b/src/transport/gateway/gateway_metrics.cpp
@@ -3,6 +3,7 @@
 #include <oriolegrade/transport/gateway/gateway_metrics.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace oriolegrade::transport {
 
@@ -61,6 +62,18 @@
         1, std::memory_order_relaxed);
 }
 
+void gateway_metrics::set_quotas(const state::quota_holdings& lent,
+                                 const state::quota_holdings& borrowed,
+                                 double delegated)
+{
+    const std::array<double, state::enum_size<quota_gauge>> values{
+        lent.rate_per_s, lent.cap, borrowed.rate_per_s, borrowed.cap,
+        delegated};
+    for (std::size_t n = 0; n < values.size(); ++n) {
+        quotas_[n].store(values[n], std::memory_order_relaxed);
+    }
+}
+
 void gateway_metrics::set_workspaces(
     const std::vector<state::traffic_workspace>& all)
 {
@@ -137,6 +150,11 @@
     add_line(out, "local_placements_total", "", "", fallbacks_);
     add_line(out, "skipped_answers_total", "", "", skipped_answers_);
     add_line(out, "unknown_keys_total", "", "", unknown_keys_);
+    for (std::size_t n = 0; n < quotas_.size(); ++n) {
+        const auto value = std::max(0.0, quotas_[n].load());
+        add_line(out, "quota", "part", state::enum_names<quota_gauge>::value[n],
+                 static_cast<std::uint64_t>(std::llround(value)));
+    }
     const auto workspaces = workspaces_.read();
     for (const auto& it : *workspaces) {
         const auto name = escaped(it.first);
--- a/src/transport/gateway/quota_service.cpp
+++ b/src/transport/gateway/quota_service.cpp
@@ -17,17 +17,12 @@
 
 /// Interval of steps while a workspace with a limit is active.
 constexpr std::chrono::milliseconds step_interval{50};
+/// Interval of sums for the metrics, which walk all workspaces in use.
+constexpr std::chrono::seconds holdings_interval{1};
 /// Time for a host's answer to a request for its share.
 constexpr std::chrono::milliseconds delegation_limit{400};
-/// Separates the name of a host from its incarnation.
-constexpr char incarnation_mark = '/';
 constexpr unsigned ok = 200;
 
-std::string_view host_of(std::string_view incarnation)
-{
-    return incarnation.substr(0, incarnation.rfind(incarnation_mark));
-}
-
 std::chrono::milliseconds to_milliseconds(state::duration it)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(it);
@@ -38,16 +33,20 @@
 quota_service::quota_service(boost::asio::io_context& ioc,
                              const state::host_member& self,
                              coordination::quota_wallet& wallet,
-                             state::duration window)
+                             state::duration window,
+                             const state::quota_allowance& allowance)
     : ioc_(ioc)
     , self_(self)
-    , incarnation_(self.name + incarnation_mark +
-                   to_string(state::random_identifier()))
+    , incarnation_(coordination::quota_process_name(
+          self.name, to_string(state::random_identifier())))
     , wallet_(wallet)
     , window_(window)
+    , allowance_(allowance)
     , started_(clock::now())
     , clients_(ioc, {}, gateway_stream_limits())
 {
+    owner_.set_self(self.name, started_);
+    owner_.set_allowance(allowance, window);
     set_members({self});
 }
 
@@ -67,7 +66,9 @@
     if (!share_) {
         share_.emplace(started_, joined);
     }
-    share_->set_hosts(ranking_.members().size(), clock::now());
+    const auto now = clock::now();
+    share_->set_hosts(ranking_.members().size(), now);
+    owner_.set_settled_hosts(share_->settled_hosts(now));
 }
 
 void quota_service::set_limits(const state::traffic_rules& rules)
@@ -75,8 +76,9 @@
     std::unordered_map<std::string, state::quota_limit> limits;
     for (const auto& it : rules.workspaces) {
         if (it.rate_per_s > 0) {
-            limits.emplace(it.name, coordination::usable_limit(
-                                        {it.rate_per_s, it.burst}, window_));
+            limits.emplace(it.name,
+                           coordination::usable_limit({it.rate_per_s, it.burst},
+                                                      window_, allowance_));
         }
     }
     const auto now = clock::now();
@@ -121,6 +123,16 @@
         }
     }
     take_grants();
+    tell_holdings();
+}
+
+void quota_service::tell_holdings()
+{
+    const auto now = clock::now();
+    if (now - holdings_told_ >= holdings_interval) {
+        holdings_told_ = now;
+        on_holdings(owner_.lent_slices(), owner_.delegated());
+    }
 }
 
 void quota_service::end_failed()
@@ -237,7 +249,7 @@
                          std::function<void()> done)
 {
     // The answer may have come between the worker's look and this call.
-    if (!asked_.contains(workspace) && !wallet_.is_wanted()) {
+    if (!wallet_.awaits(workspace)) {
         return done();
     }
     waiting_[workspace].push_back(std::move(done));
@@ -303,7 +315,7 @@
                                            const std::string& named)
 {
     const auto& name = owner_of(shard)->name;
-    return host_of(named) == name ? named : name;
+    return coordination::quota_host_of(named) == name ? named : name;
 }
 
 } // namespace oriolegrade::transport
