Let repeats of a limited workspace go ahead of their token

A repeat needed a spare token at its host, and a host with few requests asks for one token at a time.

A further send now takes its token ahead, up to three at a host, and the next slice pays for it, so that the limit holds as before. At the limit a repeat is refused as before.

--- a/include/oriolegrade/coordination/quota_wallet.hpp
+++ b/include/oriolegrade/coordination/quota_wallet.hpp
@@ -61,6 +61,11 @@
     ///        is never `wait`
     quota_decision take(std::string_view workspace, state::duration waited,
                         state::time_point now);
+    /// Takes a token for a further send of a request, now or from the next
+    /// slice. A host that has few requests of a workspace holds no spare token,
+    /// and a repeat cannot wait for one. Any thread.
+    /// @return false while the workspace is at its limit
+    bool take_extra(std::string_view workspace, state::time_point now);
     /// Returns the token of a send that the upstream refused unrun. It is lost
     /// when the slice has expired. Any thread.
     void give_back(std::string_view workspace, state::time_point now);
--- a/include/oriolegrade/transport/gateway/quota_client.hpp
+++ b/include/oriolegrade/transport/gateway/quota_client.hpp
@@ -70,9 +70,7 @@
 
     bool admit_extra(std::string_view workspace)
     {
-        return wallet_
-                   .take(workspace, coordination::max_quota_wait, clock::now())
-                   .verdict == coordination::quota_verdict::passed;
+        return wallet_.take_extra(workspace, clock::now());
     }
 
     void give_back(std::string_view workspace)
--- a/src/coordination/quota_wallet.cpp
+++ b/src/coordination/quota_wallet.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::int64_t token = 1'000'000;
+/// Tokens that a host may owe for further sends.
+constexpr std::int64_t most_owed = 3;
 /// Time over which the need of a host is averaged.
 constexpr double need_time_s = 2;
 /// So many may wait by chance.
@@ -39,7 +41,7 @@
 struct quota_wallet::row
 {
     /// Millionths of a token. Lowered by any thread, raised under the lock or
-    /// by give_back().
+    /// by give_back(). Below 0 it is owed, whether a slice is held or not.
     std::atomic<std::int64_t> level{0};
     /// Levels count only before this time.
     std::atomic<std::int64_t> expires{0};
@@ -103,10 +105,17 @@
     {
         const bool alive = to_ticks(now) < expires.load();
         expires.store(0, std::memory_order_release);
-        const auto left = level.exchange(0);
+        const auto left = static_cast<double>(level.exchange(0)) / token;
         rate_per_s = 0;
         cap = 0;
-        return alive ? static_cast<double>(left) / token : 0;
+        return alive ? left : std::min(left, 0.0);
+    }
+
+    /// Tokens that are owed.
+    std::uint32_t owed() const
+    {
+        const auto n = level.load();
+        return n < 0 ? static_cast<std::uint32_t>((token - 1 - n) / token) : 0;
     }
 
     /// Installs a slice after close().
@@ -151,6 +160,29 @@
     return take_slowly(found->second, waited, now);
 }
 
+bool quota_wallet::take_extra(std::string_view workspace, state::time_point now)
+{
+    const auto rows = rows_.read();
+    const auto found = rows->find(workspace);
+    if (found == rows->end()) {
+        return true;
+    }
+    const std::lock_guard lock(slow_);
+    auto& it = *found->second;
+    accrue(it, now);
+    if (it.try_take(now)) {
+        return true;
+    }
+    if ((it.is_dry && now < it.ask_from) || it.owed() >= most_owed) {
+        return false;
+    }
+    if (to_ticks(now) >= it.expires.load()) {
+        it.level.store(std::min<std::int64_t>(it.level.load(), 0));
+    }
+    it.level.fetch_sub(token);
+    return true;
+}
+
 quota_decision quota_wallet::take_slowly(const std::shared_ptr<row>& found,
                                          state::duration waited,
                                          state::time_point now)
@@ -216,11 +248,12 @@
     }
     const std::lock_guard lock(slow_);
     auto& it = *found->second;
-    if (to_ticks(now) >= it.expires.load()) {
+    const bool alive = to_ticks(now) < it.expires.load();
+    if (!alive && it.owed() == 0) {
         return;
     }
     accrue(it, now);
-    const auto cap = static_cast<std::int64_t>(it.cap * token);
+    const auto cap = alive ? static_cast<std::int64_t>(it.cap * token) : 0;
     auto n = it.level.load();
     while (n < cap &&
            !it.level.compare_exchange_weak(n, std::min(cap, n + token))) {
@@ -333,10 +366,12 @@
     if (holds_rate && it.waiting == 0 && now - it.last_request >= idle) {
         accrue(it, now);
         out.gives_back = true;
-        out.level = it.close(now);
+        const auto left = it.close(now);
+        out.level = std::max(0.0, left);
+        it.level.store(static_cast<std::int64_t>(std::min(0.0, left) * token));
         it.refresh_at = state::time_point::max();
     } else if (it.waiting > 0 && now >= it.ask_from) {
-        out.waiting = it.waiting;
+        out.waiting = it.waiting + it.owed();
     } else if (!holds_rate || now < it.refresh_at) {
         return std::nullopt;
     }
@@ -347,7 +382,8 @@
     out.need_per_s = needed(it, out.waiting, now);
     if (!out.gives_back) {
         accrue(it, now);
-        out.level = alive ? static_cast<double>(it.level.load()) / token : 0.0;
+        const auto level = std::max<std::int64_t>(it.level.load(), 0);
+        out.level = alive ? static_cast<double>(level) / token : 0.0;
         it.in_flight = true;
         it.sent_at = now;
     }
--- a/test/coordination/quota_wallet_test.cpp
+++ b/test/coordination/quota_wallet_test.cpp
@@ -225,4 +225,52 @@
     EXPECT_LE(passed, lent);
 }
 
+// A repeat found no spare token at a host that asks for one at a time, and the
+// caller got the error of the first send.
+TEST_F(quota_wallet, a_repeat_is_refused_within_the_limit)
+{
+    EXPECT_EQ(take(), quota_verdict::wait);
+    grant({0, 1, 1}, 200ms);
+    EXPECT_EQ(take(), quota_verdict::passed);
+    EXPECT_TRUE(wallet.take_extra(workspace, now));
+}
+
+// What was sent ahead of its token is paid from the next slice, also when the
+// slice in between has expired.
+TEST_F(quota_wallet, a_repeat_costs_no_token)
+{
+    EXPECT_EQ(take(), quota_verdict::wait);
+    grant({0, 1, 1}, 200ms);
+    EXPECT_EQ(take(), quota_verdict::passed);
+    EXPECT_TRUE(wallet.take_extra(workspace, now));
+    now += 1s;
+    EXPECT_EQ(take(), quota_verdict::wait);
+    grant({0, 2, 2}, 200ms);
+    EXPECT_EQ(last.waiting, 2);
+    EXPECT_EQ(count_passed(), 1);
+}
+
+TEST_F(quota_wallet, a_repeat_that_did_not_run_is_paid)
+{
+    EXPECT_TRUE(wallet.take_extra(workspace, now));
+    wallet.give_back(workspace, now);
+    EXPECT_EQ(take(), quota_verdict::wait);
+    grant({0, 1, 1}, 200ms);
+    EXPECT_EQ(last.waiting, 1);
+    EXPECT_EQ(count_passed(), 1);
+}
+
+TEST_F(quota_wallet, repeats_go_on_at_the_limit_or_without_end)
+{
+    std::size_t n = 0;
+    while (n < 100 && wallet.take_extra(workspace, now)) {
+        ++n;
+    }
+    EXPECT_EQ(n, 3);
+    EXPECT_EQ(take(), quota_verdict::wait);
+    grant({0, 4, 4}, 200ms, 1250ms);
+    EXPECT_EQ(take(), quota_verdict::passed);
+    EXPECT_FALSE(wallet.take_extra(workspace, now));
+}
+
 } // namespace
