--- a/src/protocol/quota_messages.cpp
+++ b/src/protocol/quota_messages.cpp
@@ -15,12 +15,12 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t max_name_bytes = 255;
+constexpr std::size_t max_text_bytes = 255;
 
 void check_name(const std::string& text, std::string_view field,
                 const message_check& check)
 {
-    check.require(!text.empty() && text.size() <= max_name_bytes, field,
+    check.require(!text.empty() && text.size() <= max_text_bytes, field,
                   "is empty or too long");
 }
 
@@ -186,7 +186,7 @@
             out.early = it.early();
             out.holder = it.holder();
             out.hosts = it.hosts();
-            check.require(out.holder.size() <= max_name_bytes, "holder",
+            check.require(out.holder.size() <= max_text_bytes, "holder",
                           "is too long");
             return out;
         });
--- a/src/transport/gateway/quota_service.cpp
+++ b/src/transport/gateway/quota_service.cpp
@@ -294,8 +294,11 @@
 quota_service::serve(const protocol::quota_delegation_call& call)
 {
     if (!share_) {
-        return {call.request.shard, call.request.number,
-                state::quota_answer::not_ready};
+        state::quota_delegation out;
+        out.shard = call.request.shard;
+        out.number = call.request.number;
+        out.answer = state::quota_answer::not_ready;
+        return out;
     }
     return share_->delegate(call.request, call.owner,
                             preferred_owner(call.request.shard, call.owner),
