--- a/test/system/planned_stop.py
+++ b/test/system/planned_stop.py
@@ -53,6 +53,8 @@
 
 
 class PlannedStop(Soak):
+    gateway_type = Gateway
+
     def __init__(self, binary, directory):
         super().__init__(binary, 1, 0, directory)
         self.idle = []
@@ -143,7 +145,7 @@
         self.upstreams = [upstream_type(self, f"i-{n}") for n in range(count)]
         for it in self.upstreams:
             await it.start()
-        self.gateway = Gateway(self, 0)
+        self.gateway = self.gateway_type(self, 0)
         self.gateways = [self.gateway]
         await self.gateway.start([])
         await asyncio.sleep(2.5)
