Bound the memory of a gateway for bodies, answers and input of callers

A process that exceeds memory_mb of the settings is killed, and nothing read that value. 150 callers with bodies of 900 kB that stopped just short of their end took a gateway that was told of 48 MB to 165 to 169 MB.

Half goes to whoever asks first, the other half in equal parts. A body waits up to 0.5 s for memory, and is refused unrun with 503 (no_memory) after that; an answer is passed on as it comes; a connection is not read on. Without memory_mb nothing changes.

The test resets the crowd's connections when it leaves: without that the kernel sends the rest of the bodies for seconds, and the host is not calm for the upload that follows.

--- /dev/null
+++ b/include/oriolegrade/coordination/memory_budget.hpp
@@ -0,0 +1,139 @@
+// Memory of a host for bodies, answers and input of callers.
+//
+// Load pattern: hundreds of callers send large bodies within the limits at once
+// and stop just short of their end, or do not read their answers. Half of the
+// budget goes to whoever asks first, so that a few large bodies are served in
+// calm; the other half is given in equal parts, so that a crowd with large
+// bodies leaves room for callers with small ones.
+
+#ifndef ORIOLEGRADE_COORDINATION_MEMORY_BUDGET_HPP
+#define ORIOLEGRADE_COORDINATION_MEMORY_BUDGET_HPP
+
+#include <algorithm>
+#include <atomic>
+#include <cstdint>
+
+namespace oriolegrade::coordination {
+
+/// Used by all threads, without locks.
+class memory_budget
+{
+public:
+    /// @param bytes 0 for no limit
+    explicit memory_budget(std::uint64_t bytes)
+        : total_(bytes)
+    {}
+
+    memory_budget(const memory_budget&) = delete;
+    memory_budget& operator=(const memory_budget&) = delete;
+
+    std::uint64_t used() const
+    {
+        return used_.load(std::memory_order_relaxed);
+    }
+    /// Requests for memory that were refused.
+    std::uint64_t refusals() const
+    {
+        return refusals_.load(std::memory_order_relaxed);
+    }
+    /// Memory is given in equal parts: none that is not needed should be kept.
+    bool is_short() const
+    {
+        return total_ > 0 && used() > total_ / 2;
+    }
+
+private:
+    friend class memory_share;
+
+    /// A holder may have this much however many there are, while the budget
+    /// lasts.
+    static constexpr std::uint64_t least_part = 16 * 1024;
+
+    /// Largest share of a holder once half of the budget is in use.
+    std::uint64_t fair_part() const
+    {
+        const auto n = std::max<std::uint64_t>(1, holders_.load());
+        return std::max(least_part, total_ / 2 / n);
+    }
+
+    /// Adds to a share.
+    /// @param from size of the share
+    bool grow(std::uint64_t from, std::uint64_t to)
+    {
+        const auto more = to - from;
+        auto used = used_.load();
+        do {
+            const auto after = used + more;
+            if (total_ > 0 &&
+                (after > total_ || (after > total_ / 2 && to > fair_part()))) {
+                refusals_.fetch_add(1, std::memory_order_relaxed);
+                return false;
+            }
+        } while (!used_.compare_exchange_weak(used, used + more));
+        holders_.fetch_add(from == 0 ? 1 : 0);
+        return true;
+    }
+
+    void shrink(std::uint64_t from, std::uint64_t to)
+    {
+        used_.fetch_sub(from - to);
+        holders_.fetch_sub(to == 0 ? 1 : 0);
+    }
+
+    const std::uint64_t total_;
+    /// Sum of all shares; at most total_ when that is above 0.
+    std::atomic<std::uint64_t> used_{0};
+    /// Shares above 0.
+    std::atomic<std::uint64_t> holders_{0};
+    std::atomic<std::uint64_t> refusals_{0};
+};
+
+/// What one holder has of a budget; returned at its end. Used by one thread.
+class memory_share
+{
+public:
+    explicit memory_share(memory_budget& budget)
+        : budget_(budget)
+    {}
+    ~memory_share()
+    {
+        shrink_to(0);
+    }
+    memory_share(const memory_share&) = delete;
+    memory_share& operator=(const memory_share&) = delete;
+
+    /// @return false when the budget has no room; the share stays as it was
+    bool grow_to(std::uint64_t bytes)
+    {
+        if (bytes > held_) {
+            if (!budget_.grow(held_, bytes)) {
+                return false;
+            }
+            held_ = bytes;
+        }
+        return true;
+    }
+    void shrink_to(std::uint64_t bytes)
+    {
+        if (bytes < held_) {
+            budget_.shrink(held_, bytes);
+            held_ = bytes;
+        }
+    }
+    bool is_short() const
+    {
+        return budget_.is_short();
+    }
+    std::uint64_t held() const
+    {
+        return held_;
+    }
+
+private:
+    memory_budget& budget_;
+    std::uint64_t held_ = 0;
+};
+
+} // namespace oriolegrade::coordination
+
+#endif
--- a/include/oriolegrade/state/reply_reason.hpp
+++ b/include/oriolegrade/state/reply_reason.hpp
@@ -43,12 +43,13 @@
     not_forwarded,
     target_too_long,
     unknown_key,
+    no_memory,
 };
 
 template <>
 struct enum_names<reply_reason>
 {
-    static constexpr std::array<std::string_view, 29> value{
+    static constexpr std::array<std::string_view, 30> value{
         "no_route",
         "too_large",
         "limit",
@@ -78,6 +79,7 @@
         "not_forwarded",
         "target_too_long",
         "unknown_key",
+        "no_memory",
     };
 };
 
@@ -88,7 +90,7 @@
     std::string_view text;
 };
 
-inline constexpr std::array<reply_row, 29> reply_table{{
+inline constexpr std::array<reply_row, 30> reply_table{{
     {404, run_outcome::not_run, "no route matches"},
     {413, run_outcome::not_run, "request body exceeds the route's limit"},
     {429, run_outcome::not_run, "rate or concurrency limit reached"},
@@ -118,6 +120,7 @@
     {501, run_outcome::not_run, "request may not be forwarded any further"},
     {414, run_outcome::not_run, "request target exceeds the limit"},
     {401, run_outcome::not_run, "the request needs a key that is known"},
+    {503, run_outcome::not_run, "host has no memory for the request body"},
 }};
 
 static_assert(reply_table.size() == enum_size<reply_reason>);
--- a/include/oriolegrade/transport/caller_connection.hpp
+++ b/include/oriolegrade/transport/caller_connection.hpp
@@ -24,6 +24,7 @@
     /// @param on_input called in the reactor when bytes have arrived
     caller_connection(tcp_stream stream,
                       const coordination::read_ahead_limits& limits,
+                      coordination::memory_budget& memory,
                       const std::atomic<bool>& stopping,
                       std::function<void()> on_input);
 
--- a/include/oriolegrade/transport/caller_input.hpp
+++ b/include/oriolegrade/transport/caller_input.hpp
@@ -4,6 +4,7 @@
 #ifndef ORIOLEGRADE_TRANSPORT_CALLER_INPUT_HPP
 #define ORIOLEGRADE_TRANSPORT_CALLER_INPUT_HPP
 
+#include <oriolegrade/coordination/memory_budget.hpp>
 #include <oriolegrade/state/time_type.hpp>
 #include <oriolegrade/transport/fiber_signal.hpp>
 #include <oriolegrade/transport/tcp.hpp>
@@ -25,9 +26,12 @@
 public:
     /// @param limit bytes that are kept unread; the connection is not read
     ///        beyond it, so that the caller's sends block
+    /// @param memory what more than the first bytes are taken from; while it is
+    ///        short, the connection is not read beyond them
     /// @param on_event called in the reactor after bytes have arrived or the
     ///        connection has ended
     caller_input(tcp_stream& stream, std::size_t limit,
+                 coordination::memory_budget& memory,
                  std::function<void()> on_event);
 
     caller_input(const caller_input&) = delete;
@@ -92,9 +96,16 @@
     void watch_closed();
     void finish(const error_code& ec);
     void note_arrival(std::size_t n);
+    /// Gets memory for the bytes; false when there is none.
+    bool reserve(std::size_t bytes);
+    /// Gives back what the buffer no longer uses.
+    void release_memory();
 
     tcp_stream& stream_;
     std::size_t limit_;
+    coordination::memory_share memory_;
+    /// The connection is not read for want of memory.
+    bool starved_ = false;
     std::function<void()> on_event_;
     boost::beast::flat_buffer buffer_;
     /// Wakes up at an interval while the connection is not read.
--- a/include/oriolegrade/transport/caller_session.hpp
+++ b/include/oriolegrade/transport/caller_session.hpp
@@ -65,8 +65,8 @@
     caller_session(tcp_stream stream, Front& front, caller_shared& shared)
         : front_(front)
         , shared_(shared)
-        , connection_(std::move(stream), shared.read_ahead, shared.stopping,
-                      [this] { on_input(); })
+        , connection_(std::move(stream), shared.read_ahead, shared.memory,
+                      shared.stopping, [this] { on_input(); })
     {
         static_assert(caller_front<Front>);
     }
--- a/include/oriolegrade/transport/caller_shared.hpp
+++ b/include/oriolegrade/transport/caller_shared.hpp
@@ -3,6 +3,7 @@
 #ifndef ORIOLEGRADE_TRANSPORT_CALLER_SHARED_HPP
 #define ORIOLEGRADE_TRANSPORT_CALLER_SHARED_HPP
 
+#include <oriolegrade/coordination/memory_budget.hpp>
 #include <oriolegrade/coordination/read_ahead.hpp>
 
 #include <atomic>
@@ -34,13 +35,18 @@
 /// Read and written by all worker threads.
 struct caller_shared
 {
-    explicit caller_shared(const coordination::read_ahead_limits& limits)
+    /// @param memory_bytes for bodies, answers and input of callers beyond the
+    ///        first part of each; 0 for no limit
+    explicit caller_shared(const coordination::read_ahead_limits& limits,
+                           std::uint64_t memory_bytes = 0)
         : read_ahead(limits)
         , held(limits.held_bytes)
+        , memory(memory_bytes)
     {}
 
     const coordination::read_ahead_limits read_ahead;
     coordination::held_answers held;
+    coordination::memory_budget memory;
     /// The process is stopping: not ready, and connections close after the
     /// answers to what has been read.
     std::atomic<bool> stopping{false};
--- a/include/oriolegrade/transport/caller_stream.hpp
+++ b/include/oriolegrade/transport/caller_stream.hpp
@@ -67,6 +67,12 @@
     /// 100-continue` before the first read.
     std::size_t read_some(std::span<char> buf, error_code& ec);
 
+    /// Nobody waits for the answer any more.
+    bool is_abandoned() const
+    {
+        return connection_.is_abandoned();
+    }
+
     /// When the last byte of the head had arrived.
     state::time_point arrival() const
     {
--- a/include/oriolegrade/transport/gateway/gateway_metrics.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_metrics.hpp
@@ -78,6 +78,13 @@
     {
         fallbacks_.fetch_add(1, std::memory_order_relaxed);
     }
+    /// Sets what is in use of the memory for callers, and how often it was
+    /// refused.
+    void set_memory(std::uint64_t used, std::uint64_t refusals)
+    {
+        memory_used_.store(used, std::memory_order_relaxed);
+        memory_refusals_.store(refusals, std::memory_order_relaxed);
+    }
     /// Counts a request that was refused for want of a known key.
     void count_unknown_key()
     {
@@ -132,6 +139,8 @@
     counter skipped_answers_{0};
     /// Requests without a known key on routes that need one.
     counter unknown_keys_{0};
+    counter memory_used_{0};
+    counter memory_refusals_{0};
     state::rcu_cell<workspace_table> workspaces_{
         std::make_shared<const workspace_table>()};
 };
--- a/include/oriolegrade/transport/gateway/gateway_shared.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_shared.hpp
@@ -31,6 +31,11 @@
     /// Hosts to ask when the store cannot be reached at the start.
     std::vector<state::endpoint> seeds;
     std::size_t max_connections = 2048;
+    /// Kernel memory for each direction of a caller's connection; 0 for the
+    /// system's own size.
+    std::size_t socket_buffer_bytes = 0;
+    /// Memory for bodies, answers and input of callers; 0 for no limit.
+    std::uint64_t memory_bytes = 0;
     unsigned threads = 1;
     /// Extra sends that all hosts together may make to one service.
     coordination::window_budget_options budget;
@@ -47,7 +52,7 @@
 struct gateway_shared : caller_shared
 {
     explicit gateway_shared(gateway_options options_in)
-        : caller_shared(options_in.read_ahead)
+        : caller_shared(options_in.read_ahead, options_in.memory_bytes)
         , options(std::move(options_in))
         , rules(std::make_shared<const state::route_index>(
               std::make_shared<const state::traffic_rules>()))
--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -86,6 +86,7 @@
         , pool_(ioc, gateway_pool_options())
         , listener_(ioc, shared.options.caller_listen,
                     shared.options.max_connections,
+                    shared.options.socket_buffer_bytes,
                     [this](tcp_stream stream) { serve(std::move(stream)); })
     {
         spawn_fiber([this] { maintain(); });
@@ -346,6 +347,8 @@
         for (;;) {
             boost::this_fiber::sleep_for(gateway_pool_interval);
             run_step("pool", [this] { pool_.close_expired(clock::now()); });
+            shared_.metrics.set_memory(shared_.memory.used(),
+                                       shared_.memory.refusals());
         }
     }
 
@@ -391,7 +394,7 @@
             if (!report.caller_error) {
                 hedged_run<caller_answer, choice_type, Dialect> runner(
                     ioc_, pool_, sends.route.spec, sends.deadline, head, answer,
-                    choice);
+                    choice, shared_.memory);
                 const active_guard guard(active_, choice, runner);
                 std::optional<caller_connection::cancel_guard> cancel;
                 answer.on_cancel([&runner] { runner.cancel(); }, cancel);
@@ -400,7 +403,7 @@
         } else {
             request_runner<caller_request, caller_answer, choice_type, Dialect>
                 runner(pool_, sends.route.spec, sends.deadline, request, answer,
-                       choice, gateway_replay_bytes);
+                       choice, shared_.memory, gateway_replay_bytes);
             const active_guard guard(active_, choice, runner);
             runner.read_ahead(report.caller_error);
             if (!report.caller_error) {
@@ -447,6 +450,10 @@
             !answer.started()) {
             return refuse(line, answer, state::reply_reason::too_large, {});
         }
+        if (report.caller_error == boost::asio::error::no_memory &&
+            !answer.started()) {
+            return refuse(line, answer, state::reply_reason::no_memory, {});
+        }
         switch (report.step) {
         case coordination::next_step::done:
             end_answered(line);
--- a/include/oriolegrade/transport/hedged_run.hpp
+++ b/include/oriolegrade/transport/hedged_run.hpp
@@ -107,7 +107,7 @@
     hedged_run(boost::asio::io_context& ioc, upstream_pool& pool,
                const state::route_spec& route, state::time_point deadline,
                const protocol::request_head& head, Sink& sink,
-               Choice& first_choice)
+               Choice& first_choice, coordination::memory_budget& memory)
         : pool_(pool)
         , route_(route)
         , deadline_(deadline)
@@ -116,6 +116,7 @@
         , first_sink_(sink, owner_, [this] { cancel(second_); })
         , second_sink_(sink, owner_, [this] { cancel(first_); })
         , first_choice_(first_choice)
+        , memory_(memory)
     {}
 
     hedged_run(const hedged_run&) = delete;
@@ -126,7 +127,7 @@
     run_report run()
     {
         runner first(pool_, route_, deadline_, body_, first_sink_,
-                     first_choice_);
+                     first_choice_, memory_);
         first_ = &first;
         first_choice_.on_hedge([this](state::duration delay) { arm(delay); });
         run_report report;
@@ -228,7 +229,7 @@
         route.max_attempts = 1;
         Choice choice(first_choice_, route);
         runner second(pool_, route, deadline_, second_body_, second_sink_,
-                      choice);
+                      choice, memory_);
         second_ = &second;
         second_fault_ = caught([&] { second_report_ = second.run(head_); });
         second_ = nullptr;
@@ -247,6 +248,7 @@
     racing_sink<Sink> first_sink_;
     racing_sink<Sink> second_sink_;
     Choice& first_choice_;
+    coordination::memory_budget& memory_;
     runner* first_ = nullptr;
     runner* second_ = nullptr;
     std::optional<run_report> second_report_;
--- a/include/oriolegrade/transport/listener.hpp
+++ b/include/oriolegrade/transport/listener.hpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <utility>
 
 namespace oriolegrade::transport {
 
@@ -24,7 +25,14 @@
     ///        left in the backlog
     /// @throws boost::system::system_error when the address is not available
     listener(boost::asio::io_context& ioc, const state::endpoint& address,
-             std::size_t max_connections, handler on_connection);
+             std::size_t max_connections, handler on_connection)
+        : listener(ioc, address, max_connections, 0, std::move(on_connection))
+    {}
+    /// @param socket_buffer_bytes for each direction of a connection; 0 leaves
+    ///        the size to the system, which lets it grow to some megabytes
+    listener(boost::asio::io_context& ioc, const state::endpoint& address,
+             std::size_t max_connections, std::size_t socket_buffer_bytes,
+             handler on_connection);
     ~listener();
 
     listener(const listener&) = delete;
--- a/include/oriolegrade/transport/replay_body.hpp
+++ b/include/oriolegrade/transport/replay_body.hpp
@@ -4,9 +4,14 @@
 #ifndef ORIOLEGRADE_TRANSPORT_REPLAY_BODY_HPP
 #define ORIOLEGRADE_TRANSPORT_REPLAY_BODY_HPP
 
+#include <oriolegrade/coordination/memory_budget.hpp>
 #include <oriolegrade/transport/body_stream.hpp>
 
+#include <boost/asio/error.hpp>
+#include <boost/fiber/operations.hpp>
+
 #include <algorithm>
+#include <chrono>
 #include <cstring>
 #include <string>
 
@@ -17,20 +22,35 @@
 /// sends a small body.
 inline constexpr std::size_t replay_limit_bytes = 64 * 1024;
 
+/// A body waits this long for memory of its host. Callers that stop short of
+/// the end of their bodies lose them after the progress limit, mostly 3 s; a
+/// longer wait would only add those of others.
+inline constexpr std::chrono::milliseconds memory_wait{500};
+inline constexpr std::chrono::milliseconds memory_wait_step{50};
+
 template <body_source Source>
 class replay_body
 {
 public:
-    explicit replay_body(Source& source, std::size_t limit = replay_limit_bytes)
+    /// @param memory what the kept bytes are taken from
+    replay_body(Source& source, std::size_t limit,
+                coordination::memory_budget& memory)
         : source_(source)
         , limit_(limit)
+        , memory_(memory)
     {}
 
     /// Reads from the source until its end or the limit.
+    /// @param ec boost::asio::error::no_memory when the host has no room for
+    ///        the bytes
     void fill(error_code& ec)
     {
         while (!ended_ && kept_.size() < limit_ && !ec) {
             const auto old = kept_.size();
+            if (!reserve(old + read_step_bytes)) {
+                ec = boost::asio::error::no_memory;
+                return;
+            }
             kept_.resize(std::min(old + read_step_bytes, limit_));
             const auto n = source_.read_some(std::span(kept_).subspan(old), ec);
             kept_.resize(old + n);
@@ -82,8 +102,38 @@
 private:
     static constexpr std::size_t read_step_bytes = 8 * 1024;
 
+    bool is_abandoned() const
+    {
+        if constexpr (requires { source_.is_abandoned(); }) {
+            return source_.is_abandoned();
+        } else {
+            return false;
+        }
+    }
+
+    /// Waits for memory for the bytes, but for the first ones, which are part
+    /// of a connection's own memory.
+    bool reserve(std::size_t bytes)
+    {
+        if (bytes <= std::max(kept_.capacity(), read_step_bytes)) {
+            return true;
+        }
+        // As the string grows.
+        const auto capacity = std::max(bytes, 2 * kept_.capacity());
+        const auto until = std::chrono::steady_clock::now() + memory_wait;
+        while (!memory_.grow_to(capacity)) {
+            if (std::chrono::steady_clock::now() >= until || is_abandoned()) {
+                return false;
+            }
+            boost::this_fiber::sleep_for(memory_wait_step);
+        }
+        kept_.reserve(capacity);
+        return true;
+    }
+
     Source& source_;
     const std::size_t limit_;
+    coordination::memory_share memory_;
     std::string kept_;
     /// Next kept byte to read; at most kept_.size().
     std::size_t position_ = 0;
--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -105,14 +105,15 @@
 public:
     request_runner(upstream_pool& pool, const state::route_spec& route,
                    state::time_point deadline, Source& source, Sink& sink,
-                   Choice& choice,
+                   Choice& choice, coordination::memory_budget& memory,
                    std::size_t replay_limit = replay_limit_bytes)
         : pool_(pool)
         , route_(route)
         , deadline_(deadline)
-        , body_(source, replay_limit)
+        , body_(source, replay_limit, memory)
         , sink_(sink)
         , choice_(choice)
+        , memory_(memory)
     {}
 
     /// Reads the beginning of the body, so that a slow caller holds no place.
@@ -266,6 +267,7 @@
         if (past_deadline()) {
             return state::attempt_result::expired_unsent;
         }
+        buffer_.resize(buffer_bytes);
         const auto policy =
             route_.request == state::request_class::non_idempotent
                 ? reuse_policy::recent_only
@@ -490,6 +492,12 @@
                    error_code& ec)
     {
         while (held.size() < hold_back_bytes) {
+            // Without memory the answer is passed on as it comes, and cannot be
+            // replaced by that of another send.
+            if (held.size() >= buffer_bytes &&
+                !memory_.grow_to(2 * held.size())) {
+                return false;
+            }
             const auto n = connection.read_body(buffer_, ec);
             if (n == 0 || ec) {
                 return !ec;
@@ -542,7 +550,11 @@
     replay_body<Source> body_;
     Sink& sink_;
     Choice& choice_;
-    std::vector<char> buffer_ = std::vector<char>(buffer_bytes);
+    /// Of the answer that is held back.
+    coordination::memory_share memory_;
+    /// Empty before the first attempt: callers that stop within their bodies
+    /// need none.
+    std::vector<char> buffer_;
     std::optional<protocol::answer_head> answer_head_;
     /// Last whole answer that told a fault; kept until a better one arrives.
     struct faulted_answer
--- a/include/oriolegrade/transport/upstream_runner.hpp
+++ b/include/oriolegrade/transport/upstream_runner.hpp
@@ -37,13 +37,19 @@
         table_choice choice(std::move(table), context.route_spec(),
                             context.deadline, thread_);
         request_runner runner(pool_, context.route_spec(), context.deadline,
-                              source, sink, choice);
+                              source, sink, choice, shared_.memory);
         if (on_start) {
             on_start([&runner] { runner.cancel(); });
         }
         return runner.run(context.head);
     }
 
+    /// Memory for bodies that are kept.
+    coordination::memory_budget& memory()
+    {
+        return shared_.memory;
+    }
+
 private:
     template <body_source Source, answer_sink Sink>
     run_report run_hedged(const request_context& context,
@@ -62,7 +68,7 @@
         table_choice choice(std::move(table), context.route_spec(),
                             context.deadline, thread_);
         hedged_run run(ioc_, pool_, context.route_spec(), context.deadline,
-                       context.head, sink, choice);
+                       context.head, sink, choice, shared_.memory);
         if (on_start) {
             on_start([&run] { run.cancel(); });
         }
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -33,11 +33,12 @@
 
 caller_connection::caller_connection(
     tcp_stream stream, const coordination::read_ahead_limits& limits,
-    const std::atomic<bool>& stopping, std::function<void()> on_input)
+    coordination::memory_budget& memory, const std::atomic<bool>& stopping,
+    std::function<void()> on_input)
     : stream_(std::move(stream))
     , stopping_(stopping)
     , on_input_(std::move(on_input))
-    , input_(stream_, limits.bytes, [this] { on_event(); })
+    , input_(stream_, limits.bytes, memory, [this] { on_event(); })
     , schedule_(limits.requests)
 {}
 
--- a/src/transport/caller_input.cpp
+++ b/src/transport/caller_input.cpp
@@ -39,9 +39,11 @@
 } // namespace
 
 caller_input::caller_input(tcp_stream& stream, std::size_t limit,
+                           coordination::memory_budget& memory,
                            std::function<void()> on_event)
     : stream_(stream)
     , limit_(limit)
+    , memory_(memory)
     , on_event_(std::move(on_event))
     , timer_(stream.get_executor())
 {}
@@ -87,8 +89,12 @@
 {
     error_code ec;
     const auto room = limit_ - std::min(limit_, buffer_.size());
-    const auto n = stream_.socket().read_some(
-        buffer_.prepare(std::min(room, read_step_bytes)), ec);
+    const auto step = std::min(room, read_step_bytes);
+    starved_ = !reserve(buffer_.size() + step);
+    if (starved_) {
+        return watch_closed();
+    }
+    const auto n = stream_.socket().read_some(buffer_.prepare(step), ec);
     buffer_.commit(n);
     if (ec == asio::error::would_block || ec == asio::error::try_again) {
         return wait_readable();
@@ -113,10 +119,12 @@
         run_in_reactor([this] {
             if (!stream_.socket().is_open()) {
                 finish(asio::error::operation_aborted);
-            } else if (buffer_.size() < limit_) {
+            } else if (buffer_.size() < limit_ && !starved_) {
                 wait_readable();
             } else if (is_closed_by_peer(stream_)) {
                 finish(boost::beast::http::error::end_of_stream);
+            } else if (starved_) {
+                wait_readable();
             } else {
                 watch_closed();
             }
@@ -167,7 +175,10 @@
         }
         marks_.pop_front();
     }
-    if (was_full) {
+    if (buffer_.size() == 0 && memory_.is_short()) {
+        release_memory();
+    }
+    if (was_full || starved_) {
         // Continues to read without waiting for the interval.
         timer_.cancel();
     }
@@ -176,9 +187,26 @@
 void caller_input::trim()
 {
     // Empty lines may be left between two requests.
-    if (buffer_.size() <= idle_bytes && buffer_.capacity() > idle_bytes) {
+    if (buffer_.size() <= idle_bytes) {
+        release_memory();
+    }
+}
+
+bool caller_input::reserve(std::size_t bytes)
+{
+    if (bytes <= std::max(buffer_.capacity(), idle_bytes)) {
+        return true;
+    }
+    // As the buffer grows.
+    return memory_.grow_to(std::max(bytes, 2 * buffer_.size()));
+}
+
+void caller_input::release_memory()
+{
+    if (buffer_.capacity() > idle_bytes) {
         buffer_.shrink_to_fit();
     }
+    memory_.shrink_to(buffer_.capacity() > idle_bytes ? buffer_.capacity() : 0);
 }
 
 void caller_input::allow(std::size_t limit)
--- a/src/transport/gateway/gateway_metrics.cpp
+++ b/src/transport/gateway/gateway_metrics.cpp
@@ -137,6 +137,8 @@
     add_line(out, "local_placements_total", "", "", fallbacks_);
     add_line(out, "skipped_answers_total", "", "", skipped_answers_);
     add_line(out, "unknown_keys_total", "", "", unknown_keys_);
+    add_line(out, "caller_memory_bytes", "", "", memory_used_);
+    add_line(out, "caller_memory_refusals_total", "", "", memory_refusals_);
     const auto workspaces = workspaces_.read();
     for (const auto& it : *workspaces) {
         const auto name = escaped(it.first);
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -107,7 +107,8 @@
 }
 
 listener::listener(asio::io_context& ioc, const state::endpoint& address,
-                   std::size_t max_connections, handler on_connection)
+                   std::size_t max_connections, std::size_t socket_buffer_bytes,
+                   handler on_connection)
     : state_(std::make_shared<shared_state>(
           shared_state{ioc, shared_state::acceptor_type(ioc),
                        std::move(on_connection), max_connections}))
@@ -116,6 +117,13 @@
     acceptor.open(asio::ip::tcp::v4());
     acceptor.set_option(asio::socket_base::reuse_address(true));
     acceptor.set_option(reuse_port(true));
+    if (socket_buffer_bytes > 0) {
+        // Connections inherit them. The window of a connection is fixed when it
+        // opens, so they are not set later.
+        const auto size = static_cast<int>(socket_buffer_bytes);
+        acceptor.set_option(asio::socket_base::receive_buffer_size(size));
+        acceptor.set_option(asio::socket_base::send_buffer_size(size));
+    }
     acceptor.bind(to_tcp(address));
     acceptor.listen();
     spawn_fiber([s = state_] { shared_state::accept_loop(s); });
--- a/src/transport/once_path.cpp
+++ b/src/transport/once_path.cpp
@@ -60,7 +60,7 @@
 void once_path::serve(const request_context& context, caller_request& request,
                       caller_answer& answer)
 {
-    body source(request);
+    body source(request, replay_limit_bytes, runner_.memory());
     error_code ec;
     source.fill(ec);
     if (ec) {
--- a/test/platform/pipelining_test.cpp
+++ b/test/platform/pipelining_test.cpp
@@ -345,9 +345,10 @@
     transport::listener listener(
         ioc, {0x7f000001, 0}, 10, [&](transport::tcp_stream stream) {
             const std::atomic<bool> stopping{false};
+            coordination::memory_budget memory(0);
             transport::caller_connection connection(
-                std::move(stream), coordination::read_ahead_limits{}, stopping,
-                [] {});
+                std::move(stream), coordination::read_ahead_limits{}, memory,
+                stopping, [] {});
             connection.input().start();
             transport::caller_io_limits limits;
             limits.idle = 50ms;
--- a/test/system/caller_crowds.py
+++ b/test/system/caller_crowds.py
@@ -15,6 +15,8 @@
 import asyncio
 import json
 import os
+import socket
+import struct
 
 import fault_soak
 from fault_soak import Gateway, Upstream, answer, read_message
@@ -141,6 +143,9 @@
         during = await self.ordinary_request(f"{name}-during")
         for writer in crowd:
             if writer is not None:
+                # Without a reset the kernel would go on to send what is left.
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 writer.transport.abort()
         await asyncio.sleep(0.5)
         after = await self.upload(f"{name}-after")
--- a/test/transport/handler_fault_test.cpp
+++ b/test/transport/handler_fault_test.cpp
@@ -58,11 +58,12 @@
 protected:
     socket_pair ends;
     std::atomic<bool> stopping = false;
+    oriolegrade::coordination::memory_budget memory{0};
 };
 
 TEST_F(caller_fault, in_the_reactor_ends_the_connection)
 {
-    caller_input input(ends.server, 1000, fail);
+    caller_input input(ends.server, 1000, memory, fail);
     input.start();
     asio::write(ends.client, asio::buffer("x", 1));
     error_code ec;
@@ -76,7 +77,8 @@
 // The caller has left, and nobody waits for the answers.
 TEST_F(caller_fault, of_one_cancelled_request_leaves_others_running)
 {
-    caller_connection connection(std::move(ends.server), {}, stopping, [] {});
+    caller_connection connection(std::move(ends.server), {}, memory, stopping,
+                                 [] {});
     connection.input().start();
     bool cancelled = false;
     {
--- a/test/transport/request_runner_test.cpp
+++ b/test/transport/request_runner_test.cpp
@@ -76,9 +76,10 @@
     fake_choice choice{upstream.address()};
     fake_sink sink{};
     transport::no_body body;
+    coordination::memory_budget memory(0);
     transport::request_runner<transport::no_body, fake_sink, fake_choice>
         runner(pool, route, std::chrono::steady_clock::now() + 2s, body, sink,
-               choice);
+               choice, memory);
     sink.on_finish = [&runner] {
         runner.cancel();
     };
