--- a/include/oriolegrade/coordination/quota_wallet.hpp
+++ b/include/oriolegrade/coordination/quota_wallet.hpp
@@ -61,6 +61,11 @@
     ///        is never `wait`
     quota_decision take(std::string_view workspace, state::duration waited,
                         state::time_point now);
+    /// Takes a token for a further send of a request, now or from the next
+    /// slice. A host that has few requests of a workspace holds no spare token,
+    /// and a repeat cannot wait for one. Any thread.
+    /// @return false while the workspace is at its limit
+    bool take_extra(std::string_view workspace, state::time_point now);
     /// Returns the token of a send that the upstream refused unrun. It is lost
     /// when the slice has expired. Any thread.
     void give_back(std::string_view workspace, state::time_point now);
@@ -88,6 +93,10 @@
     /// wait for them call take() again, and the next ask goes to another owner.
     std::vector<std::string> take_failed();
 
+    /// True when a request waits for an answer of the workspace's owner.
+    bool awaits(const std::string& workspace) const;
+    /// Slices that the host has borrowed, for the metrics.
+    state::quota_holdings holdings(state::time_point now) const;
     /// Workspaces with state beyond their row in the table.
     std::size_t active() const;
 
--- a/include/oriolegrade/transport/gateway/gateway_shared.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_shared.hpp
@@ -31,12 +31,19 @@
     /// Hosts to ask when the store cannot be reached at the start.
     std::vector<state::endpoint> seeds;
     std::size_t max_connections = 2048;
+    /// Kernel memory for each direction of a caller's connection; 0 for the
+    /// system's own size.
+    std::size_t socket_buffer_bytes = 0;
+    /// Memory for bodies, answers and input of callers; 0 for no limit.
+    std::uint64_t memory_bytes = 0;
     unsigned threads = 1;
     /// Extra sends that all hosts together may make to one service.
     coordination::window_budget_options budget;
     coordination::read_ahead_limits read_ahead;
     /// Shortest window in which the limits of workspaces have to hold.
     state::duration quota_window = std::chrono::seconds(1);
+    /// What such a window may hold beyond them.
+    state::quota_allowance quota_allowance;
     /// The whole fleet starts for the first time.
     bool first_start = false;
     /// Time between the stop signal and the end of the process.
@@ -47,7 +54,7 @@
 struct gateway_shared : caller_shared
 {
     explicit gateway_shared(gateway_options options_in)
-        : caller_shared(options_in.read_ahead)
+        : caller_shared(options_in.read_ahead, options_in.memory_bytes)
         , options(std::move(options_in))
         , rules(std::make_shared<const state::route_index>(
               std::make_shared<const state::traffic_rules>()))
