Notice a store that comes back from an older copy by its era

In a drill the store returns from a copy some seconds old and gives offsets out again.

Offsets now hold the era of the store that told them (Store-Era). A read from an offset of another era counts as trimmed, so each follower reads the newest records, also through another host, as offsets pass unchanged. Answers of an ended era are not used. Without the field nothing changes.

--- a/include/oriolegrade/coordination/memory_budget.hpp
+++ b/include/oriolegrade/coordination/memory_budget.hpp
@@ -3,8 +3,8 @@
 // Load pattern: hundreds of callers send large bodies within the limits at once
 // and stop just short of their end, or do not read their answers. Half of the
 // budget goes to whoever asks first, so that a few large bodies are served in
-// calm; of the other half a holder gets a part of what is left, so that a crowd
-// with large bodies leaves room for callers with small ones.
+// calm; the other half is for small shares, so that a crowd with large bodies
+// leaves room for callers with small ones.
 
 #ifndef ORIOLEGRADE_COORDINATION_MEMORY_BUDGET_HPP
 #define ORIOLEGRADE_COORDINATION_MEMORY_BUDGET_HPP
@@ -45,21 +45,15 @@
 private:
     friend class memory_share;
 
-    /// A holder may have this much however many there are, while the budget
-    /// lasts.
-    static constexpr std::uint64_t least_part = 8 * 1024;
-    /// Once half of the budget is in use, a share may be this part of the rest.
-    static constexpr std::uint64_t parts_of_rest = 16;
+    /// Largest share that may use the second half of the budget.
+    static constexpr std::uint64_t small_share = 16 * 1024;
 
     bool has_room(std::uint64_t used, std::uint64_t from,
                   std::uint64_t to) const
     {
         const auto after = used + (to - from);
-        if (total_ == 0 || after <= total_ / 2) {
-            return true;
-        }
-        return after <= total_ &&
-               to <= std::max(least_part, (total_ - used) / parts_of_rest);
+        return total_ == 0 ||
+               after <= (to <= small_share ? total_ : total_ / 2);
     }
 
     /// Adds to a share.
--- a/include/oriolegrade/coordination/quota_share.hpp
+++ b/include/oriolegrade/coordination/quota_share.hpp
@@ -63,7 +63,8 @@
     };
 
     /// Since when a share has gained tokens that this process has not delegated
-    /// yet. Before it, an owner may have used what an earlier process delegated.
+    /// yet. Before it, an owner may have used what an earlier process
+    /// delegated.
     state::time_point empty_at(state::time_point now) const;
     /// Part of each limit, whatever the age of the process.
     double part(state::time_point now, std::uint32_t least_hosts) const;
--- a/test/platform/fake_store.hpp
+++ b/test/platform/fake_store.hpp
@@ -11,6 +11,7 @@
 #include <boost/fiber/operations.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <optional>
@@ -39,7 +40,11 @@
     explicit fake_store(boost::asio::io_context& ioc)
         : server_(ioc, {0x7f000001, 0},
                   [this](const transport::http_request& request) {
-                      return serve(request);
+                      auto answer = serve(request);
+                      if (era > 0) {
+                          answer.set("Store-Era", std::to_string(era));
+                      }
+                      return answer;
                   })
     {}
 
@@ -62,6 +67,15 @@
         it.first = it.records.size();
     }
 
+    /// Comes back from a copy that lacks the last records of a topic.
+    void go_back(const std::string& topic, std::size_t lost)
+    {
+        auto& it = topics_[topic];
+        it.records.resize(it.records.size() -
+                          std::min(it.records.size(), lost));
+        ++era;
+    }
+
     const auto& records(const std::string& topic)
     {
         return topics_[topic].records;
@@ -71,6 +85,8 @@
     /// Records of one page of the newest of each key.
     std::size_t page = 500;
     int calls = 0;
+    /// Told with each answer when above 0.
+    std::uint64_t era = 0;
 
 private:
     struct record
@@ -186,7 +202,7 @@
         const auto until =
             std::chrono::steady_clock::now() +
             std::chrono::milliseconds(wait.empty() ? 0 : std::stol(wait));
-        if (from < topic.first) {
+        if (from < topic.first || (era > 0 && from > topic.records.size())) {
             return transport::json_answer(410, "{\"first_offset\":0}");
         }
         // A wait that is under way hears nothing of a dropped history.
--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -227,6 +227,44 @@
 }
 
 // A lost answer says nothing about the write, and is no success.
+// A store that comes back from an older copy gives the offsets of the lost
+// records to others. A read from where this host was would miss them.
+TEST(store_source, records_behind_a_copy_are_missed)
+{
+    auto& b = make_bench<calls_bench>();
+    b.store.era = 1;
+    b.store.put(servers, "i-1", entry(1));
+    const auto before = b.source.newest_upstreams();
+    ASSERT_TRUE(before);
+    b.store.put(servers, "i-2", entry(1));
+    const auto seen = b.source.read_upstreams(before.value().next_offset);
+    ASSERT_TRUE(seen);
+    EXPECT_EQ(seen.value().changes.size(), 1U);
+    b.store.go_back(servers, 1);
+    b.store.put(servers, "i-3", entry(1));
+    b.store.put(servers, "i-4", entry(1));
+    const auto next = b.source.read_upstreams(seen.value().next_offset);
+    ASSERT_FALSE(next);
+    EXPECT_EQ(next.error(), state::source_failure::trimmed);
+    const auto whole = b.source.newest_upstreams();
+    ASSERT_TRUE(whole);
+    EXPECT_EQ(whole.value().changes.size(), 3U);
+    EXPECT_TRUE(b.source.read_upstreams(whole.value().next_offset));
+}
+
+// A connection from before the copy may still bring an answer.
+TEST(store_source, an_answer_of_an_ended_era_is_taken)
+{
+    auto& b = make_bench<calls_bench>();
+    b.store.era = 2;
+    b.store.put(servers, "i-1", entry(1));
+    ASSERT_TRUE(b.source.newest_upstreams());
+    b.store.era = 1;
+    EXPECT_FALSE(b.source.newest_upstreams());
+    b.store.era = 3;
+    EXPECT_TRUE(b.source.newest_upstreams());
+}
+
 TEST(store_source, lost_answer_of_an_append_is_a_failure)
 {
     auto& b = make_bench<calls_bench>();
--- a/test/protocol/quota_messages_test.cpp
+++ b/test/protocol/quota_messages_test.cpp
@@ -54,7 +54,8 @@
 
 TEST(quota_messages, a_delegation_loses_a_field)
 {
-    const protocol::quota_delegation_call call{"host-2/cd", {5, 9, 3000ms}};
+    const protocol::quota_delegation_call call{"host-2/cd",
+                                               {5, 9, 3000ms, {}, 41, true}};
     const auto asked =
         protocol::decode_quota_delegation_call(protocol::encode(call));
     ASSERT_TRUE(asked);
@@ -62,15 +63,19 @@
     EXPECT_EQ(asked.value().request.shard, 5U);
     EXPECT_EQ(asked.value().request.number, 9U);
     EXPECT_EQ(asked.value().request.term, 3s);
+    EXPECT_EQ(asked.value().request.hosts, 41U);
+    EXPECT_TRUE(asked.value().request.accepts_early);
     // A share is returned with the time for which it has gained tokens.
-    const auto returned =
-        protocol::decode_quota_delegation_call(protocol::encode(
-            protocol::quota_delegation_call{"host-2/cd", {5, 10, {}, 7s}}));
+    const auto returned = protocol::decode_quota_delegation_call(
+        protocol::encode(protocol::quota_delegation_call{
+            "host-2/cd", {5, 10, {}, 7s, 0, false}}));
     ASSERT_TRUE(returned);
     EXPECT_EQ(returned.value().request.term, 0s);
     EXPECT_EQ(returned.value().request.age, 7s);
     const state::quota_delegation answer{
-        5, 9, state::quota_answer::held_elsewhere, 0.25, 1500ms, 20ms};
+        5,    9,        state::quota_answer::held_elsewhere,
+        0.25, 1500ms,   20ms,
+        true, "host/1", 41};
     const auto out =
         protocol::decode_quota_delegation(protocol::encode(answer));
     ASSERT_TRUE(out);
@@ -78,6 +83,9 @@
     EXPECT_EQ(out.value().fraction, answer.fraction);
     EXPECT_EQ(out.value().age, answer.age);
     EXPECT_EQ(out.value().free_in, answer.free_in);
+    EXPECT_EQ(out.value().early, answer.early);
+    EXPECT_EQ(out.value().holder, answer.holder);
+    EXPECT_EQ(out.value().hosts, answer.hosts);
 }
 
 TEST(quota_messages, an_amount_that_is_no_amount_is_taken)
@@ -91,8 +99,9 @@
             protocol::encode(protocol::quota_ask_call{
                 "h", {"shop", 1, 0, false, it, 0, 0, false}})));
     }
-    EXPECT_FALSE(protocol::decode_quota_delegation(protocol::encode(
-        state::quota_delegation{0, 1, state::quota_answer::given, 1.5})));
+    EXPECT_FALSE(protocol::decode_quota_delegation(
+        protocol::encode(state::quota_delegation{
+            0, 1, state::quota_answer::given, 1.5, {}, {}, false, {}, 0})));
 }
 
 TEST(quota_messages, bytes_of_another_message_are_taken)
