--- a/test/coordination/dispatch_queue_test.cpp
+++ b/test/coordination/dispatch_queue_test.cpp
@@ -55,7 +55,8 @@
     EXPECT_NE(ask(again), "");
     auto repeat = request(send_kind::repeat);
     EXPECT_EQ(ask(repeat), "");
-    EXPECT_EQ(refusal.reason, state::place_refusal_reason::budget);
+    ASSERT_TRUE(refusal);
+    EXPECT_EQ(refusal->reason, state::place_refusal_reason::budget);
     EXPECT_EQ(queue.summary(now).requests, 1U);
 }
 
