Keep the number of hosts that others told to a new owner

An owner that did not know how long the directory had named its hosts forgot at each read of the directory what other hosts had told it.

--- a/include/oriolegrade/coordination/quota_owner.hpp
+++ b/include/oriolegrade/coordination/quota_owner.hpp
@@ -61,9 +61,10 @@
     void set_allowance(const state::quota_allowance& allowance,
                        state::duration window);
     /// Number of hosts to tell with requests; see quota_delegation_request.
+    /// While this host does not know it, what others tell counts on.
     void set_settled_hosts(std::uint32_t n)
     {
-        settled_hosts_ = n;
+        settled_hosts_ = n > 0 ? n : settled_hosts_;
     }
 
     /// Takes an ask. Its answer is in the next take_grants(), or in a later one
