--- a/include/oriolegrade/transport/replay_body.hpp
+++ b/include/oriolegrade/transport/replay_body.hpp
@@ -47,11 +47,12 @@
     {
         while (!ended_ && kept_.size() < limit_ && !ec) {
             const auto old = kept_.size();
-            if (!reserve(old + read_step_bytes)) {
+            const auto size = std::min(old + step_at(old), limit_);
+            if (!reserve(size)) {
                 ec = boost::asio::error::no_memory;
                 return;
             }
-            kept_.resize(std::min(old + read_step_bytes, limit_));
+            kept_.resize(size);
             const auto n = source_.read_some(std::span(kept_).subspan(old), ec);
             kept_.resize(old + n);
             ended_ = n == 0 && !ec;
@@ -102,6 +103,15 @@
 private:
     static constexpr std::size_t read_step_bytes = 8 * 1024;
 
+    /// Bytes of the next read: what fits into the memory at hand, so that a
+    /// small body asks for none, also at its end.
+    std::size_t step_at(std::size_t size) const
+    {
+        const auto at_hand = std::max(kept_.capacity(), read_step_bytes);
+        return size < at_hand ? std::min(read_step_bytes, at_hand - size)
+                              : read_step_bytes;
+    }
+
     bool is_abandoned() const
     {
         if constexpr (requires { source_.is_abandoned(); }) {
