--- a/src/transport/caller_input.cpp
+++ b/src/transport/caller_input.cpp
@@ -119,11 +119,10 @@
         run_in_reactor([this] {
             if (!stream_.socket().is_open()) {
                 finish(asio::error::operation_aborted);
-            } else if (buffer_.size() < limit_ && !starved_) {
-                wait_readable();
-            } else if (is_closed_by_peer(stream_)) {
+            } else if ((starved_ || buffer_.size() >= limit_) &&
+                       is_closed_by_peer(stream_)) {
                 finish(boost::beast::http::error::end_of_stream);
-            } else if (starved_) {
+            } else if (buffer_.size() < limit_) {
                 wait_readable();
             } else {
                 watch_closed();
