--- a/test/protocol/settings_page_test.cpp
+++ b/test/protocol/settings_page_test.cpp
@@ -53,7 +53,22 @@
            "Its settings file is the platform's. Three flags have the meaning, "
            "the default and\nthe limits of the keys of `oriole-entry` above: "
            "`--read_ahead_requests`,\n`--read_ahead_bytes` and "
-           "`--held_answer_bytes`.\n";
+           "`--held_answer_bytes`.\n"
+           "\n"
+           "`limits.memory_mb` of that file bounds what a gateway keeps for "
+           "callers; without it nothing is bounded. Three tenths are for\n"
+           "request bodies that are kept, answers that are held back and input "
+           "beyond 8 KB of a connection; four tenths divided by 40 KB is\n"
+           "the largest number of callers' connections (as far as "
+           "`limits.max_fds` allows it). Half of the first part is for shares "
+           "above\n"
+           "16 KB, so a single body of up to 1 MiB is kept on a host of 7 MB "
+           "or more. A body that finds no memory for 0.5 s is refused\n"
+           "unrun with 503. `bounds.quota_overshoot` and `bounds.quota_slack` "
+           "(0 without a value) are what a window of\n"
+           "`bounds.quota_window` may hold beyond the limit of a workspace; a "
+           "start of all hosts uses up to 0.45 of them, and a quarter of\n"
+           "the slack is burst.\n";
     return out.str();
 }
 
