Remove an accessor and an include that the memory budget does not use

Both were left by an earlier way of dividing the budget. Ran: formatter, layer and event checks, memory_budget_test (5 pass), and the headers that use it compile.

--- a/include/oriolegrade/coordination/memory_budget.hpp
+++ b/include/oriolegrade/coordination/memory_budget.hpp
@@ -9,7 +9,6 @@
 #ifndef ORIOLEGRADE_COORDINATION_MEMORY_BUDGET_HPP
 #define ORIOLEGRADE_COORDINATION_MEMORY_BUDGET_HPP
 
-#include <algorithm>
 #include <atomic>
 #include <cstdint>
 
@@ -117,10 +116,6 @@
     {
         return budget_.is_short();
     }
-    std::uint64_t held() const
-    {
-        return held_;
-    }
 
 private:
     memory_budget& budget_;
