--- a/review/6/case.py
+++ b/review/6/case.py
@@ -63,7 +63,7 @@
 
     async def prepare(self):
         self.arrivals = {}
-        self.faults = self.surplus = 0
+        self.faults = 0
         await super().prepare()
 
     def breaks_off_after(self, rid, grey):
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -2,8 +2,8 @@
 
 Consumers hold idle connections to one of two machines. It gets SIGTERM. Between
 3.5 and 4.3 s later each consumer sends one upload on its open connection. The
-machine takes them. All servers are busy with uploads of the other machine, so they
-wait for 2 to 3 s and are then passed on to servers, which are at work for 3.2 s. No
+machine takes them and passes them on. All servers are busy with uploads of the other
+machine, so they queue them for 2 to 3 s and are then at work on them for 3.2 s. No
 time limit is over and the grace isn't either. The rule is broken by an answer that
 no server gave, or by a connection that ends without one.
 """
@@ -93,7 +93,7 @@
         at_work = any(it["ended"] is None or it["ended"] > began + took for it in runs)
         self.note(f"{rid} got {line!r} after {took:.2f} s, stamp {stamp}, runs {len(runs)}, "
                   f"a server at work: {at_work}")
-        if runs and not stamp and took < LIMIT_MS / 1000 and since > 3.0:
+        if at_work and not stamp and took < LIMIT_MS / 1000 and since > 3.0:
             self.break_rule(f"{rid}, sent {since:.2f} s after SIGTERM, was passed on to "
                             f"{runs[0]['server']} and ended with {line!r} after {took:.2f} s")
         elif status is not None and status != 200:
