--- a/review/9/case.py
+++ b/review/9/case.py
@@ -135,7 +135,7 @@
         self.note(f"{self.faults} runs failed")
         self.note(f"{self.late} of the status-checks were unanswered at their route's timeout, "
                   f"{self.stuck} half a second later")
-        if self.stuck >= 3 and self.stuck > self.late / 2:
+        if self.stuck > self.late / 2:
             self.break_rule(f"{self.stuck} of {self.late} status-checks that were unanswered at "
                             "the route's timeout had no answer half a second later")
 
