--- a/include/oriolegrade/transport/caller_stream.hpp
+++ b/include/oriolegrade/transport/caller_stream.hpp
@@ -133,6 +133,11 @@
     {
         return serializer_.has_value();
     }
+    /// When the answer started; empty before.
+    std::optional<state::time_point> began() const
+    {
+        return began_;
+    }
     bool finished() const
     {
         return finished_;
@@ -197,6 +202,7 @@
     coordination::held_share& held_;
     std::size_t read_behind_;
     state::duration turn_wait_{};
+    std::optional<state::time_point> began_;
     bool keep_alive_;
     /// All answers before this one have been written.
     bool has_turn_ = false;
--- a/include/oriolegrade/transport/gateway/dispatched_choice.hpp
+++ b/include/oriolegrade/transport/gateway/dispatched_choice.hpp
@@ -48,6 +48,8 @@
     send_rights rights = {};
     /// Ids of upstreams that got the request.
     std::vector<std::string> tried = {};
+    /// Kinds of the sends, in order.
+    std::vector<state::send_kind> kinds = {};
     /// Numbers of the connections of the sends, in order; 0 for none.
     std::vector<std::uint64_t> connections = {};
     /// Answers to other requests that were read on these connections.
@@ -124,6 +126,7 @@
         }
         const auto place = *std::exchange(place_, std::nullopt);
         sends_.tried.push_back(place.upstream);
+        sends_.kinds.push_back(place_kind_);
         target_ = {place.upstream, place.born};
         if (!sends_.first_placed) {
             sends_.first_placed = std::chrono::steady_clock::now();
@@ -304,6 +307,7 @@
             sends_.refusal = leaving_refusal;
             return false;
         }
+        place_kind_ = kind;
         waiting_ = std::make_shared<place_wait>();
         number_ = from_.ask(request_for(kind), waiting_);
         // Counted before the wait: a send beside this one must know of it; and
@@ -397,6 +401,8 @@
     /// Name of the present place or wait; 0 for none.
     std::uint64_t number_ = 0;
     std::optional<state::place> place_;
+    /// Kind of the send that the present place or wait is for.
+    state::send_kind place_kind_ = state::send_kind::first;
     /// Upstream of the present send, and its incarnation.
     std::pair<std::string, std::uint64_t> target_;
     std::shared_ptr<place_wait> waiting_;
--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -242,6 +242,7 @@
             take_sends(*plan.sends, line);
         }
         line.turn_wait = answer.turn_wait();
+        line.answer_began = answer.began();
         if (answer.finished()) {
             end_answered(line);
         } else if (answer.started()) {
@@ -436,6 +437,7 @@
     {
         line.sends = sends.tried;
         line.results = sends.results;
+        line.kinds = sends.kinds;
         line.connections = sends.connections;
         line.skipped_answers = sends.skipped_answers;
         line.first_placed = sends.first_placed;
@@ -446,6 +448,7 @@
     {
         take_sends(sends, line);
         line.turn_wait = answer.turn_wait();
+        line.answer_began = answer.began();
         if (report.caller_error == boost::beast::http::error::body_limit &&
             !answer.started()) {
             return refuse(line, answer, state::reply_reason::too_large, {});
--- a/include/oriolegrade/transport/gateway/request_log.hpp
+++ b/include/oriolegrade/transport/gateway/request_log.hpp
@@ -3,6 +3,7 @@
 #ifndef ORIOLEGRADE_TRANSPORT_GATEWAY_REQUEST_LOG_HPP
 #define ORIOLEGRADE_TRANSPORT_GATEWAY_REQUEST_LOG_HPP
 
+#include <oriolegrade/state/dispatch_type.hpp>
 #include <oriolegrade/state/time_type.hpp>
 #include <oriolegrade/transport/gateway/gateway_metrics.hpp>
 
@@ -28,12 +29,17 @@
     std::vector<std::string> sends = {};
     /// How the sends ended, in the order of their ends.
     std::vector<state::send_result> results = {};
+    /// Kinds of the sends, in order.
+    std::vector<state::send_kind> kinds = {};
     /// Numbers of the connections of the sends, in order; 0 for none.
     std::vector<std::uint64_t> connections = {};
     /// Answers to other requests that were read on these connections.
     std::uint32_t skipped_answers = 0;
     /// When the request got its first place; empty when it got none.
     std::optional<state::time_point> first_placed = {};
+    /// When an answer of an upstream began to be passed on; empty when none
+    /// was.
+    std::optional<state::time_point> answer_began = {};
     /// Requests in front of it on its connection when it was read.
     std::size_t read_behind = 0;
     /// Time for which its answer waited for those.
--- a/src/transport/caller_stream.cpp
+++ b/src/transport/caller_stream.cpp
@@ -211,6 +211,7 @@
     message_.body().more = true;
     serializer_.emplace(message_);
     serializer_->split(false);
+    began_ = std::chrono::steady_clock::now();
 }
 
 void caller_answer::flush(error_code& ec)
--- a/src/transport/gateway/request_log.cpp
+++ b/src/transport/gateway/request_log.cpp
@@ -118,6 +118,11 @@
         upstreams += upstreams.empty() ? "" : ",";
         upstreams += it;
     }
+    std::string send_kinds;
+    for (const auto it : kinds) {
+        send_kinds += send_kinds.empty() ? "" : ",";
+        send_kinds += state::name_of(it);
+    }
     std::string connection_numbers;
     for (const auto it : connections) {
         connection_numbers += connection_numbers.empty() ? "" : ",";
@@ -139,8 +144,12 @@
         .with("route", route)
         .with("service", service)
         .with("upstreams", upstreams)
+        .with("kinds", send_kinds)
         .with("connections", connection_numbers)
         .with("results", ends);
+    if (answer_began) {
+        line.with("answer_ms", milliseconds_of(*answer_began - began));
+    }
     if (!workspace.empty()) {
         line.with("workspace", workspace);
     }
--- a/test/transport/request_log_test.cpp
+++ b/test/transport/request_log_test.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 using namespace oriolegrade;
+using namespace std::chrono_literals;
 
 /// The lines of a second are bounded for the whole process.
 void wait_for_a_new_second()
@@ -88,6 +89,20 @@
               std::string::npos);
 }
 
+// A request that outlives its answer looks like one that is answered late, and
+// a hedge like a repeat.
+TEST(request_log, the_course_of_a_request_is_lost)
+{
+    auto line = line_of("hedged");
+    line.sends = {"u1", "u2"};
+    line.kinds = {state::send_kind::first, state::send_kind::hedge};
+    line.results = {state::send_result::lost, state::send_result::answered};
+    line.answer_began = line.began + 30ms;
+    const auto text = log_behind_others(line, transport::request_end::answered);
+    EXPECT_NE(text.find("kinds=first,hedge"), std::string::npos);
+    EXPECT_NE(text.find("answer_ms=30"), std::string::npos);
+}
+
 // Without a bound a burst of refusals would cost a burst of output.
 TEST(request_log, a_burst_of_refusals_writes_without_bound)
 {
