Refuse what a stopping host would cut late in a long stop

Cause: the time in which requests are taken was a share of the grace, but callers excuse a cut only for what they sent in the first 3 s. The two agree at a grace of 6 s only. The lines of the requests say reason=deadline waited_ms=0 results=expired, all at 9.30 s.

Now a request that arrives later than 3 s after the signal is taken only when its whole time limit fits, and is refused unrun at once otherwise. What is taken late keeps its limit at dispatcher and upstream, so nothing is left to cut.

Before: gateway_worker.a_stopping_host_takes_what_it_would_cut got 200, and test/system/planned_stop.py broke 2 promises at a grace of 10 s (cut after 5.2 s and 5.9 s of 8 s). After: both hold. planned_stop.py now runs with either grace; its checks at 6 s are as before.

--- a/include/oriolegrade/coordination/drain_schedule.hpp
+++ b/include/oriolegrade/coordination/drain_schedule.hpp
@@ -3,7 +3,9 @@
 //
 // Load pattern: a host stops while its upstreams are full. Requests that it has
 // read wait for a slot, and the time limit of some is longer than the time left
-// until the process is killed. Each of them gets an answer before that.
+// until the process is killed. Each of them gets an answer before that. One
+// that came early in the stop may be broken off for it; a later one is taken
+// only when its whole time limit fits.
 
 #ifndef ORIOLEGRADE_COORDINATION_DRAIN_SCHEDULE_HPP
 #define ORIOLEGRADE_COORDINATION_DRAIN_SCHEDULE_HPP
@@ -11,11 +13,17 @@
 #include <oriolegrade/state/time_type.hpp>
 
 #include <algorithm>
+#include <chrono>
+#include <optional>
 
 namespace oriolegrade::coordination {
 
-/// All moments are parts of the time between the stop signal and the kill.
-/// They follow each other in the order of the functions below.
+/// Callers are promised that a request which they send later than this after
+/// the stop signal is not broken off while an upstream works on it.
+inline constexpr std::chrono::seconds cut_allowance{3};
+
+/// All moments but cut_end() are parts of the time between the stop signal and
+/// the kill. They follow each other in the order of the functions below.
 class drain_schedule
 {
 public:
@@ -53,13 +61,27 @@
         return at(0.97);
     }
 
-    bool accepts(state::time_point now) const
+    /// Only requests that arrive up to here may be broken off at run_end(). At
+    /// most accept_end(); before or after listen_end().
+    state::time_point cut_end() const
+    {
+        return std::min(began_ + cut_allowance, accept_end());
+    }
+
+    bool accepts(state::time_point arrival) const
     {
-        return now < accept_end();
+        return arrival < accept_end();
     }
-    /// Deadline of a request that is taken during the stop.
-    state::time_point limit(state::time_point deadline) const
+    /// Deadline of a request that accepts() lets in; empty when the request is
+    /// refused because it might be broken off.
+    /// @param arrival may lie before the stop
+    /// @param deadline by the time limits of the caller and the route
+    std::optional<state::time_point> limit(state::time_point arrival,
+                                           state::time_point deadline) const
     {
+        if (arrival > cut_end() && deadline > run_end()) {
+            return std::nullopt;
+        }
         return std::min(deadline, run_end());
     }
 
--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -182,11 +182,14 @@
         if (!plan.check.passes) {
             return refuse(line, answer, state::reply_reason::unknown_key, {});
         }
+        const auto deadline = deadline_of(head, *plan.route, line.began);
+        if (!deadline) {
+            return refuse(line, answer, state::reply_reason::shutting_down, {});
+        }
         auto& sends = plan.sends.emplace(request_sends{
             std::string(line.request_id),
             state::choose_split_service(*plan.route, random_()), *plan.route,
-            line.began, deadline_of(head, *plan.route, line.began),
-            shared_.metrics, shared_.wishes,
+            line.began, *deadline, shared_.metrics, shared_.wishes,
             state::rank_of(*plan.route, plan.check.workspace), line.workspace});
         line.service = sends.service;
         // The view of the head's field ends with the next change of the head.
@@ -364,13 +367,15 @@
         }
     }
 
-    state::time_point deadline_of(const protocol::request_head& head,
-                                  const state::traffic_route& route,
-                                  state::time_point began) const
+    /// Empty when the host stops before the request could use its time.
+    std::optional<state::time_point>
+    deadline_of(const protocol::request_head& head,
+                const state::traffic_route& route,
+                state::time_point began) const
     {
         const auto deadline = began + time_limit(head, route);
         const auto stop = shared_.drain();
-        return stop ? stop->limit(deadline) : deadline;
+        return stop ? stop->limit(began, deadline) : deadline;
     }
 
     static state::duration time_limit(const protocol::request_head& head,
--- a/test/fakes/gateway_bench.hpp
+++ b/test/fakes/gateway_bench.hpp
@@ -62,11 +62,15 @@
            "Content-Length: 0\r\n\r\n";
 }
 
+inline constexpr state::duration usual_grace = std::chrono::seconds(6);
+
 inline transport::gateway_options
-gateway_options(const coordination::read_ahead_limits& read_ahead)
+gateway_options(const coordination::read_ahead_limits& read_ahead,
+                state::duration grace)
 {
     transport::gateway_options out;
     out.read_ahead = read_ahead;
+    out.grace = grace;
     out.self = {"host", "dc1", {0x7f000001, 1}, 1000};
     out.caller_listen = {0x7f000001, 0};
     return out;
@@ -94,11 +98,12 @@
 {
 public:
     gateway_bench(boost::asio::io_context& ioc_in,
-                  const coordination::read_ahead_limits& read_ahead)
+                  const coordination::read_ahead_limits& read_ahead,
+                  state::duration grace)
         : ioc(ioc_in)
         , first(ioc)
         , second(ioc)
-        , shared(gateway_options(read_ahead))
+        , shared(gateway_options(read_ahead, grace))
         , worker(ioc, shared, places, refresher, gate)
     {
         auto rules = std::make_shared<state::traffic_rules>();
@@ -153,11 +158,12 @@
 
 /// Kept until the process ends: fibers that wait on sockets refer to it.
 inline gateway_bench&
-make_bench(const coordination::read_ahead_limits& read_ahead = {})
+make_bench(const coordination::read_ahead_limits& read_ahead = {},
+           state::duration grace = usual_grace)
 {
     static std::vector<std::unique_ptr<gateway_bench>> benches;
     benches.push_back(
-        std::make_unique<gateway_bench>(fiber_context(), read_ahead));
+        std::make_unique<gateway_bench>(fiber_context(), read_ahead, grace));
     return *benches.back();
 }
 
--- a/test/platform/gateway_worker_test.cpp
+++ b/test/platform/gateway_worker_test.cpp
@@ -709,6 +709,37 @@
     EXPECT_LE(std::stoi(std::string(b.first.last["Deadline-Ms"])), 3000);
 }
 
+/// Sends a booking to a host of a long grace, some time after its stop signal.
+test::answer_type book_late_in_a_stop(bench& b, const std::string& time_limit)
+{
+    b.place_at(b.first, "u1");
+    b.first.add({answer("one")});
+    b.shared.begin_stop(std::chrono::steady_clock::now() - 3500ms);
+    return b.send("POST /slow/1 HTTP/1.1\r\nHost: x\r\nRequest-Id: q\r\n"
+                  "Deadline-Ms: " +
+                  time_limit + "\r\nContent-Length: 4\r\n\r\nbody");
+}
+
+// Guards against a request that is taken late in a long stop and then broken
+// off at its upstream, with a 504, before its time is over.
+TEST(gateway_worker, a_stopping_host_takes_what_it_would_cut)
+{
+    auto& b = make_bench({}, 10s);
+    const auto got = book_late_in_a_stop(b, "8000");
+    EXPECT_EQ(got.result_int(), 503U);
+    EXPECT_TRUE(got.count("Retry-After"));
+    EXPECT_EQ(test::outcome_of(got), "not-run");
+    EXPECT_EQ(b.first.runs, 0);
+}
+
+// Guards against the refusal of a request that can use its whole time before
+// the host ends.
+TEST(gateway_worker, a_stopping_host_refuses_what_fits)
+{
+    auto& b = make_bench({}, 10s);
+    EXPECT_EQ(book_late_in_a_stop(b, "4000").result_int(), 200U);
+}
+
 /// An upstream in trouble: what it sends first, and what never ends.
 struct endless_answer
 {
--- a/test/system/fault_soak.py
+++ b/test/system/fault_soak.py
@@ -392,7 +392,7 @@
             "seeds": seeds,
             "bootstrap": self.bootstrap,
             "limits": {"cpu_share": 0.2, "cpu_cores": 1, "max_fds": 2000},
-            "bounds": {**self.bounds, "grace": f"{int(GRACE)}s"},
+            "bounds": {**self.bounds, "grace": f"{int(self.soak.grace)}s"},
             "platform": {"address": f"127.0.0.1:{store}"},
         }
         self.path = self.soak.dir / f"{self.name}.json"
@@ -425,9 +425,9 @@
         self.stopped_at = time.monotonic()
         self.process.terminate()
         try:
-            await asyncio.wait_for(self.process.wait(), GRACE + 1)
+            await asyncio.wait_for(self.process.wait(), self.soak.grace + 1)
         except asyncio.TimeoutError:
-            self.soak.fail(f"{self.name} runs {GRACE + 1} s after SIGTERM")
+            self.soak.fail(f"{self.name} runs {self.soak.grace + 1} s after SIGTERM")
             self.process.kill()
             await self.process.wait()
         await self.spawn()
@@ -446,6 +446,9 @@
 
 
 class Soak:
+    # Seconds between SIGTERM and SIGKILL.
+    grace = GRACE
+
     def __init__(self, binary, seed, seconds, directory):
         self.binary = binary
         self.seed = seed
--- a/test/system/planned_stop.py
+++ b/test/system/planned_stop.py
@@ -1,14 +1,15 @@
 """Callers that keep their connections in use while one gateway stops.
 
 A gateway gets SIGTERM in calm, with requests in progress and others waiting for
-a slot. Until the process is gone, requests of every kind are sent each 100 ms,
+a slot. The time until SIGKILL is a short one, then a long one. Until the process is gone, requests of every kind are sent each 100 ms,
 on open connections where there are any. Their work takes up to their time
 limit, which for uploads is more than the grace. Checked is that
 
 - each request that was read gets a whole answer;
 - a request that was refused as unrun never runs;
 - nothing is taken that the process cannot end in time: requests that are sent
-  in the last half of the grace are refused;
+  in the last half of the grace are refused, and one that is sent later than 3 s
+  after SIGTERM and taken has its whole time limit;
 - the process ends within the grace.
 
 usage: planned_stop.py BUILD
@@ -22,7 +23,7 @@
 import time
 
 import fault_soak
-from fault_soak import (GRACE, Gateway, Soak, Upstream, answer, read_message,
+from fault_soak import (Gateway, Soak, Upstream, answer, read_message,
                         refusal)
 
 # Time limit and latency target of each kind, in milliseconds.
@@ -30,6 +31,11 @@
 # Requests that are in progress or wait when the stop begins, of each kind.
 BEFORE = 14
 STEP = 0.1
+# Seconds from SIGTERM to SIGKILL, and upstreams: few, at which requests wait,
+# then so many that what is taken late in a long stop runs at once.
+STOPS = ((6.0, 5), (10.0, 40))
+# Requests that are sent later after SIGTERM are not cut, in seconds.
+CUT_ALLOWANCE = 3.0
 # A caller whose request crosses the close of its connection learns of it
 # within this time, in seconds.
 CROSSING = 0.2
@@ -55,8 +61,11 @@
 class PlannedStop(Soak):
     gateway_type = Gateway
 
-    def __init__(self, binary, directory):
+    def __init__(self, binary, directory, grace=fault_soak.GRACE,
+                 upstream_count=STOPS[0][1]):
         super().__init__(binary, 1, 0, directory)
+        self.grace = grace
+        self.upstream_count = upstream_count
         self.idle = []
         self.ends = {}
 
@@ -132,8 +141,14 @@
             self.refused.add(rid)
             if self.runs.get(rid):
                 self.fail(f"{rid} was refused unrun and had run")
-        elif self.since_stop(began) > GRACE / 2 + STEP:
+        elif self.since_stop(began) > self.grace / 2 + STEP:
             self.fail(f"{rid} was taken {self.since_stop(began):.2f} s after the stop")
+        elif status != 200 and self.since_stop(began) > CUT_ALLOWANCE:
+            waited = time.monotonic() - began
+            # Upstreams give up a moment before the caller's time is over.
+            if waited < KINDS[rid.split("-")[0]][0] / 1000 * 0.9:
+                self.fail(f"{rid}, sent {self.since_stop(began):.2f} s after the stop, "
+                          f"was cut with {status} after {waited:.2f} s")
 
     async def start(self, store, upstream_type, count):
         """Starts a store, upstreams and one gateway, and lets them settle."""
@@ -161,7 +176,7 @@
                 self.fail(f"{check.__name__}: {error!r}")
 
     async def run(self):
-        await self.start(fault_soak.Store(), WorkingUpstream, 5)
+        await self.start(fault_soak.Store(), WorkingUpstream, self.upstream_count)
         gateway = self.gateway
         numbers = iter(range(1, 100000))
         sends = []
@@ -179,11 +194,11 @@
         await asyncio.sleep(0.05)
         self.stopping_at = time.monotonic()
         self.begin_stop(gateway)
-        while gateway.process.returncode is None and self.since_stop(time.monotonic()) < GRACE:
+        while gateway.process.returncode is None and self.since_stop(time.monotonic()) < self.grace:
             send_all(KINDS)
             await asyncio.sleep(STEP)
         if gateway.process.returncode is None:
-            self.fail(f"the gateway runs {GRACE} s after SIGTERM")
+            self.fail(f"the gateway runs {self.grace} s after SIGTERM")
             gateway.process.kill()
         await asyncio.gather(*sends)
         for _, writer in self.idle:
@@ -210,14 +225,15 @@
 
 
 def main():
-    test = PlannedStop(*gateway_of_build("stop"))
+    for grace, upstream_count in STOPS:
+        test = PlannedStop(*gateway_of_build("stop"), grace, upstream_count)
 
-    def summary():
-        ends = ", ".join(f"{n} with {status}"
-                         for status, n in sorted(test.ends.items()))
-        return f"planned stop: {ends}; "
+        def summary():
+            ends = ", ".join(f"{n} with {status}"
+                             for status, n in sorted(test.ends.items()))
+            return f"planned stop in {test.grace:.0f} s: {ends}; "
 
-    run_and_report(test, test.run(), summary)
+        run_and_report(test, test.run(), summary)
 
 
 if __name__ == "__main__":
