Keep the ends of a request's hedges apart

Cause: each place of the first attempt arms a hedge, so that the repeat of a read can begin a second hedge beside the first. Both wrote one report, and the last end won: the hedge that broke off made the request end as failed after another one had answered it. The line of such a read says end=failed answer_ms=912 kinds=first,hedge,repeat,hedge results=lost,cancelled,answered,lost.

Now each send has a body, a sink and an end of its own. The end of the hedge that answered is that of the request; of the others counts whether one of them may have run. That also mends a 503 for a read whose first hedge was lost and whose second one was refused unrun.

Before: hedged_twice.a_reply_follows_the_answer, a_reply_follows_a_part_of_the_answer and a_lost_hedge_is_called_unrun failed. After: they pass, as do the tests of faults in one of two sends.

--- a/include/oriolegrade/transport/hedged_run.hpp
+++ b/include/oriolegrade/transport/hedged_run.hpp
@@ -1,5 +1,5 @@
-// A request with a second attempt beside a slow first one. The first whole
-// answer goes to the caller; the other attempt is cancelled.
+// A request with hedges: further sends beside slow ones. The first whole answer
+// goes to the caller; the other sends are cancelled.
 
 #ifndef ORIOLEGRADE_TRANSPORT_HEDGED_RUN_HPP
 #define ORIOLEGRADE_TRANSPORT_HEDGED_RUN_HPP
@@ -17,6 +17,9 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
+#include <string_view>
+#include <utility>
 
 namespace oriolegrade::transport {
 
@@ -29,14 +32,14 @@
     }
 };
 
-/// Sink of one of two racing attempts. The first to start owns the sink
-/// behind it; the other gets an error.
+/// Sink of one of the racing sends. The first to start owns the sink behind it;
+/// the others get an error.
 template <answer_sink Sink>
 class racing_sink
 {
 public:
-    /// @param owner shared by both; null until one has started
-    /// @param on_win called when this attempt becomes the owner
+    /// @param owner shared by all; null until one has started
+    /// @param on_win called when this send becomes the owner
     racing_sink(Sink& sink, const void*& owner, std::function<void()> on_win)
         : sink_(sink)
         , owner_(owner)
@@ -97,8 +100,9 @@
     Choice(c, route);
 };
 
-/// Lives on the stack of the request's fiber, which waits for the end of the
-/// second attempt's fiber.
+/// Lives on the stack of the request's fiber, which waits for the ends of the
+/// fibers of the hedges. Each place of the first attempt may start a hedge, so
+/// several can run at a time.
 template <answer_sink Sink, hedging_choice Choice,
           protocol::upstream_dialect Dialect = protocol::own_dialect>
 class hedged_run
@@ -113,8 +117,7 @@
         , deadline_(deadline)
         , head_(head)
         , timer_(ioc)
-        , first_sink_(sink, owner_, [this] { cancel(second_); })
-        , second_sink_(sink, owner_, [this] { cancel(first_); })
+        , sink_(sink)
         , first_choice_(first_choice)
         , memory_(memory)
     {}
@@ -122,80 +125,110 @@
     hedged_run(const hedged_run&) = delete;
     hedged_run& operator=(const hedged_run&) = delete;
 
-    /// An exception in one of the two sends ends that send. It leaves run()
-    /// when the other one brought no answer, and is logged otherwise.
+    /// An exception in one of the sends ends that send. It leaves run() when
+    /// no other one brought an answer, and is logged otherwise.
     run_report run()
     {
-        runner first(pool_, route_, deadline_, body_, first_sink_,
-                     first_choice_, memory_);
-        first_ = &first;
+        racing_send first(*this, first_, route_, first_choice_);
         first_choice_.on_hedge([this](state::duration delay) { arm(delay); });
-        run_report report;
-        const auto fault = caught([&] { report = first.run(head_); });
+        auto [report, fault] = first.run();
         first_choice_.on_hedge({});
-        first_ = nullptr;
         *armed_ = false;
         timer_.cancel();
-        if (report.step == coordination::next_step::done) {
-            cancel(second_);
-        }
         fibers_.join();
         const auto id = Dialect::request_id(head_);
-        if (second_sink_.won()) {
+        if (won_) {
             log_request_fault(id, fault);
-            if (second_fault_) {
-                std::rethrow_exception(second_fault_);
+            log_request_fault(id, hedge_fault_);
+            if (won_->fault) {
+                std::rethrow_exception(won_->fault);
             }
-            return *second_report_;
+            return won_->report;
         }
         if (fault) {
-            log_request_fault(id, second_fault_);
+            log_request_fault(id, hedge_fault_);
             std::rethrow_exception(fault);
         }
         const bool has_no_answer =
             report.step == coordination::next_step::reply &&
-            !first.has_answer();
-        if (second_fault_ && has_no_answer) {
-            std::rethrow_exception(second_fault_);
-        }
-        log_request_fault(id, second_fault_);
-        if (second_report_) {
-            report.may_have_run =
-                report.may_have_run || second_report_->may_have_run;
+            !first.runner.has_answer();
+        if (hedge_fault_ && has_no_answer) {
+            std::rethrow_exception(hedge_fault_);
         }
+        log_request_fault(id, hedge_fault_);
+        report.may_have_run = report.may_have_run || hedge_may_have_run_;
         if (report.step == coordination::next_step::reply &&
-            first.has_answer()) {
-            first.pass_on_answer(report);
+            first.runner.has_answer()) {
+            first.runner.pass_on_answer(report);
         }
         return report;
     }
 
-    /// Ends both attempts because the caller left.
+    /// Ends all sends because the caller left.
     void cancel()
     {
         cancelled_ = true;
-        cancel(first_);
-        cancel(second_);
+        for (auto* it : {first_, hedge_}) {
+            if (it != nullptr) {
+                it->runner.cancel();
+            }
+        }
     }
 
-    /// Ends both attempts as if the deadline had come.
+    /// Ends all sends as if the deadline had come.
     void expire()
     {
         deadline_ = std::min(deadline_, std::chrono::steady_clock::now());
-        for (auto* it : {first_, second_}) {
+        for (auto* it : {first_, hedge_}) {
             if (it != nullptr) {
-                it->expire();
+                it->runner.expire();
             }
         }
     }
 
 private:
-    using runner = request_runner<no_body, racing_sink<Sink>, Choice, Dialect>;
+    struct send_end
+    {
+        run_report report;
+        std::exception_ptr fault;
+    };
+
+    /// One of the racing sends, with a body, a sink and an end of its own.
+    struct racing_send
+    {
+        racing_send(hedged_run& all_in, racing_send*& slot_in,
+                    const state::route_spec& route, Choice& choice)
+            : all(all_in)
+            , slot(slot_in)
+            , sink(all.sink_, all.owner_, [this] { all.cancel_others(*this); })
+            , runner(all.pool_, route, all.deadline_, body, sink, choice,
+                     all.memory_)
+        {}
+        racing_send(const racing_send&) = delete;
+        racing_send& operator=(const racing_send&) = delete;
+
+        send_end run()
+        {
+            slot = this;
+            send_end out;
+            out.fault = caught([&] { out.report = runner.run(all.head_); });
+            slot = nullptr;
+            return out;
+        }
+
+        hedged_run& all;
+        racing_send*& slot;
+        no_body body;
+        racing_sink<Sink> sink;
+        request_runner<no_body, racing_sink<Sink>, Choice, Dialect> runner;
+    };
 
-    static void cancel(runner* it)
+    void cancel_others(const racing_send& winner)
     {
-        if (it != nullptr) {
-            it->cancel();
+        for (auto* it : {first_, hedge_}) {
+            if (it != nullptr && it != &winner) {
+                it->runner.cancel();
+            }
         }
     }
 
@@ -208,19 +241,16 @@
             // The run may have ended after the timer had expired.
             if (!ec && *armed) {
                 // An exception must not reach the reactor.
-                second_fault_ = caught([this] {
+                keep_fault(caught([this] {
                     fibers_.spawn([this] {
-                        if (const auto fault =
-                                caught([this] { run_second(); })) {
-                            second_fault_ = fault;
-                        }
+                        keep_fault(caught([this] { run_hedge(); }));
                     });
-                });
+                }));
             }
         });
     }
 
-    void run_second()
+    void run_hedge()
     {
         if (owner_ != nullptr || cancelled_ || !first_choice_.may_hedge()) {
             return;
@@ -228,11 +258,23 @@
         auto route = route_;
         route.max_attempts = 1;
         Choice choice(first_choice_, route);
-        runner second(pool_, route, deadline_, second_body_, second_sink_,
-                      choice, memory_);
-        second_ = &second;
-        second_fault_ = caught([&] { second_report_ = second.run(head_); });
-        second_ = nullptr;
+        racing_send hedge(*this, hedge_, route, choice);
+        auto end = hedge.run();
+        if (hedge.sink.won()) {
+            won_ = std::move(end);
+            return;
+        }
+        hedge_may_have_run_ = hedge_may_have_run_ || end.report.may_have_run;
+        keep_fault(end.fault);
+    }
+
+    /// Keeps the last exception of a hedge, and logs the one before.
+    void keep_fault(std::exception_ptr fault)
+    {
+        if (fault) {
+            log_request_fault(Dialect::request_id(head_),
+                              std::exchange(hedge_fault_, std::move(fault)));
+        }
     }
 
     upstream_pool& pool_;
@@ -242,17 +284,20 @@
     boost::asio::steady_timer timer_;
     /// False once the first attempt has ended; outlives the run.
     std::shared_ptr<bool> armed_ = std::make_shared<bool>(true);
+    Sink& sink_;
+    /// Sink of the send that answers. No send starts once it is set.
     const void* owner_ = nullptr;
-    no_body body_;
-    no_body second_body_;
-    racing_sink<Sink> first_sink_;
-    racing_sink<Sink> second_sink_;
     Choice& first_choice_;
     coordination::memory_budget& memory_;
-    runner* first_ = nullptr;
-    runner* second_ = nullptr;
-    std::optional<run_report> second_report_;
-    std::exception_ptr second_fault_;
+    racing_send* first_ = nullptr;
+    racing_send* hedge_ = nullptr;
+    /// Set when a hedge answered: its end is that of the request, whatever the
+    /// others bring.
+    std::optional<send_end> won_;
+    /// One of the hedges that did not answer may have run the request.
+    bool hedge_may_have_run_ = false;
+    /// Of a hedge that did not answer.
+    std::exception_ptr hedge_fault_;
     bool cancelled_ = false;
     fiber_group fibers_;
 };
--- a/test/fakes/gateway_bench.hpp
+++ b/test/fakes/gateway_bench.hpp
@@ -112,10 +112,14 @@
             make_gateway_route("/read/", state::request_class::idempotent),
             make_gateway_route("/book/", state::request_class::non_idempotent),
             make_gateway_route("/slow/", state::request_class::non_idempotent),
-            make_gateway_route("/film/", state::request_class::idempotent)};
-        rules->routes.back().spec.max_response_bytes = std::uint64_t{1} << 40U;
+            make_gateway_route("/film/", state::request_class::idempotent),
+            make_gateway_route("/many/", state::request_class::idempotent)};
+        rules->routes[3].spec.max_response_bytes = std::uint64_t{1} << 40U;
         // Longer than the grace.
         rules->routes[2].spec.deadline = 8s;
+        // Several sends, and time for them.
+        rules->routes[4].spec.max_attempts = 4;
+        rules->routes[4].spec.deadline = 8s;
         shared.rules.publish(std::make_shared<state::route_index>(rules));
         shared.configured = true;
         shared.rules_confirmed_until = state::time_point::max();
--- /dev/null
+++ b/test/platform/hedge_test.cpp
@@ -0,0 +1,96 @@
+// Guards reads whose sends overlap: the first send breaks off while a hedge
+// runs beside it, and its repeat is hedged too.
+
+#include "fakes/gateway_bench.hpp"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace oriolegrade;
+using namespace std::chrono_literals;
+using test::after_answer;
+using test::answer;
+using test::fake_caller;
+using test::make_bench;
+using test::refusal;
+using test::upstream_step;
+using bench = test::gateway_bench;
+
+std::string read_text(const std::string& target, const std::string& id)
+{
+    return "GET " + target + " HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
+           "\r\n\r\n";
+}
+
+/// Sends a read that is sent four times. The first send breaks off after 50 ms
+/// and its repeat is slow.
+std::unique_ptr<fake_caller> read_with_two_hedges(bench& b,
+                                                  upstream_step first_hedge,
+                                                  upstream_step second_hedge)
+{
+    b.place_at(b.first, "u1", 10ms);
+    b.place_at(b.second, "u2");
+    b.place_at(b.first, "u3", 10ms);
+    b.place_at(b.first, "u4");
+    b.first.add({"", 50ms, after_answer::close});
+    b.second.add(std::move(first_hedge));
+    b.first.add({answer("repeat"), 2s});
+    b.first.add(std::move(second_hedge));
+    auto out = std::make_unique<fake_caller>(b.ioc, b.worker.address());
+    out->send(read_text("/many/1", "q"));
+    return out;
+}
+
+// The second hedge ends behind the whole answer of the first one, and a reply
+// of the host's own follows that answer: the caller takes it for the answer to
+// its next request.
+TEST(hedged_twice, a_reply_follows_the_answer)
+{
+    auto& b = make_bench();
+    auto caller = read_with_two_hedges(b, {answer("hedge"), 200ms},
+                                       {"", 250ms, after_answer::close});
+    EXPECT_EQ(caller->receive().body(), "hedge");
+    b.place_at(b.second, "u5");
+    b.second.add({answer("next", "r")});
+    caller->send(read_text("/read/1", "r"));
+    EXPECT_EQ(caller->receive().body(), "next");
+}
+
+// The same within a long answer that breaks off.
+TEST(hedged_twice, a_reply_follows_a_part_of_the_answer)
+{
+    auto& b = make_bench();
+    const std::string part(2 * transport::hold_back_bytes, 'a');
+    const auto head = "HTTP/1.1 200 OK\r\nServer-Stamp: x\r\nRequest-Id: q\r\n"
+                      "Content-Length: 1000000\r\n\r\n";
+    upstream_step breaks_off{head + part, 200ms, after_answer::close};
+    auto caller = read_with_two_hedges(b, std::move(breaks_off),
+                                       {"", 250ms, after_answer::close});
+    transport::error_code ec;
+    EXPECT_TRUE(caller->receive(ec).body() == part);
+    EXPECT_TRUE(ec);
+}
+
+// A refusal of the second hedge hides that the first one may have run.
+TEST(hedged_twice, a_lost_hedge_is_called_unrun)
+{
+    auto& b = make_bench();
+    const auto unrun = refusal("Request-Id: q\r\n");
+    b.place_at(b.first, "u1", 10ms);
+    b.place_at(b.second, "u2");
+    b.place_at(b.first, "u3", 10ms);
+    b.place_at(b.second, "u4");
+    b.places.answers.push_back(
+        state::place_refusal{state::place_refusal_reason::no_upstream, 10ms});
+    b.first.add({unrun, 50ms});
+    b.second.add({"", 0ms, after_answer::close});
+    b.first.add({unrun, 100ms});
+    b.second.add({unrun});
+    const auto got = b.send(read_text("/many/1", "q"));
+    EXPECT_EQ(b.second.runs, 2);
+    EXPECT_EQ(got.result_int(), 502U);
+    EXPECT_EQ(test::outcome_of(got), "unknown");
+}
+
+} // namespace
