End every hedge of a request with the race

Cause: a second hedge took the place of the first one in the pointer by which the winner, a caller that leaves and the end of a stop end it.

All sends in progress are listed now, and each is reached. A send is listed only while it runs, since a runner that an exception has left must not be cancelled.

Before, with the reports of the hedges already apart: hedged_twice.the_next_answer_waits_for_the_other_hedge took 2.0 s, and in a_hedge_outlives_its_caller a hedge was still at work. After: both pass.

--- a/include/oriolegrade/transport/hedged_run.hpp
+++ b/include/oriolegrade/transport/hedged_run.hpp
@@ -20,6 +20,7 @@
 #include <span>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace oriolegrade::transport {
 
@@ -129,7 +130,7 @@
     /// no other one brought an answer, and is logged otherwise.
     run_report run()
     {
-        racing_send first(*this, first_, route_, first_choice_);
+        racing_send first(*this, route_, first_choice_);
         first_choice_.on_hedge([this](state::duration delay) { arm(delay); });
         auto [report, fault] = first.run();
         first_choice_.on_hedge({});
@@ -168,10 +169,8 @@
     void cancel()
     {
         cancelled_ = true;
-        for (auto* it : {first_, hedge_}) {
-            if (it != nullptr) {
-                it->runner.cancel();
-            }
+        for (auto* it : sends_) {
+            it->runner.cancel();
         }
     }
 
@@ -179,10 +178,8 @@
     void expire()
     {
         deadline_ = std::min(deadline_, std::chrono::steady_clock::now());
-        for (auto* it : {first_, hedge_}) {
-            if (it != nullptr) {
-                it->runner.expire();
-            }
+        for (auto* it : sends_) {
+            it->runner.expire();
         }
     }
 
@@ -196,10 +193,9 @@
     /// One of the racing sends, with a body, a sink and an end of its own.
     struct racing_send
     {
-        racing_send(hedged_run& all_in, racing_send*& slot_in,
-                    const state::route_spec& route, Choice& choice)
+        racing_send(hedged_run& all_in, const state::route_spec& route,
+                    Choice& choice)
             : all(all_in)
-            , slot(slot_in)
             , sink(all.sink_, all.owner_, [this] { all.cancel_others(*this); })
             , runner(all.pool_, route, all.deadline_, body, sink, choice,
                      all.memory_)
@@ -207,17 +203,19 @@
         racing_send(const racing_send&) = delete;
         racing_send& operator=(const racing_send&) = delete;
 
+        /// Listed meanwhile, so that what ends the others reaches it.
         send_end run()
         {
-            slot = this;
             send_end out;
-            out.fault = caught([&] { out.report = runner.run(all.head_); });
-            slot = nullptr;
+            out.fault = caught([&] {
+                all.sends_.push_back(this);
+                out.report = runner.run(all.head_);
+            });
+            std::erase(all.sends_, this);
             return out;
         }
 
         hedged_run& all;
-        racing_send*& slot;
         no_body body;
         racing_sink<Sink> sink;
         request_runner<no_body, racing_sink<Sink>, Choice, Dialect> runner;
@@ -225,8 +223,8 @@
 
     void cancel_others(const racing_send& winner)
     {
-        for (auto* it : {first_, hedge_}) {
-            if (it != nullptr && it != &winner) {
+        for (auto* it : sends_) {
+            if (it != &winner) {
                 it->runner.cancel();
             }
         }
@@ -258,7 +256,7 @@
         auto route = route_;
         route.max_attempts = 1;
         Choice choice(first_choice_, route);
-        racing_send hedge(*this, hedge_, route, choice);
+        racing_send hedge(*this, route, choice);
         auto end = hedge.run();
         if (hedge.sink.won()) {
             won_ = std::move(end);
@@ -289,8 +287,8 @@
     const void* owner_ = nullptr;
     Choice& first_choice_;
     coordination::memory_budget& memory_;
-    racing_send* first_ = nullptr;
-    racing_send* hedge_ = nullptr;
+    /// In progress.
+    std::vector<racing_send*> sends_;
     /// Set when a hedge answered: its end is that of the request, whatever the
     /// others bring.
     std::optional<send_end> won_;
--- a/test/platform/hedge_test.cpp
+++ b/test/platform/hedge_test.cpp
@@ -17,6 +17,11 @@
 using test::upstream_step;
 using bench = test::gateway_bench;
 
+/// Numbers of the places, in the order in which they are asked for.
+constexpr std::uint64_t first_hedge_place = 2;
+constexpr std::uint64_t repeat_place = 3;
+constexpr std::uint64_t second_hedge_place = 4;
+
 std::string read_text(const std::string& target, const std::string& id)
 {
     return "GET " + target + " HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
@@ -93,4 +98,39 @@
     EXPECT_EQ(test::outcome_of(got), "unknown");
 }
 
+// The hedge that nobody waits for goes on, and holds the next answer of the
+// connection back past the time limit of that request.
+TEST(hedged_twice, the_next_answer_waits_for_the_other_hedge)
+{
+    auto& b = make_bench();
+    auto caller =
+        read_with_two_hedges(b, {answer("late"), 2s}, {answer("hedge"), 100ms});
+    EXPECT_EQ(caller->receive().body(), "hedge");
+    b.place_at(b.second, "u5");
+    b.second.add({answer("next", "r")});
+    const auto sent = std::chrono::steady_clock::now();
+    caller->send(read_text("/read/1", "r"));
+    EXPECT_EQ(caller->receive().body(), "next");
+    EXPECT_LT(std::chrono::steady_clock::now(), sent + 400ms);
+    for (const auto it : {first_hedge_place, repeat_place}) {
+        EXPECT_EQ(b.places.reports[it].at(0), state::send_result::cancelled);
+    }
+}
+
+// Upstreams go on to work for a caller that has left.
+TEST(hedged_twice, a_hedge_outlives_its_caller)
+{
+    auto& b = make_bench();
+    auto caller =
+        read_with_two_hedges(b, {answer("late"), 2s}, {answer("late"), 2s});
+    boost::this_fiber::sleep_for(200ms);
+    caller->close();
+    boost::this_fiber::sleep_for(200ms);
+    for (const auto it :
+         {first_hedge_place, repeat_place, second_hedge_place}) {
+        ASSERT_EQ(b.places.reports[it].size(), 1U) << it;
+        EXPECT_EQ(b.places.reports[it][0], state::send_result::cancelled);
+    }
+}
+
 } // namespace
