Tell the hedges of a request that the host stops

A read whose upstream is silent, and whose hedge waits for a place, got no answer before a stopping host ended: the end of the stop ends sends, and at 75% of the grace only the first attempt was told to wait no longer.

The stop now tells the request, which tells each send in progress and starts no further hedge.

Before: waiting_hedge.outlasts_the_stop got no answer in 5 s, waits_on_in_a_stop and begins_late_in_a_stop failed. After: they pass, with all of platform_test and transport_test.

--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -265,7 +265,7 @@
     /// A request in progress, for drain().
     struct active_request
     {
-        /// Ends the wait for a place, if there is one.
+        /// Ends the waits for places, if there are any.
         std::function<void()> stop_waiting;
         /// Ends the request as if its deadline had come.
         std::function<void()> expire;
@@ -274,11 +274,10 @@
     class active_guard
     {
     public:
-        template <class Choice, class Runner>
-        active_guard(std::set<active_request*>& active, Choice& choice,
-                     Runner& runner)
+        template <class Runner>
+        active_guard(std::set<active_request*>& active, Runner& runner)
             : active_(active)
-            , request_{[&choice] { choice.stop_waiting(); },
+            , request_{[&runner] { runner.stop_waiting(); },
                        [&runner] {
                            runner.expire();
                        }}
@@ -401,7 +400,7 @@
                 hedged_run<caller_answer, choice_type, Dialect> runner(
                     ioc_, pool_, sends.route.spec, sends.deadline, head, answer,
                     choice, shared_.memory);
-                const active_guard guard(active_, choice, runner);
+                const active_guard guard(active_, runner);
                 std::optional<caller_connection::cancel_guard> cancel;
                 answer.on_cancel([&runner] { runner.cancel(); }, cancel);
                 report = runner.run();
@@ -410,7 +409,7 @@
             request_runner<caller_request, caller_answer, choice_type, Dialect>
                 runner(pool_, sends.route.spec, sends.deadline, request, answer,
                        choice, shared_.memory, gateway_replay_bytes);
-            const active_guard guard(active_, choice, runner);
+            const active_guard guard(active_, runner);
             runner.read_ahead(report.caller_error);
             if (!report.caller_error) {
                 std::optional<caller_connection::cancel_guard> cancel;
--- a/include/oriolegrade/transport/hedged_run.hpp
+++ b/include/oriolegrade/transport/hedged_run.hpp
@@ -174,6 +174,16 @@
         }
     }
 
+    /// Starts no further hedge, and waits for no further place, because the
+    /// host stops.
+    void stop_waiting() requires stoppable_choice<Choice>
+    {
+        stopping_ = true;
+        for (auto* it : sends_) {
+            it->runner.stop_waiting();
+        }
+    }
+
     /// Ends all sends as if the deadline had come.
     void expire()
     {
@@ -250,7 +260,8 @@
 
     void run_hedge()
     {
-        if (owner_ != nullptr || cancelled_ || !first_choice_.may_hedge()) {
+        if (owner_ != nullptr || cancelled_ || stopping_ ||
+            !first_choice_.may_hedge()) {
             return;
         }
         auto route = route_;
@@ -297,6 +308,7 @@
     /// Of a hedge that did not answer.
     std::exception_ptr hedge_fault_;
     bool cancelled_ = false;
+    bool stopping_ = false;
     fiber_group fibers_;
 };
 
--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -88,6 +88,14 @@
     c.cancel();
 };
 
+/// A choice whose next() waits and can be told to wait no longer, while a send
+/// in progress goes on.
+template <class Choice>
+concept stoppable_choice = requires(Choice& c)
+{
+    c.stop_waiting();
+};
+
 /// A choice that records the connections of sends, and the answers on them that
 /// belonged to other requests.
 template <class Choice>
@@ -188,6 +196,12 @@
         }
     }
 
+    /// Waits for no further place because the host stops.
+    void stop_waiting() requires stoppable_choice<Choice>
+    {
+        choice_.stop_waiting();
+    }
+
     /// Ends the attempt in progress as if the deadline had come.
     void expire()
     {
--- a/test/platform/hedge_test.cpp
+++ b/test/platform/hedge_test.cpp
@@ -133,4 +133,59 @@
     }
 }
 
+/// Sends a read whose upstream is silent, and whose hedge waits for a place.
+std::unique_ptr<fake_caller> read_with_waiting_hedge(bench& b)
+{
+    b.place_at(b.first, "u1", 10ms);
+    b.first.add({answer("late"), 4s});
+    auto out = std::make_unique<fake_caller>(b.ioc, b.worker.address());
+    out->send(read_text("/many/1", "q"));
+    boost::this_fiber::sleep_for(50ms);
+    return out;
+}
+
+// A stop ends what waits for a place, so that its upstream cannot get it
+// shortly before the host ends.
+TEST(waiting_hedge, waits_on_in_a_stop)
+{
+    auto& b = make_bench();
+    auto caller = read_with_waiting_hedge(b);
+    test::begin_stop(b, &coordination::drain_schedule::wait_end, 100ms);
+    b.worker.drain();
+    boost::this_fiber::sleep_for(200ms);
+    ASSERT_EQ(b.places.reports[first_hedge_place].size(), 1U);
+    EXPECT_TRUE(b.places.unused.contains(first_hedge_place));
+    EXPECT_EQ(b.places.reports.count(1), 0U);
+    caller->close();
+}
+
+// The request waits for its hedge until its own time is over, and the process
+// ends without an answer to it.
+TEST(waiting_hedge, outlasts_the_stop)
+{
+    auto& b = make_bench();
+    auto caller = read_with_waiting_hedge(b);
+    test::begin_stop(b, &coordination::drain_schedule::run_end, 100ms);
+    b.worker.drain();
+    EXPECT_EQ(caller->receive().result_int(), 504U);
+    EXPECT_LT(std::chrono::steady_clock::now(),
+              b.shared.drain()->process_end());
+}
+
+// A hedge that begins when the host waits for no further place.
+TEST(waiting_hedge, begins_late_in_a_stop)
+{
+    auto& b = make_bench();
+    b.place_at(b.first, "u1", 200ms);
+    b.first.add({answer("late"), 4s});
+    fake_caller caller(b.ioc, b.worker.address());
+    caller.send(read_text("/many/1", "q"));
+    boost::this_fiber::sleep_for(50ms);
+    test::begin_stop(b, &coordination::drain_schedule::wait_end, 50ms);
+    b.worker.drain();
+    boost::this_fiber::sleep_for(250ms);
+    EXPECT_EQ(b.places.requests.size(), 1U);
+    caller.close();
+}
+
 } // namespace
