Write nothing of a second answer to a request

A reply behind an answer, or within one, is taken by its caller for the next answer or for a part of the body. At a gateway one end of a request wrote a reply without asking whether an answer had begun, and at oriole-entry two did.

Before: caller_answer.is_followed_by_a_reply and that_is_incomplete_is_filled_up_by_a_reply failed, the second with the body paHT. After: they pass.

--- a/include/oriolegrade/transport/caller_stream.hpp
+++ b/include/oriolegrade/transport/caller_stream.hpp
@@ -123,7 +123,8 @@
     void add_field(protocol::header_field field, std::string_view value);
 
     /// Waits for the turn of the answer.
-    /// @param ec operation_aborted when the connection ended before
+    /// @param ec operation_aborted when the connection ended before;
+    ///        already_started for a second answer, of which nothing is written
     void start(const protocol::answer_head& head, error_code& ec);
     /// Writes bytes of the body; drops them when the answer must not have one.
     void write(std::string_view bytes, error_code& ec);
--- a/src/transport/caller_stream.cpp
+++ b/src/transport/caller_stream.cpp
@@ -165,6 +165,10 @@
 
 void caller_answer::start(const protocol::answer_head& head, error_code& ec)
 {
+    if (started()) {
+        ec = boost::asio::error::already_started;
+        return;
+    }
     if (head.framing.length) {
         held_.shrink(*head.framing.length);
     }
