--- a/test/platform/hedge_test.cpp
+++ b/test/platform/hedge_test.cpp
@@ -1,5 +1,6 @@
-// Guards reads whose sends overlap: the first send breaks off while a hedge
-// runs beside it, and its repeat is hedged too.
+// Guards reads whose sends overlap: those whose first send breaks off beside a
+// hedge and whose repeat is hedged too, and those whose hedge waits for a place
+// while the host stops.
 
 #include "fakes/gateway_bench.hpp"
 
