--- a/src/transport/gateway/request_log.cpp
+++ b/src/transport/gateway/request_log.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <atomic>
+#include <functional>
 
 namespace oriolegrade::transport {
 
@@ -99,6 +100,18 @@
     return budgets[state::index_of(kind)];
 }
 
+/// Texts of the items, separated by commas.
+template <class Item, class TextOf>
+std::string joined(const std::vector<Item>& items, TextOf text_of)
+{
+    std::string out;
+    for (const auto& it : items) {
+        out += out.empty() ? "" : ",";
+        out += text_of(it);
+    }
+    return out;
+}
+
 } // namespace
 
 void request_line::write(request_end end, std::string_view reason) const
@@ -113,26 +126,6 @@
     if (!budget.take(most_lines_per_second[state::index_of(kind)])) {
         return;
     }
-    std::string upstreams;
-    for (const auto& it : sends) {
-        upstreams += upstreams.empty() ? "" : ",";
-        upstreams += it;
-    }
-    std::string send_kinds;
-    for (const auto it : kinds) {
-        send_kinds += send_kinds.empty() ? "" : ",";
-        send_kinds += state::name_of(it);
-    }
-    std::string connection_numbers;
-    for (const auto it : connections) {
-        connection_numbers += connection_numbers.empty() ? "" : ",";
-        connection_numbers += std::to_string(it);
-    }
-    std::string ends;
-    for (const auto it : results) {
-        ends += ends.empty() ? "" : ",";
-        ends += state::name_of(it);
-    }
     event line(level, "request");
     line.with("id", request_id)
         .with("end", state::name_of(end))
@@ -143,10 +136,11 @@
         .with("rules", rules_version)
         .with("route", route)
         .with("service", service)
-        .with("upstreams", upstreams)
-        .with("kinds", send_kinds)
-        .with("connections", connection_numbers)
-        .with("results", ends);
+        .with("upstreams", joined(sends, std::identity()))
+        .with("kinds", joined(kinds, state::name_of<state::send_kind>))
+        .with("connections",
+              joined(connections, [](auto it) { return std::to_string(it); }))
+        .with("results", joined(results, state::name_of<state::send_result>));
     if (answer_began) {
         line.with("answer_ms", milliseconds_of(*answer_began - began));
     }
