Share the text of a read, and the stops of the planned stop, in tests

Three tests of the gateway wrote the same request. The fake gateway takes its grace from the product's default, and planned_stop.py sets grace and upstreams where the soak keeps them.

--- a/test/fakes/gateway_bench.hpp
+++ b/test/fakes/gateway_bench.hpp
@@ -55,6 +55,15 @@
            "\r\n\r\n" + body;
 }
 
+/// @param fields additional header fields, each terminated by CRLF
+inline std::string read_request(const std::string& id,
+                                const std::string& fields = {},
+                                const std::string& prefix = "/read/")
+{
+    return "GET " + prefix + id + " HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
+           "\r\n" + fields + "\r\n";
+}
+
 /// Answer of an upstream that did not run the request.
 inline std::string refusal(const std::string& id_field)
 {
@@ -62,8 +71,6 @@
            "Content-Length: 0\r\n\r\n";
 }
 
-inline constexpr state::duration usual_grace = std::chrono::seconds(6);
-
 inline transport::gateway_options
 gateway_options(const coordination::read_ahead_limits& read_ahead,
                 state::duration grace)
@@ -163,7 +170,7 @@
 /// Kept until the process ends: fibers that wait on sockets refer to it.
 inline gateway_bench&
 make_bench(const coordination::read_ahead_limits& read_ahead = {},
-           state::duration grace = usual_grace)
+           state::duration grace = transport::gateway_options().grace)
 {
     static std::vector<std::unique_ptr<gateway_bench>> benches;
     benches.push_back(
--- a/test/platform/hedge_test.cpp
+++ b/test/platform/hedge_test.cpp
@@ -23,10 +23,10 @@
 constexpr std::uint64_t repeat_place = 3;
 constexpr std::uint64_t second_hedge_place = 4;
 
-std::string read_text(const std::string& target, const std::string& id)
+/// A read that may be sent four times.
+std::string many_request()
 {
-    return "GET " + target + " HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
-           "\r\n\r\n";
+    return test::read_request("q", {}, "/many/");
 }
 
 /// Sends a read that is sent four times. The first send breaks off after 50 ms
@@ -44,7 +44,7 @@
     b.first.add({answer("repeat"), 2s});
     b.first.add(std::move(second_hedge));
     auto out = std::make_unique<fake_caller>(b.ioc, b.worker.address());
-    out->send(read_text("/many/1", "q"));
+    out->send(many_request());
     return out;
 }
 
@@ -59,7 +59,7 @@
     EXPECT_EQ(caller->receive().body(), "hedge");
     b.place_at(b.second, "u5");
     b.second.add({answer("next", "r")});
-    caller->send(read_text("/read/1", "r"));
+    caller->send(test::read_request("r"));
     EXPECT_EQ(caller->receive().body(), "next");
 }
 
@@ -93,7 +93,7 @@
     b.second.add({"", 0ms, after_answer::close});
     b.first.add({unrun, 100ms});
     b.second.add({unrun});
-    const auto got = b.send(read_text("/many/1", "q"));
+    const auto got = b.send(many_request());
     EXPECT_EQ(b.second.runs, 2);
     EXPECT_EQ(got.result_int(), 502U);
     EXPECT_EQ(test::outcome_of(got), "unknown");
@@ -110,7 +110,7 @@
     b.place_at(b.second, "u5");
     b.second.add({answer("next", "r")});
     const auto sent = std::chrono::steady_clock::now();
-    caller->send(read_text("/read/1", "r"));
+    caller->send(test::read_request("r"));
     EXPECT_EQ(caller->receive().body(), "next");
     EXPECT_LT(std::chrono::steady_clock::now(), sent + 400ms);
     for (const auto it : {first_hedge_place, repeat_place}) {
@@ -140,7 +140,7 @@
     b.place_at(b.first, "u1", 10ms);
     b.first.add({answer("late"), 4s});
     auto out = std::make_unique<fake_caller>(b.ioc, b.worker.address());
-    out->send(read_text("/many/1", "q"));
+    out->send(many_request());
     boost::this_fiber::sleep_for(50ms);
     return out;
 }
@@ -180,7 +180,7 @@
     b.place_at(b.first, "u1", 200ms);
     b.first.add({answer("late"), 4s});
     fake_caller caller(b.ioc, b.worker.address());
-    caller.send(read_text("/many/1", "q"));
+    caller.send(many_request());
     boost::this_fiber::sleep_for(50ms);
     test::begin_stop(b, &coordination::drain_schedule::wait_end, 50ms);
     b.worker.drain();
--- a/test/platform/pipelining_test.cpp
+++ b/test/platform/pipelining_test.cpp
@@ -14,14 +14,9 @@
 using test::answer;
 using test::fake_caller;
 using test::make_bench;
+using test::read_request;
 using bench = test::gateway_bench;
 
-std::string read_request(const std::string& id, const std::string& fields = {})
-{
-    return "GET /read/" + id + " HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
-           "\r\n" + fields + "\r\n";
-}
-
 std::string book_request(const std::string& id)
 {
     return "POST /book/" + id + " HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
--- a/test/platform/request_fault_test.cpp
+++ b/test/platform/request_fault_test.cpp
@@ -17,6 +17,7 @@
 using test::hooked_dialect;
 using test::make_bench;
 using test::outcome_of;
+using test::read_request;
 using bench = test::gateway_bench;
 
 struct thrown_type
@@ -54,12 +55,6 @@
     }
 };
 
-std::string read_request(const std::string& id)
-{
-    return "GET /read/" + id + " HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
-           "\r\n\r\n";
-}
-
 /// Another caller is served, and nothing counts as in progress.
 void expect_service(bench& b)
 {
--- a/test/system/planned_stop.py
+++ b/test/system/planned_stop.py
@@ -1,9 +1,10 @@
 """Callers that keep their connections in use while one gateway stops.
 
 A gateway gets SIGTERM in calm, with requests in progress and others waiting for
-a slot. The time until SIGKILL is a short one, then a long one. Until the process is gone, requests of every kind are sent each 100 ms,
-on open connections where there are any. Their work takes up to their time
-limit, which for uploads is more than the grace. Checked is that
+a slot. The time until SIGKILL is a short one, then a long one. Until the process
+is gone, requests of every kind are sent each 100 ms, on open connections where
+there are any. Their work takes up to their time limit, which for uploads is more
+than the shorter grace. Checked is that
 
 - each request that was read gets a whole answer;
 - a request that was refused as unrun never runs;
@@ -33,7 +34,7 @@
 STEP = 0.1
 # Seconds from SIGTERM to SIGKILL, and upstreams: few, at which requests wait,
 # then so many that what is taken late in a long stop runs at once.
-STOPS = ((6.0, 5), (10.0, 40))
+STOPS = ((fault_soak.GRACE, 5), (10.0, 40))
 # Requests that are sent later after SIGTERM are not cut, in seconds.
 CUT_ALLOWANCE = 3.0
 # A caller whose request crosses the close of its connection learns of it
@@ -60,12 +61,10 @@
 
 class PlannedStop(Soak):
     gateway_type = Gateway
+    grace, upstream_count = STOPS[0]
 
-    def __init__(self, binary, directory, grace=fault_soak.GRACE,
-                 upstream_count=STOPS[0][1]):
+    def __init__(self, binary, directory):
         super().__init__(binary, 1, 0, directory)
-        self.grace = grace
-        self.upstream_count = upstream_count
         self.idle = []
         self.ends = {}
 
@@ -226,7 +225,8 @@
 
 def main():
     for grace, upstream_count in STOPS:
-        test = PlannedStop(*gateway_of_build("stop"), grace, upstream_count)
+        test = PlannedStop(*gateway_of_build("stop"))
+        test.grace, test.upstream_count = grace, upstream_count
 
         def summary():
             ends = ", ".join(f"{n} with {status}"
