Keep the ports of system tests until a test ends

Cause: free_port() closed its socket before the host listened on the port. The ports of all hosts are drawn first; a stand-in that starts in between, such as the proxy of a host to the store, can get one of them. The host then ends with start_failed, and the test says only its code.

Change: the socket of a port stays bound until the test ends and does not listen. A host that ends by itself is reported with the last line of its log.

--- a/test/system/fault_soak.py
+++ b/test/system/fault_soak.py
@@ -62,10 +62,20 @@
 CHANGES_AT_ONCE = 3
 
 
+# Sockets that keep the ports which free_port() returned, until the test ends.
+RESERVATIONS = []
+
+
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """A port that nothing else gets while the test runs. Its socket is bound and
+    does not listen: a process that sets SO_REUSEADDR can listen there, and the
+    kernel neither returns the port again nor connects from it, also while that
+    process is down."""
+    s = socket.socket()
+    s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    s.bind(("127.0.0.1", 0))
+    RESERVATIONS.append(s)
+    return s.getsockname()[1]
 
 
 async def read_message(reader):
@@ -399,11 +409,19 @@
         self.path.write_text(json.dumps(settings))
         await self.spawn()
 
+    def log_path(self):
+        return self.soak.dir / f"{self.name}.{self.life}.log"
+
+    def last_line(self):
+        """Last line that the process wrote."""
+        lines = self.log_path().read_text(errors="replace").splitlines()
+        return lines[-1] if lines else "none"
+
     async def spawn(self):
         self.life += 1
         self.version = 0
         self.stopped_at = None
-        log = open(self.soak.dir / f"{self.name}.{self.life}.log", "wb")
+        log = open(self.log_path(), "wb")
         self.process = await asyncio.create_subprocess_exec(
             str(self.soak.binary), f"--settings={self.path}", stdout=log, stderr=log
         )
@@ -739,7 +757,8 @@
         for it in self.gateways:
             code = it.process.returncode
             if code is not None:
-                self.fail(f"{it.name} ended by itself with code {code}")
+                self.fail(f"{it.name} ended by itself with code {code}; its last line: "
+                          f"{it.last_line()}")
                 continue
             it.process.kill()
             await it.process.wait()
--- a/test/system/two_dispatchers.py
+++ b/test/system/two_dispatchers.py
@@ -73,7 +73,7 @@
         self.dead = False
 
     def log(self):
-        path = self.soak.dir / f"{self.name}.{self.life}.log"
+        path = self.log_path()
         return path.read_text(errors="replace") if path.exists() else ""
 
     def work_as_dispatcher(self):
