Count a repeat that is placed again as an extra send

Found by reading the paths on which sends of a request share state; no caller saw it. A host gives the place of a send back when its upstream has said that it leaves or wants quiet and the dispatcher has not heard of it yet. The next place was requested as for the kind of the choice, first, also when the place that was given back was that of a repeat. The report of the unused place refunds its extra send, so such a repeat was in no budget of extra sends.

The next place is requested for the kind of the one that was given back.

Before: gateway_worker.a_repeat_that_is_placed_again_costs_an_extra_send fails (kind first, repeat expected). After: platform_test 739 passed, transport_test 164 passed.

--- a/include/oriolegrade/transport/gateway/dispatched_choice.hpp
+++ b/include/oriolegrade/transport/gateway/dispatched_choice.hpp
@@ -113,7 +113,7 @@
         }
         for (int n = 0; const auto wish = wish_in_force(); ++n) {
             give_back(*wish);
-            if (n == most_given_back || !get_place(kind_)) {
+            if (n == most_given_back || !get_place(place_kind_)) {
                 return std::nullopt;
             }
         }
--- a/test/platform/gateway_worker_test.cpp
+++ b/test/platform/gateway_worker_test.cpp
@@ -159,6 +159,26 @@
     EXPECT_EQ(b.book().body(), "again");
 }
 
+// The place of a repeat was given back for a wish of its upstream, and the next
+// one was requested as for a first send, which no budget of extra sends counts.
+TEST(gateway_worker, a_repeat_that_is_placed_again_costs_an_extra_send)
+{
+    auto& b = make_bench();
+    b.place_at(b.first, "u1");
+    b.first.add({leaving_answer("one")});
+    b.book();
+    b.places.requests.clear();
+    b.place_at(b.second, "u2");
+    b.second.add({answer("fault", "q", "500 Error")});
+    b.place_at(b.first, "u1");
+    b.place_at(b.second, "u3");
+    b.second.add({answer("three")});
+    EXPECT_EQ(b.read().body(), "three");
+    ASSERT_EQ(b.places.requests.size(), 3U);
+    EXPECT_EQ(b.places.requests[1].kind, state::send_kind::repeat);
+    EXPECT_EQ(b.places.requests[2].kind, state::send_kind::repeat);
+}
+
 // The same for a hedge: the second send of a read was placed at an upstream
 // that leaves.
 TEST(gateway_worker, a_hedge_goes_to_an_upstream_that_leaves)
