Read the log of a host in one place, and set SO_REUSEADDR after bind

Host.log() of two_dispatchers.py and the new last_line() of the soak read the same file; Gateway.log() serves both.

A port is reserved before SO_REUSEADDR is set, as test/fakes/held_port.hpp does without it: with the option the kernel may be set up to choose a port in use.

No check changes.

--- a/test/system/fault_soak.py
+++ b/test/system/fault_soak.py
@@ -72,8 +72,9 @@
     kernel neither returns the port again nor connects from it, also while that
     process is down."""
     s = socket.socket()
-    s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     s.bind(("127.0.0.1", 0))
+    # Set after bind(): before it, the kernel could choose a port in use.
+    s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     RESERVATIONS.append(s)
     return s.getsockname()[1]
 
@@ -412,9 +413,13 @@
     def log_path(self):
         return self.soak.dir / f"{self.name}.{self.life}.log"
 
+    def log(self):
+        """What the present process has written."""
+        path = self.log_path()
+        return path.read_text(errors="replace") if path.exists() else ""
+
     def last_line(self):
-        """Last line that the process wrote."""
-        lines = self.log_path().read_text(errors="replace").splitlines()
+        lines = self.log().splitlines()
         return lines[-1] if lines else "none"
 
     async def spawn(self):
--- a/test/system/two_dispatchers.py
+++ b/test/system/two_dispatchers.py
@@ -72,10 +72,6 @@
         await super().spawn()
         self.dead = False
 
-    def log(self):
-        path = self.log_path()
-        return path.read_text(errors="replace") if path.exists() else ""
-
     def work_as_dispatcher(self):
         """Requests in flight and in line by the host's last report as the first
         dispatcher of the service; -1 when it is not that."""
