Log reads of a newer document, and the age of the view behind a place

The logs of both incidents could not tell a transfer that ended unfinished from one that never began, nor a place on a view of the register of 1 s from one on a view of 5 s. rules_transfer names each read of a document while a newer version is known; dispatch_state names the oldest view in use.

--- a/include/oriolegrade/transport/gateway/dispatch_service.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_service.hpp
@@ -113,6 +113,9 @@
               time_point now);
     /// Logs what the busy queues believe, once in summary_interval.
     void log_summaries(time_point now);
+    /// Age in ms of the oldest view that requests for the service were placed
+    /// on since the last call; -1 when there was a request without a view.
+    std::int64_t oldest_used(const std::string& service);
     bool is_busy() const;
 
     const coordination::dispatch_options options_;
@@ -127,6 +130,8 @@
     request_id next_ = 1;
     std::uint64_t revision_ = 0;
     time_point summary_due_{};
+    /// Age of the oldest view in use since the last summary, by service.
+    std::map<std::string, state::duration> oldest_used_;
     fiber_signal busy_;
 };
 
--- a/include/oriolegrade/transport/gateway/rules_follower.hpp
+++ b/include/oriolegrade/transport/gateway/rules_follower.hpp
@@ -180,9 +180,7 @@
             if (!failing_ || is_confirmed()) {
                 return;
             }
-            if (const auto document = ask_peer({}, version_in_force())) {
-                take(*document, "peer");
-            }
+            take_from({});
         });
     }
 
@@ -242,7 +240,7 @@
         const auto asked = wait();
         const auto result = had_offset
                                 ? source_.wait_for_rules(*next_offset_, asked)
-                                : source_.newest_rules();
+                                : newest_rules();
         if (!result) {
             next_offset_.reset();
             if (result.error() == state::source_failure::trimmed) {
@@ -287,7 +285,7 @@
             return;
         }
         const auto began = clock::now();
-        const auto result = source_.newest_rules();
+        const auto result = newest_rules();
         if (!result) {
             take_from({});
             return;
@@ -302,20 +300,46 @@
     /// False when the host has no newer version.
     bool take_from(const std::string& host)
     {
+        const auto began = clock::now();
         const auto document = ask_peer(host, version_in_force());
+        log_transfer("peer", began, document);
         return document && take(*document, "peer");
     }
 
-    void catch_up()
+    state::source_result<state::rules_read> newest_rules()
+    {
+        const auto began = clock::now();
+        auto result = source_.newest_rules();
+        log_transfer("store", began,
+                     result ? result.value().document : std::nullopt);
+        return result;
+    }
+
+    /// Writes a line for a read that should have brought a newer document.
+    void log_transfer(std::string_view from, state::time_point began,
+                      const std::optional<std::string>& document) const
     {
-        if (const auto document = ask_peer(teller_, version_in_force())) {
-            take(*document, "peer");
+        if (!behind()) {
+            return;
         }
+        event(log_level::info, "rules_transfer")
+            .with("from", from)
+            .with("told", told_)
+            .with("rules", version_in_force())
+            .with("bytes", document ? document->size() : 0)
+            .with("ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                            clock::now() - began)
+                            .count());
+    }
+
+    void catch_up()
+    {
+        take_from(teller_);
         if (!behind()) {
             misses_ = 0;
             return;
         }
-        const auto result = source_.newest_rules();
+        const auto result = newest_rules();
         if (result && result.value().document) {
             take(*result.value().document, "store");
         }
--- a/src/transport/gateway/dispatch_service.cpp
+++ b/src/transport/gateway/dispatch_service.cpp
@@ -7,6 +7,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace oriolegrade::transport {
 
@@ -176,6 +177,8 @@
     auto& queue = queue_of(it.request.service, now);
     it.queued = true;
     const auto request = it.request;
+    auto& oldest = oldest_used_[request.service];
+    oldest = std::max(oldest, view_.age(now));
     if (const auto what = queue.request_place(number, request, now)) {
         std::visit([&](const auto& a) { answer(number, a); }, *what);
     } else {
@@ -311,10 +314,21 @@
                       it.usual_latency)
                       .count())
             .with("budget_percent",
-                  static_cast<std::int64_t>(it.budget_used * percent));
+                  static_cast<std::int64_t>(it.budget_used * percent))
+            .with("view_ms", oldest_used(service));
     }
 }
 
+std::int64_t dispatch_service::oldest_used(const std::string& service)
+{
+    const auto age =
+        std::exchange(oldest_used_[service], state::duration::zero());
+    return age == state::duration::max()
+               ? -1
+               : std::chrono::duration_cast<std::chrono::milliseconds>(age)
+                     .count();
+}
+
 bool dispatch_service::is_busy() const
 {
     return std::any_of(queues_.begin(), queues_.end(), [](const auto& it) {
