--- a/include/oriolegrade/transport/gateway/dispatch_server.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_server.hpp
@@ -17,6 +17,10 @@
 
 namespace oriolegrade::transport {
 
+/// Documents of the rules that a host sends at one time. More of them share its
+/// link, and none arrives earlier.
+inline constexpr unsigned most_document_transfers = 4;
+
 /// Lives on the control thread.
 class dispatch_server
 {
--- a/test/fakes/fake_source.hpp
+++ b/test/fakes/fake_source.hpp
@@ -18,6 +18,7 @@
 public:
     state::source_result<state::rules_read> newest_rules()
     {
+        ++newest_rules_calls;
         return answer(rules);
     }
     state::source_result<state::rules_read> wait_for_rules(std::uint64_t,
@@ -80,6 +81,8 @@
     state::directory_read directory;
     std::optional<state::directory_read> record;
     int calls = 0;
+    /// Of these, reads of the newest rules.
+    int newest_rules_calls = 0;
 
 private:
     template <class Value>
--- a/test/platform/fake_store.hpp
+++ b/test/platform/fake_store.hpp
@@ -85,6 +85,8 @@
     /// Records of one page of the newest of each key.
     std::size_t page = 500;
     int calls = 0;
+    /// Of these, reads of the newest record of each key.
+    int newest_calls = 0;
     /// Told with each answer when above 0.
     std::uint64_t era = 0;
 
@@ -145,6 +147,7 @@
             return append(topic, request.body());
         }
         if (target.starts_with("/-/log-newest")) {
+            ++newest_calls;
             return newest(topic, parameter(target, "after"));
         }
         return read(topic, target);
--- a/test/transport/relayed_source_test.cpp
+++ b/test/transport/relayed_source_test.cpp
@@ -144,6 +144,18 @@
     EXPECT_EQ(other.calls, 2);
 }
 
+// A reader that the store turned away had another host bring the document every
+// half second, also when it had not changed.
+TEST_F(relayed_reads, a_known_document_is_read_again_through_another_host)
+{
+    own.failure = state::source_failure::turned_away;
+    ASSERT_TRUE(source.newest_rules());
+    const auto read = other.source.newest_rules_calls;
+    EXPECT_TRUE(source.wait_for_rules(1, 1s));
+    EXPECT_EQ(other.calls, 2);
+    EXPECT_EQ(other.source.newest_rules_calls, read);
+}
+
 TEST_F(relayed_reads, a_host_returns_to_the_store_when_it_answers)
 {
     own.failure = state::source_failure::unreachable;
