Read a document to its end over a narrow link

Cause: the time limit of a call covered the whole answer. It was set to notice a silent peer in time (0.9 s for the store, 0.5 s for a host), and a document of 750 KB in base64 does not pass a link of 10 Mbit/s beside other traffic in that time. Each read that was given up began anew, and the notice, the usual read and requests without a route each read the document at the same time over the same link, so none of them ended.

Change: where the size of an answer is not known, the limit is for its begin and then for each further part (coordination/answer_limit); an answer ends 10 s behind its begin. A host reads one document at a time, and those that waited for it use what it brought.

--- a/include/oriolegrade/transport/first_chunk.hpp
+++ b/include/oriolegrade/transport/first_chunk.hpp
@@ -11,6 +11,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <concepts>
+
 namespace oriolegrade::transport {
 
 /// Waits for the bytes that the parser needs to look at the first chunk; see
@@ -27,17 +29,27 @@
 }
 
 /// Reads a whole message.
-template <class Parser>
+/// @param on_part called before each read behind the head
+template <class Parser, std::invocable OnPart>
 void read_http_message(tcp_stream& stream, boost::beast::flat_buffer& buf,
-                       Parser& parser, error_code& ec)
+                       Parser& parser, error_code& ec, OnPart on_part)
 {
     boost::beast::http::async_read_header(stream, buf, parser, fiber_yield(ec));
     read_first_chunk(stream, buf, parser, ec);
-    if (!ec && !parser.is_done()) {
-        boost::beast::http::async_read(stream, buf, parser, fiber_yield(ec));
+    while (!ec && !parser.is_done()) {
+        on_part();
+        boost::beast::http::async_read_some(stream, buf, parser,
+                                            fiber_yield(ec));
     }
 }
 
+template <class Parser>
+void read_http_message(tcp_stream& stream, boost::beast::flat_buffer& buf,
+                       Parser& parser, error_code& ec)
+{
+    read_http_message(stream, buf, parser, ec, [] {});
+}
+
 } // namespace oriolegrade::transport
 
 #endif
--- a/include/oriolegrade/transport/gateway/host_call.hpp
+++ b/include/oriolegrade/transport/gateway/host_call.hpp
@@ -16,6 +16,7 @@
 
 /// Body of the answer; empty without an answer of status 200 in time, and for
 /// a peer without a port. Blocks the calling fiber.
+/// @param limit time until the answer begins, and for each further part
 std::optional<std::string> call_host(boost::asio::io_context& ioc,
                                      const state::endpoint& peer,
                                      std::string_view path,
--- a/include/oriolegrade/transport/gateway/rules_follower.hpp
+++ b/include/oriolegrade/transport/gateway/rules_follower.hpp
@@ -24,6 +24,7 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -232,42 +233,72 @@
         return has_read;
     }
 
+    /// What a read of the newest document found.
+    struct newest_read
+    {
+        /// The store had no newer document than this one then.
+        state::time_point began;
+        /// Where the history behind it begins.
+        std::uint64_t next_offset = 0;
+        /// The document came into force.
+        bool is_news = false;
+    };
+
     /// One read of the store; false when it failed.
     bool read()
     {
-        const bool had_offset = next_offset_.has_value();
+        return next_offset_ ? read_history(*next_offset_) : read_whole();
+    }
+
+    bool read_whole()
+    {
+        const auto result = read_newest();
+        if (!result) {
+            return note_failure(result.error());
+        }
+        note_success();
+        const auto& it = result.value();
+        note_read(it.began, it.next_offset, it.is_news);
+        return true;
+    }
+
+    bool read_history(std::uint64_t from)
+    {
         const auto began = clock::now();
         const auto asked = wait();
-        const auto result = had_offset
-                                ? source_.wait_for_rules(*next_offset_, asked)
-                                : newest_rules();
+        const auto result = source_.wait_for_rules(from, asked);
         if (!result) {
             next_offset_.reset();
-            if (result.error() == state::source_failure::trimmed) {
-                return true;
-            }
-            note_failure(result.error());
-            return false;
+            return result.error() == state::source_failure::trimmed ||
+                   note_failure(result.error());
         }
         note_success();
-        const bool first_read = read_at_ == state::time_point{};
-        if (first_read) {
+        const auto& document = result.value().document;
+        const bool is_news = document && take(*document, "store");
+        // The store saw the end of its log no earlier than this.
+        note_read(std::min(clock::now(), began + asked),
+                  result.value().next_offset, is_news);
+        if (document) {
+            boost::this_fiber::sleep_for(rules_pause);
+        }
+        return true;
+    }
+
+    /// The store told at this time that there is no newer version.
+    void note_read(state::time_point read_at, std::uint64_t next_offset,
+                   bool is_news)
+    {
+        if (read_at_ == state::time_point{}) {
             // This read confirms the version until the first host does.
             confirmed_at_ =
-                began + (rules_first_confirm_limit - rules_confirm_limit);
+                read_at + (rules_first_confirm_limit - rules_confirm_limit);
         }
-        // The store saw the end of its log no earlier than this.
-        read_at_ = had_offset ? std::min(clock::now(), began + asked) : began;
-        next_offset_ = result.value().next_offset;
-        const auto& document = result.value().document;
-        if (!document || !take(*document, "store")) {
+        read_at_ = read_at;
+        next_offset_ = next_offset;
+        if (!is_news) {
             on_confirmed();
         }
         note_confirmed();
-        if (document && had_offset) {
-            boost::this_fiber::sleep_for(rules_pause);
-        }
-        return true;
     }
 
     /// Workers take the rules for the newest until the confirmation is old.
@@ -284,35 +315,66 @@
         if (behind() && take_from(teller_)) {
             return;
         }
-        const auto began = clock::now();
-        const auto result = newest_rules();
+        const auto result = read_newest();
         if (!result) {
             take_from({});
             return;
         }
-        if (result.value().document) {
-            take(*result.value().document, "store");
-        }
-        confirmed_at_ = std::max(confirmed_at_, began);
+        confirmed_at_ = std::max(confirmed_at_, result.value().began);
         note_confirmed();
     }
 
-    /// False when the host has no newer version.
+    /// Asks another host for a newer document, unless one comes into force
+    /// during the wait for the own transfer.
+    /// @return whether a newer version came into force
     bool take_from(const std::string& host)
     {
+        const auto before = version_in_force();
+        const auto own = begin_transfer();
+        if (version_in_force() > before) {
+            return true;
+        }
         const auto began = clock::now();
-        const auto document = ask_peer(host, version_in_force());
+        const auto document = ask_peer(host, before);
         log_transfer("peer", began, document);
         return document && take(*document, "peer");
     }
 
-    state::source_result<state::rules_read> newest_rules()
+    /// Reads the newest document of the store and puts it in force. A read that
+    /// ends during the wait for the own one serves both.
+    state::source_result<newest_read> read_newest()
     {
+        const auto reads = newest_reads_;
+        const auto own = begin_transfer();
+        if (reads != newest_reads_) {
+            return newest_;
+        }
         const auto began = clock::now();
-        auto result = source_.newest_rules();
+        const auto result = source_.newest_rules();
         log_transfer("store", began,
                      result ? result.value().document : std::nullopt);
-        return result;
+        if (!result) {
+            return result.error();
+        }
+        const auto& document = result.value().document;
+        newest_ = {began, result.value().next_offset,
+                   document && take(*document, "store")};
+        ++newest_reads_;
+        return newest_;
+    }
+
+    /// Waits for the end of the transfer in progress: a link that carries the
+    /// same document several times carries none of them in time.
+    /// @return holds up further transfers while it exists
+    auto begin_transfer()
+    {
+        transfer_ended_.wait([this] { return !transferring_; });
+        transferring_ = true;
+        const auto end = [this](const bool*) {
+            transferring_ = false;
+            transfer_ended_.notify();
+        };
+        return std::unique_ptr<const bool, decltype(end)>(&transferring_, end);
     }
 
     /// Writes a line for a read that should have brought a newer document.
@@ -339,10 +401,8 @@
             misses_ = 0;
             return;
         }
-        const auto result = newest_rules();
-        if (result && result.value().document) {
-            take(*result.value().document, "store");
-        }
+        // A failure is logged there, and another attempt follows.
+        static_cast<void>(read_newest());
         if (!behind()) {
             misses_ = 0;
             return;
@@ -388,7 +448,8 @@
         return true;
     }
 
-    void note_failure(state::source_failure failure)
+    /// @return false, for the read that failed
+    bool note_failure(state::source_failure failure)
     {
         if (!failing_) {
             event(log_level::warning, "store_lost")
@@ -397,6 +458,7 @@
         }
         failing_ = true;
         lost_.notify();
+        return false;
     }
 
     void note_success()
@@ -424,6 +486,13 @@
     bool failing_ = false;
     /// A look for requests is in progress, and those that wait for its end.
     bool looking_ = false;
+    /// A document is read, from the store or another host. Waits for a change
+    /// do not count: they bring nothing most of the time.
+    bool transferring_ = false;
+    fiber_signal transfer_ended_;
+    /// The last read of the newest document that succeeded, and their number.
+    newest_read newest_{};
+    std::uint64_t newest_reads_ = 0;
     std::vector<std::function<void()>> awaiting_;
     state::time_point looked_at_{};
     fiber_signal noticed_;
--- a/include/oriolegrade/transport/http_client.hpp
+++ b/include/oriolegrade/transport/http_client.hpp
@@ -32,6 +32,9 @@
     /// before a keep-alive probe, and between probes; 0 sends none. A
     /// connection without an answer to two probes is lost.
     std::chrono::seconds probe_interval{0};
+    /// Time for each part of an answer that has begun; 0 when the limit of a
+    /// call covers the whole answer.
+    std::chrono::milliseconds part_limit{0};
 };
 
 /// Client of one server. Used by the fibers of one thread; calls run at the
@@ -44,7 +47,8 @@
 
     /// Sends a request and reads the whole answer. A kept connection that
     /// the server closed meanwhile is replaced when no byte was sent on it.
-    /// @param limit time for connect, send and answer together
+    /// @param limit time for connect, send and answer together, or until the
+    ///        answer begins where its parts have a limit of their own
     state::result<http_answer, http_failure> call(http_request request,
                                                   state::duration limit);
 
--- a/include/oriolegrade/transport/stream_client.hpp
+++ b/include/oriolegrade/transport/stream_client.hpp
@@ -4,11 +4,17 @@
 #ifndef ORIOLEGRADE_TRANSPORT_STREAM_CLIENT_HPP
 #define ORIOLEGRADE_TRANSPORT_STREAM_CLIENT_HPP
 
+#include <oriolegrade/coordination/answer_limit.hpp>
 #include <oriolegrade/state/endpoint.hpp>
+#include <oriolegrade/state/enum_names.hpp>
 #include <oriolegrade/transport/stream_session.hpp>
 
 #include <boost/asio/io_context.hpp>
 
+#include <array>
+#include <optional>
+#include <string_view>
+
 namespace oriolegrade::transport {
 
 /// A stream of the client side. Destroying it before the answer is complete
@@ -75,6 +81,14 @@
     std::string body;
 };
 
+/// What the time limit of a call covers.
+enum class limit_scope : std::uint8_t
+{
+    whole_answer,
+    /// The begin of the answer, and then each further part.
+    each_part,
+};
+
 /// Calls to one endpoint from one thread.
 class stream_client
 {
@@ -89,10 +103,10 @@
                                       const stream_headers& headers,
                                       std::chrono::milliseconds timeout);
     /// Sends a body and reads the whole answer.
-    stream_result<stream_reply> call(std::string_view path,
-                                     const stream_headers& headers,
-                                     std::string_view body,
-                                     std::chrono::milliseconds timeout);
+    stream_result<stream_reply>
+    call(std::string_view path, const stream_headers& headers,
+         std::string_view body, std::chrono::milliseconds timeout,
+         limit_scope scope = limit_scope::whole_answer);
     /// Closes the connection and waits until its fibers have ended.
     void stop();
 
@@ -111,7 +125,10 @@
     /// Null when the connection could not be opened.
     std::shared_ptr<stream_session> connected(clock::time_point deadline);
     bool connect();
-    stream_result<stream_reply> read_reply(client_stream& stream) const;
+    /// @param parts limit of each part; empty when the stream's own holds
+    stream_result<stream_reply>
+    read_reply(client_stream& stream,
+               const std::optional<coordination::answer_limit>& parts) const;
 
     boost::asio::io_context& ioc_;
     const state::endpoint peer_;
@@ -132,4 +149,15 @@
 
 } // namespace oriolegrade::transport
 
+namespace oriolegrade::state {
+
+template <>
+struct enum_names<transport::limit_scope>
+{
+    static constexpr std::array<std::string_view, 2> value{"whole_answer",
+                                                           "each_part"};
+};
+
+} // namespace oriolegrade::state
+
 #endif
--- a/src/transport/gateway/host_call.cpp
+++ b/src/transport/gateway/host_call.cpp
@@ -19,7 +19,7 @@
         return std::nullopt;
     }
     stream_client client(ioc, peer, {}, gateway_stream_limits());
-    auto reply = client.call(path, {}, body, limit);
+    auto reply = client.call(path, {}, body, limit, limit_scope::each_part);
     constexpr unsigned ok = 200;
     if (!reply || reply.value().status != ok) {
         return std::nullopt;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include <oriolegrade/transport/http_client.hpp>
 
+#include <oriolegrade/coordination/answer_limit.hpp>
 #include <oriolegrade/transport/fiber_yield.hpp>
 #include <oriolegrade/transport/first_chunk.hpp>
 
@@ -67,7 +68,13 @@
     boost::beast::flat_buffer buf;
     http::response_parser<http::string_body> parser;
     parser.body_limit(options_.max_answer_bytes);
-    read_http_message(*stream, buf, parser, ec);
+    const coordination::answer_limit parts(deadline, options_.part_limit);
+    read_http_message(*stream, buf, parser, ec, [&] {
+        if (options_.part_limit.count() > 0) {
+            stream->expires_at(
+                parts.next_part(std::chrono::steady_clock::now()));
+        }
+    });
     if (ec) {
         return http_failure{ec, true};
     }
--- a/src/transport/stream_client.cpp
+++ b/src/transport/stream_client.cpp
@@ -150,8 +150,13 @@
 
 stream_result<stream_reply>
 stream_client::call(std::string_view path, const stream_headers& headers,
-                    std::string_view body, std::chrono::milliseconds timeout)
+                    std::string_view body, std::chrono::milliseconds timeout,
+                    limit_scope scope)
 {
+    const auto parts = scope == limit_scope::each_part
+                           ? std::optional<coordination::answer_limit>(
+                                 std::in_place, clock::now() + timeout, timeout)
+                           : std::nullopt;
     auto opened = open(path, headers, timeout);
     if (!opened) {
         return opened.error();
@@ -165,7 +170,7 @@
     };
     if (body.size() <= limits_.output_bytes) {
         write();
-        return read_reply(stream);
+        return read_reply(stream, parts);
     }
     // A handler may answer while it reads, so a body that does not fit the
     // output buffer is written while the answer is read.
@@ -176,7 +181,7 @@
         written = true;
         ended.notify();
     });
-    auto reply = read_reply(stream);
+    auto reply = read_reply(stream, parts);
     if (!written) {
         stream.cancel();
         ended.wait([&] { return written; });
@@ -184,8 +189,9 @@
     return reply;
 }
 
-stream_result<stream_reply>
-stream_client::read_reply(client_stream& stream) const
+stream_result<stream_reply> stream_client::read_reply(
+    client_stream& stream,
+    const std::optional<coordination::answer_limit>& parts) const
 {
     const auto status = stream.status();
     if (!status) {
@@ -194,6 +200,9 @@
     stream_reply reply{status.value(), stream.headers(), {}};
     std::array<char, 4096> piece;
     while (true) {
+        if (parts) {
+            stream.set_deadline(parts->next_part(clock::now()));
+        }
         const auto n = stream.read_some(boost::asio::buffer(piece));
         if (!n) {
             return n.error();
