Pack documents for the way between hosts

One link of the chain: a document of 550 KB travelled in full length to each of 200 hosts, 110 MB from a dispatcher whose link carries 25 MB/s.

A document repeats most of its text. It travels as a zlib stream; an earlier version of the program asks the store instead, and its documents are still read.

--- a/include/oriolegrade/protocol/dispatch_messages.hpp
+++ b/include/oriolegrade/protocol/dispatch_messages.hpp
@@ -67,8 +67,14 @@
 /// What a host tells another one that cannot read the store.
 struct fleet_view
 {
+    /// Empty when the asking host has this version.
     std::string rules_document;
     std::vector<state::host_member> hosts;
+    /// The document as it travels; packed by the encoder where it is empty.
+    std::string packed_rules = {};
+    /// Offset at which the history behind the document begins; empty when that
+    /// is not known.
+    std::optional<std::uint64_t> next_offset = {};
 };
 
 std::string encode_entry_frame(const entry_frame& frame);
--- a/src/protocol/dispatch_messages.cpp
+++ b/src/protocol/dispatch_messages.cpp
@@ -2,6 +2,8 @@
 
 #include <oriolegrade/protocol/dispatch_messages.hpp>
 
+#include <oriolegrade/protocol/packed_document.hpp>
+
 #include "message_check.hpp"
 
 #include <dispatch.pb.h>
@@ -318,7 +320,14 @@
 std::string encode_fleet_view(const fleet_view& view)
 {
     wire::fleet_view message;
-    message.set_rules_document(view.rules_document);
+    if (!view.packed_rules.empty()) {
+        message.set_packed_rules(view.packed_rules);
+    } else if (!view.rules_document.empty()) {
+        message.set_packed_rules(pack_document(view.rules_document));
+    }
+    if (view.next_offset) {
+        message.set_history_begin(*view.next_offset + 1);
+    }
     for (const auto& it : view.hosts) {
         auto& row = *message.add_hosts();
         row.set_name(it.name);
@@ -340,6 +349,18 @@
     const message_check check("", out);
     fleet_view view;
     view.rules_document = message.rules_document();
+    view.packed_rules = message.packed_rules();
+    if (!view.packed_rules.empty()) {
+        auto document =
+            unpack_document(view.packed_rules, max_fleet_view_bytes);
+        if (check.require(document.has_value(), "packed_rules",
+                          "is no packed document")) {
+            view.rules_document = std::move(*document);
+        }
+    }
+    if (message.history_begin() > 0) {
+        view.next_offset = message.history_begin() - 1;
+    }
     if (check.require(message.hosts_size() <= max_hosts, "hosts",
                       "has too many rows")) {
         for (const auto& it : message.hosts()) {
