Spread a document from host to host before the store is asked

Cause: a dispatcher that had a new document told all hosts in the same moment. All fetched 550 KB from it, which filled its link of 25 MB/s for five seconds, and from the store when that failed, which gives 80 MB/s to all reads together.

Change: coordination/document_search decides where a host gets a document that it knows to be newer: from the host that told of it, from any host, and after 0.8 s from the store. A host sends a few documents at a time, by the width of its link, and turns others away. Hosts keep the offset behind the version in force, also when it came from another host, so a host that reads the store itself, or through another host, reads only what is new.

--- a/include/oriolegrade/state/source_type.hpp
+++ b/include/oriolegrade/state/source_type.hpp
@@ -85,14 +85,16 @@
     read_upstreams,
     /// What the other host holds, without a call to the store.
     known_upstreams,
+    /// Documents behind an offset.
+    read_rules,
 };
 
 template <>
 struct enum_names<source_call>
 {
-    static constexpr std::array<std::string_view, 4> value{
-        "newest_rules", "newest_upstreams", "read_upstreams",
-        "known_upstreams"};
+    static constexpr std::array<std::string_view, 5> value{
+        "newest_rules", "newest_upstreams", "read_upstreams", "known_upstreams",
+        "read_rules"};
 };
 
 struct source_request
--- a/include/oriolegrade/transport/gateway/dispatch_server.hpp
+++ b/include/oriolegrade/transport/gateway/dispatch_server.hpp
@@ -17,10 +17,6 @@
 
 namespace oriolegrade::transport {
 
-/// Documents of the rules that a host sends at one time. More of them share its
-/// link, and none arrives earlier.
-inline constexpr unsigned most_document_transfers = 4;
-
 /// Lives on the control thread.
 class dispatch_server
 {
@@ -31,6 +27,8 @@
 
     /// Hosts that this one knows, for its answers.
     std::function<std::vector<state::host_member>()> hosts;
+    /// The document in force for other hosts, without hosts.
+    std::function<protocol::fleet_view()> document;
     /// Called when an entry tells the version of its rules.
     std::function<void(const std::string&, const protocol::rules_notice&)>
         on_rules;
@@ -58,6 +56,9 @@
 
     gateway_shared& shared_;
     dispatch_service& service_;
+    /// Documents of the rules that may be sent at one time, and are sent now.
+    const unsigned most_transfers_;
+    unsigned transfers_ = 0;
     std::set<std::shared_ptr<session>> sessions_;
     std::unique_ptr<stream_server> server_;
 };
--- a/include/oriolegrade/transport/gateway/gateway.hpp
+++ b/include/oriolegrade/transport/gateway/gateway.hpp
@@ -186,6 +186,9 @@
         rules_.is_reader = [this] {
             return dispatches();
         };
+        server_.document = [this] {
+            return rules_.document();
+        };
         server_.confirmed_age = [this] {
             return rules_.confirmed_age();
         };
@@ -321,17 +324,19 @@
 
     /// Document of another host that is newer than the version; empty when
     /// there is none.
-    std::optional<std::string> ask_peer(const std::string& host,
-                                        std::uint64_t version)
+    std::optional<peer_document> ask_peer(const std::string& host,
+                                          std::uint64_t version)
     {
         auto told = ask_view(host, version);
         if (!told) {
             return std::nullopt;
         }
         members_.add(told->hosts);
-        auto& document = told->rules_document;
-        return document.empty() ? std::nullopt
-                                : std::optional(std::move(document));
+        if (told->rules_document.empty()) {
+            return std::nullopt;
+        }
+        return peer_document(std::move(told->rules_document),
+                             std::move(told->packed_rules), told->next_offset);
     }
 
     /// What another host knows; empty without an answer.
--- a/include/oriolegrade/transport/gateway/gateway_shared.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_shared.hpp
@@ -37,6 +37,8 @@
     /// Memory for bodies, answers and input of callers; 0 for no limit.
     std::uint64_t memory_bytes = 0;
     unsigned threads = 1;
+    /// Width of the host's link; 0 when unknown.
+    double link_mbps = 0;
     /// Extra sends that all hosts together may make to one service.
     coordination::window_budget_options budget;
     coordination::read_ahead_limits read_ahead;
--- a/include/oriolegrade/transport/gateway/relayed_source.hpp
+++ b/include/oriolegrade/transport/gateway/relayed_source.hpp
@@ -63,6 +63,8 @@
         return reply(source.newest_upstreams());
     case state::source_call::read_upstreams:
         return reply(source.read_upstreams(request.from));
+    case state::source_call::read_rules:
+        return reply(source.wait_for_rules(request.from, {}));
     case state::source_call::known_upstreams:
         // No call to a source.
         break;
@@ -92,7 +94,7 @@
         }
         boost::this_fiber::sleep_for(
             std::min<state::duration>(wait, relay_rules_interval));
-        return newest_rules();
+        return read<state::rules_read>({state::source_call::read_rules, from});
     }
     state::source_result<state::registry_read> newest_upstreams()
     {
@@ -176,7 +178,7 @@
         if (!pending->ended.wait_until(
                 clock::now() + wait + relay_overdue_limit, has_ended)) {
             auto result = read_at_peer<state::rules_read>(
-                {state::source_call::newest_rules, 0});
+                {state::source_call::read_rules, from});
             if (result) {
                 return std::move(*result);
             }
--- a/include/oriolegrade/transport/gateway/rules_follower.hpp
+++ b/include/oriolegrade/transport/gateway/rules_follower.hpp
@@ -13,6 +13,10 @@
 #ifndef ORIOLEGRADE_TRANSPORT_GATEWAY_RULES_FOLLOWER_HPP
 #define ORIOLEGRADE_TRANSPORT_GATEWAY_RULES_FOLLOWER_HPP
 
+#include <oriolegrade/coordination/document_search.hpp>
+#include <oriolegrade/coordination/host_seed.hpp>
+#include <oriolegrade/protocol/dispatch_messages.hpp>
+#include <oriolegrade/protocol/packed_document.hpp>
 #include <oriolegrade/state/route_index.hpp>
 #include <oriolegrade/transport/event_log.hpp>
 #include <oriolegrade/transport/fiber_signal.hpp>
@@ -58,12 +62,28 @@
 inline constexpr std::chrono::milliseconds rules_fresh_limit{1600};
 /// Interval of questions to other hosts while the store cannot be read.
 inline constexpr std::chrono::milliseconds rules_peer_interval{700};
-/// Pause between reads while a notice tells of a version that is not in force.
-inline constexpr std::chrono::milliseconds rules_notice_retry{150};
 /// Pause between two reads that requests ask for. Calls of the store are
 /// priced, and callers with wrong keys can send any number of requests.
 inline constexpr std::chrono::milliseconds rules_ask_pause{250};
 
+/// A document of another host.
+struct peer_document
+{
+    // Conversion is intended.
+    peer_document(std::string document_in, std::string packed_in = {},
+                  std::optional<std::uint64_t> next_offset_in = {})
+        : document(std::move(document_in))
+        , packed(std::move(packed_in))
+        , next_offset(next_offset_in)
+    {}
+
+    std::string document;
+    /// As it travels between hosts; may be empty.
+    std::string packed;
+    /// Where the history behind the document begins, if that host knows it.
+    std::optional<std::uint64_t> next_offset;
+};
+
 /// Lives on the control thread.
 template <traffic_source Source>
 class rules_follower
@@ -72,6 +92,7 @@
     rules_follower(gateway_shared& shared, Source& source)
         : shared_(shared)
         , source_(source)
+        , search_(coordination::host_seed(shared.options.self.name))
     {}
 
     /// Called after a version came into force.
@@ -80,8 +101,8 @@
     std::function<void()> on_confirmed;
     /// Asks another host for a document newer than the version. The name may
     /// be empty: any host will do.
-    std::function<std::optional<std::string>(const std::string& host,
-                                             std::uint64_t version)>
+    std::function<std::optional<peer_document>(const std::string& host,
+                                               std::uint64_t version)>
         ask_peer;
     /// Tells whether this host reads the document for others.
     std::function<bool()> is_reader;
@@ -95,6 +116,7 @@
         if (version > std::max(told_, current)) {
             told_ = version;
             teller_ = host;
+            search_.begin(clock::now());
             shared_.rules_told = version;
             noticed_.notify();
         }
@@ -141,13 +163,23 @@
         return age < rules_confirm_limit ? std::optional(age) : std::nullopt;
     }
 
+    /// The document in force as it travels to other hosts.
+    protocol::fleet_view document()
+    {
+        if (packed_.empty()) {
+            packed_ =
+                protocol::pack_document(shared_.rules.read()->rules().document);
+        }
+        return {{}, {}, packed_, next_offset_};
+    }
+
     /// Reads the store for ever, in person or by confirmations.
     void run()
     {
         auto retry = rules_first_retry;
         repeat_for_ever("rules", rules_last_retry, [&] {
-            if (shared_.configured && !is_reader() && is_confirmed()) {
-                next_offset_.reset();
+            if (shared_.configured && !is_reader() &&
+                (is_confirmed() || behind())) {
                 wait_for_lapse();
                 return;
             }
@@ -205,12 +237,13 @@
     }
 
     /// Waits until the confirmation lapses, or this host may have become a
-    /// reader.
+    /// reader. A host that knows of a newer version gets it by search.
     void wait_for_lapse()
     {
+        const auto until = clock::now() + rules_role_interval;
         boost::this_fiber::sleep_until(
-            std::min(confirmed_at_ + rules_confirm_limit,
-                     clock::now() + rules_role_interval));
+            behind() ? until
+                     : std::min(confirmed_at_ + rules_confirm_limit, until));
     }
 
     std::chrono::milliseconds wait() const
@@ -238,8 +271,6 @@
     {
         /// The store had no newer document than this one then.
         state::time_point began;
-        /// Where the history behind it begins.
-        std::uint64_t next_offset = 0;
         /// The document came into force.
         bool is_news = false;
     };
@@ -258,26 +289,30 @@
         }
         note_success();
         const auto& it = result.value();
-        note_read(it.began, it.next_offset, it.is_news);
+        note_read(it.began, it.is_news);
         return true;
     }
 
     bool read_history(std::uint64_t from)
     {
         const auto began = clock::now();
-        const auto asked = wait();
+        // A wait is left unanswered also when the store drops its history;
+        // without a wait it tells so.
+        const auto asked = failing_ ? std::chrono::milliseconds{} : wait();
         const auto result = source_.wait_for_rules(from, asked);
         if (!result) {
+            if (result.error() != state::source_failure::trimmed) {
+                return note_failure(result.error());
+            }
             next_offset_.reset();
-            return result.error() == state::source_failure::trimmed ||
-                   note_failure(result.error());
+            return true;
         }
         note_success();
         const auto& document = result.value().document;
         const bool is_news = document && take(*document, "store");
         // The store saw the end of its log no earlier than this.
-        note_read(std::min(clock::now(), began + asked),
-                  result.value().next_offset, is_news);
+        note_read(std::min(clock::now(), began + asked), is_news);
+        next_offset_ = result.value().next_offset;
         if (document) {
             boost::this_fiber::sleep_for(rules_pause);
         }
@@ -285,8 +320,7 @@
     }
 
     /// The store told at this time that there is no newer version.
-    void note_read(state::time_point read_at, std::uint64_t next_offset,
-                   bool is_news)
+    void note_read(state::time_point read_at, bool is_news)
     {
         if (read_at_ == state::time_point{}) {
             // This read confirms the version until the first host does.
@@ -294,7 +328,6 @@
                 read_at + (rules_first_confirm_limit - rules_confirm_limit);
         }
         read_at_ = read_at;
-        next_offset_ = next_offset;
         if (!is_news) {
             on_confirmed();
         }
@@ -308,14 +341,15 @@
             std::max(read_at_, confirmed_at_) + rules_confirm_limit;
     }
 
-    /// Asks the host that told of a newer version, then the store, then any
-    /// host.
+    /// Looks for a newer version: where one is known, as the search says, and
+    /// at the store otherwise.
     void look()
     {
-        if (behind() && take_from(teller_)) {
+        if (behind()) {
+            search();
             return;
         }
-        const auto result = read_newest();
+        const auto result = read_latest();
         if (!result) {
             take_from({});
             return;
@@ -324,6 +358,28 @@
         note_confirmed();
     }
 
+    /// Reads what the store has behind the version in force, or its newest
+    /// document where that is not known.
+    state::source_result<newest_read> read_latest()
+    {
+        if (!next_offset_) {
+            return read_newest();
+        }
+        const auto began = clock::now();
+        const auto result = source_.wait_for_rules(*next_offset_, {});
+        if (!result) {
+            if (result.error() != state::source_failure::trimmed) {
+                return result.error();
+            }
+            next_offset_.reset();
+            return read_newest();
+        }
+        const auto& document = result.value().document;
+        const newest_read out{began, document && take(*document, "store")};
+        next_offset_ = result.value().next_offset;
+        return out;
+    }
+
     /// Asks another host for a newer document, unless one comes into force
     /// during the wait for the own transfer.
     /// @return whether a newer version came into force
@@ -335,9 +391,15 @@
             return true;
         }
         const auto began = clock::now();
-        const auto document = ask_peer(host, before);
-        log_transfer("peer", began, document);
-        return document && take(*document, "peer");
+        auto told = ask_peer(host, before);
+        log_transfer("peer", began,
+                     told ? std::optional(told->packed.size()) : std::nullopt);
+        if (!told || !take(told->document, "peer")) {
+            return false;
+        }
+        packed_ = std::move(told->packed);
+        next_offset_ = told->next_offset;
+        return true;
     }
 
     /// Reads the newest document of the store and puts it in force. A read that
@@ -352,13 +414,15 @@
         const auto began = clock::now();
         const auto result = source_.newest_rules();
         log_transfer("store", began,
-                     result ? result.value().document : std::nullopt);
+                     result && result.value().document
+                         ? std::optional(result.value().document->size())
+                         : std::nullopt);
         if (!result) {
             return result.error();
         }
         const auto& document = result.value().document;
-        newest_ = {began, result.value().next_offset,
-                   document && take(*document, "store")};
+        newest_ = {began, document && take(*document, "store")};
+        next_offset_ = result.value().next_offset;
         ++newest_reads_;
         return newest_;
     }
@@ -379,7 +443,7 @@
 
     /// Writes a line for a read that should have brought a newer document.
     void log_transfer(std::string_view from, state::time_point began,
-                      const std::optional<std::string>& document) const
+                      std::optional<std::size_t> bytes) const
     {
         if (!behind()) {
             return;
@@ -388,34 +452,44 @@
             .with("from", from)
             .with("told", told_)
             .with("rules", version_in_force())
-            .with("bytes", document ? document->size() : 0)
+            .with("bytes", bytes.value_or(0))
             .with("ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                             clock::now() - began)
                             .count());
     }
 
+    /// One attempt to get a newer version that a host told of.
     void catch_up()
     {
-        take_from(teller_);
-        if (!behind()) {
-            misses_ = 0;
-            return;
-        }
-        // A failure is logged there, and another attempt follows.
-        static_cast<void>(read_newest());
+        search();
         if (!behind()) {
-            misses_ = 0;
             return;
         }
-        if (++misses_ == most_misses) {
-            // Nobody has this version any more.
+        const auto pause = search_.missed();
+        if (search_.is_hopeless(clock::now())) {
             event(log_level::warning, "notice_not_confirmed")
                 .with("version", told_);
             told_ = 0;
             shared_.rules_told = 0;
-            misses_ = 0;
+            return;
+        }
+        boost::this_fiber::sleep_for(pause);
+    }
+
+    void search()
+    {
+        switch (search_.next(clock::now(), is_reader())) {
+        case coordination::document_place::teller:
+            take_from(teller_);
+            return;
+        case coordination::document_place::any_host:
+            take_from({});
+            return;
+        case coordination::document_place::store:
+            // A failure is logged there, and another attempt follows.
+            static_cast<void>(read_latest());
+            return;
         }
-        boost::this_fiber::sleep_for(rules_notice_retry * misses_);
     }
 
     /// Validates a document and puts it in force when it is newer.
@@ -438,6 +512,7 @@
         shared_.rules.publish(std::make_shared<const state::route_index>(
             std::make_shared<const state::traffic_rules>(
                 std::move(rules.value()))));
+        packed_.clear();
         shared_.configured = true;
         event(log_level::info, "rules_in_force")
             .with("version", version)
@@ -471,8 +546,11 @@
 
     gateway_shared& shared_;
     Source& source_;
-    /// Where the history continues; empty when the newest must be read.
+    /// Where the history behind the version in force begins; empty when the
+    /// newest must be read.
     std::optional<std::uint64_t> next_offset_;
+    /// Document in force as it travels between hosts; empty until one asks.
+    std::string packed_;
     /// The store told at this time that there is no newer version.
     state::time_point read_at_{};
     /// Another host told so.
@@ -480,9 +558,8 @@
     /// Highest version that another host told of, and that host.
     std::uint64_t told_ = 0;
     std::string teller_;
-    /// Attempts in a row that did not bring that version.
-    int misses_ = 0;
-    static constexpr int most_misses = 20;
+    /// Where to get it.
+    coordination::document_search search_;
     bool failing_ = false;
     /// A look for requests is in progress, and those that wait for its end.
     bool looking_ = false;
--- a/src/transport/gateway/dispatch_server.cpp
+++ b/src/transport/gateway/dispatch_server.cpp
@@ -2,6 +2,7 @@
 
 #include <oriolegrade/transport/gateway/dispatch_server.hpp>
 
+#include <oriolegrade/coordination/document_search.hpp>
 #include <oriolegrade/transport/event_log.hpp>
 #include <oriolegrade/transport/gateway/dispatch_link.hpp>
 #include <oriolegrade/transport/message_frame.hpp>
@@ -150,6 +151,8 @@
                                  dispatch_service& service)
     : shared_(shared)
     , service_(service)
+    , most_transfers_(
+          coordination::document_transfers(shared.options.link_mbps))
 {
     auto acceptor = listen_on(ioc, to_tcp(shared.options.self.control));
     if (!acceptor) {
@@ -247,13 +250,21 @@
         (void)stream.reply(400, "");
         return;
     }
-    const auto rules = shared_.rules.read();
-    protocol::fleet_view view;
-    if (rules->rules().version > *version) {
-        view.rules_document = rules->rules().document;
+    if (shared_.rules.read()->rules().version <= *version) {
+        (void)stream.reply(200, protocol::encode_fleet_view({{}, hosts()}));
+        return;
     }
-    view.hosts = hosts();
-    (void)stream.reply(200, protocol::encode_fleet_view(view));
+    if (transfers_ == most_transfers_) {
+        (void)stream.reply(503, "");
+        return;
+    }
+    ++transfers_;
+    run_step("document_transfer", [&] {
+        auto view = document();
+        view.hosts = hosts();
+        (void)stream.reply(200, protocol::encode_fleet_view(view));
+    });
+    --transfers_;
 }
 
 void dispatch_server::serve_source(server_stream& stream)
--- a/test/fakes/dispatch_fleet.hpp
+++ b/test/fakes/dispatch_fleet.hpp
@@ -121,6 +121,10 @@
         server->confirmed_age = [] {
             return std::optional<state::duration>(20ms);
         };
+        server->document = [this] {
+            return protocol::fleet_view{shared.rules.read()->rules().document,
+                                        {}};
+        };
         server->hosts = [] {
             return std::vector<state::host_member>();
         };
--- a/test/platform/document_fan_out_test.cpp
+++ b/test/platform/document_fan_out_test.cpp
@@ -8,6 +8,7 @@
 
 #include <store_source.hpp>
 
+#include <oriolegrade/coordination/document_search.hpp>
 #include <oriolegrade/protocol/dispatch_messages.hpp>
 #include <oriolegrade/transport/gateway/dispatch_link.hpp>
 #include <oriolegrade/transport/gateway/rules_follower.hpp>
@@ -71,7 +72,7 @@
         ASSERT_TRUE(status);
         given += status.value() == 200 ? 1 : 0;
     }
-    EXPECT_EQ(given, transport::most_document_transfers);
+    EXPECT_EQ(given, coordination::usual_document_transfers);
     streams.clear();
     sleep_for(50ms);
     // The transfers have ended, and another host gets the document.
