Let a look for newer rules wait for a version that is on its way

The look now lasts until the version is in force, 0.3 s at most, which is what a request waits for it.

rules_refresh.a_look_ends_before_a_version_that_is_on_its_way failed before and passes.

--- a/include/oriolegrade/transport/gateway/rules_follower.hpp
+++ b/include/oriolegrade/transport/gateway/rules_follower.hpp
@@ -62,6 +62,8 @@
 inline constexpr std::chrono::milliseconds rules_fresh_limit{1600};
 /// Interval of questions to other hosts while the store cannot be read.
 inline constexpr std::chrono::milliseconds rules_peer_interval{700};
+/// Time that a look waits for a version that is known.
+inline constexpr std::chrono::milliseconds rules_look_limit{300};
 /// Pause between two reads that requests ask for. Calls of the store are
 /// priced, and callers with wrong keys can send any number of requests.
 inline constexpr std::chrono::milliseconds rules_ask_pause{250};
@@ -266,6 +268,31 @@
         return has_read;
     }
 
+    /// Begins when the transfer in progress has ended, and holds up further
+    /// ones: a link that carries one document several times carries none in
+    /// time.
+    class transfer
+    {
+    public:
+        explicit transfer(rules_follower& owner)
+            : owner_(owner)
+        {
+            owner_.transfer_ended_.wait(
+                [this] { return !owner_.has_transfer_; });
+            owner_.has_transfer_ = true;
+        }
+        ~transfer()
+        {
+            owner_.has_transfer_ = false;
+            owner_.transfer_ended_.notify();
+        }
+        transfer(const transfer&) = delete;
+        transfer& operator=(const transfer&) = delete;
+
+    private:
+        rules_follower& owner_;
+    };
+
     /// What a read of the newest document found.
     struct newest_read
     {
@@ -347,6 +374,9 @@
     {
         if (behind()) {
             search();
+            // Others may have been served first; the search goes on.
+            replaced_.wait_until(clock::now() + rules_look_limit,
+                                 [this] { return !behind(); });
             return;
         }
         const auto result = read_latest();
@@ -386,7 +416,7 @@
     bool take_from(const std::string& host)
     {
         const auto before = version_in_force();
-        const auto own = begin_transfer();
+        const transfer own(*this);
         if (version_in_force() > before) {
             return true;
         }
@@ -407,7 +437,7 @@
     state::source_result<newest_read> read_newest()
     {
         const auto reads = newest_reads_;
-        const auto own = begin_transfer();
+        const transfer own(*this);
         if (reads != newest_reads_) {
             return newest_;
         }
@@ -427,20 +457,6 @@
         return newest_;
     }
 
-    /// Waits for the end of the transfer in progress: a link that carries the
-    /// same document several times carries none of them in time.
-    /// @return holds up further transfers while it exists
-    auto begin_transfer()
-    {
-        transfer_ended_.wait([this] { return !transferring_; });
-        transferring_ = true;
-        const auto end = [this](const bool*) {
-            transferring_ = false;
-            transfer_ended_.notify();
-        };
-        return std::unique_ptr<const bool, decltype(end)>(&transferring_, end);
-    }
-
     /// Writes a line for a read that should have brought a newer document.
     void log_transfer(std::string_view from, state::time_point began,
                       std::optional<std::size_t> bytes) const
@@ -519,6 +535,7 @@
             .with("replaced", current)
             .with("routes", routes)
             .with("from", from);
+        replaced_.notify();
         on_rules();
         return true;
     }
@@ -565,7 +582,7 @@
     bool looking_ = false;
     /// A document is read, from the store or another host. Waits for a change
     /// do not count: they bring nothing most of the time.
-    bool transferring_ = false;
+    bool has_transfer_ = false;
     fiber_signal transfer_ended_;
     /// The last read of the newest document that succeeded, and their number.
     newest_read newest_{};
@@ -574,6 +591,8 @@
     state::time_point looked_at_{};
     fiber_signal noticed_;
     fiber_signal lost_;
+    /// A version came into force.
+    fiber_signal replaced_;
 };
 
 } // namespace oriolegrade::transport
--- a/test/transport/rules_refresh_test.cpp
+++ b/test/transport/rules_refresh_test.cpp
@@ -138,6 +138,24 @@
     EXPECT_EQ(b.version(), 5U);
 }
 
+// The host that has the document sends it to others first: a request on a new
+// route was refused some milliseconds before the rules came.
+TEST(rules_refresh, a_look_ends_before_a_version_that_is_on_its_way)
+{
+    auto& b = make_refresh();
+    transport::spawn_fiber([&b] { b.follower.run_notices(); });
+    b.follower.heard("host-5", 5, std::nullopt);
+    boost::this_fiber::sleep_for(5ms);
+    EXPECT_FALSE(b.asked.empty());
+    b.refresh();
+    boost::this_fiber::sleep_for(5ms);
+    EXPECT_EQ(b.ended, 0);
+    b.peer_document = "5";
+    boost::this_fiber::sleep_for(150ms);
+    EXPECT_EQ(b.version(), 5U);
+    EXPECT_EQ(b.ended, 1);
+}
+
 // A confirmation by another host is as good as a read, and lapses.
 TEST(rules_refresh, a_confirmation_lapses)
 {
