--- a/include/oriolegrade/state/reply_reason.hpp
+++ b/include/oriolegrade/state/reply_reason.hpp
@@ -44,12 +44,13 @@
     target_too_long,
     unknown_key,
     no_memory,
+    rules_outdated,
 };
 
 template <>
 struct enum_names<reply_reason>
 {
-    static constexpr std::array<std::string_view, 30> value{
+    static constexpr std::array<std::string_view, 31> value{
         "no_route",
         "too_large",
         "limit",
@@ -80,6 +81,7 @@
         "target_too_long",
         "unknown_key",
         "no_memory",
+        "rules_outdated",
     };
 };
 
@@ -90,7 +92,7 @@
     std::string_view text;
 };
 
-inline constexpr std::array<reply_row, 30> reply_table{{
+inline constexpr std::array<reply_row, 31> reply_table{{
     {404, run_outcome::not_run, "no route matches"},
     {413, run_outcome::not_run, "request body exceeds the route's limit"},
     {429, run_outcome::not_run, "rate or concurrency limit reached"},
@@ -121,6 +123,7 @@
     {414, run_outcome::not_run, "request target exceeds the limit"},
     {401, run_outcome::not_run, "the request needs a key that is known"},
     {503, run_outcome::not_run, "host has no memory for the request body"},
+    {503, run_outcome::not_run, "host waits for a newer configuration"},
 }};
 
 static_assert(reply_table.size() == enum_size<reply_reason>);
--- a/include/oriolegrade/transport/gateway/gateway_shared.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_shared.hpp
@@ -5,6 +5,7 @@
 
 #include <oriolegrade/coordination/drain_schedule.hpp>
 #include <oriolegrade/coordination/quota_wallet.hpp>
+#include <oriolegrade/coordination/rules_age.hpp>
 #include <oriolegrade/coordination/upstream_wishes.hpp>
 #include <oriolegrade/coordination/window_budget.hpp>
 #include <oriolegrade/state/host_member.hpp>
@@ -37,6 +38,8 @@
     /// Memory for bodies, answers and input of callers; 0 for no limit.
     std::uint64_t memory_bytes = 0;
     unsigned threads = 1;
+    /// Time after its confirmation within which a change must be in force.
+    state::duration change_bound = state::duration::max();
     /// Width of the host's link; 0 when unknown.
     double link_mbps = 0;
     /// Extra sends that all hosts together may make to one service.
@@ -69,6 +72,8 @@
     /// Until this time no newer version counts as likely; a confirmation that
     /// the version in force is the newest moves it on.
     std::atomic<state::time_point> rules_confirmed_until{};
+    /// The version in force was the newest at this time.
+    std::atomic<state::time_point> rules_newest_at{};
     /// Highest version that another host told of; 0 for none.
     std::atomic<std::uint64_t> rules_told{0};
     /// When the stop began; read only when stopping.
@@ -84,6 +89,15 @@
         return rules_told > version || now > rules_confirmed_until.load();
     }
 
+    /// False when requests must wait for a newer version.
+    /// @param version that the host knows
+    bool may_serve_by(state::time_point now, std::uint64_t version) const
+    {
+        return coordination::may_serve_by(rules_told > version,
+                                          rules_newest_at.load(),
+                                          options.change_bound, now);
+    }
+
     /// Schedule of the stop in progress; empty before.
     std::optional<coordination::drain_schedule> drain() const
     {
--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -173,9 +173,13 @@
         if (const auto reason = request.refusal()) {
             return refuse(line, answer, *reason, {});
         }
-        if (!is_allowed(plan)) {
+        if (!is_allowed(plan) || !is_in_time(plan)) {
             look_again(plan, head, request);
         }
+        if (!is_in_time(plan)) {
+            return refuse(line, answer, state::reply_reason::rules_outdated,
+                          {});
+        }
         if (plan.route == nullptr) {
             return refuse(line, answer, state::reply_reason::no_route, {});
         }
@@ -325,6 +329,13 @@
         plan.line.workspace = workspace_of(plan.check);
     }
 
+    /// False when the request was planned by rules that were replaced too long
+    /// ago.
+    bool is_in_time(const request_plan& plan) const
+    {
+        return shared_.may_serve_by(clock::now(), plan.line.rules_version);
+    }
+
     /// Before a request is turned away: plans it by the newest rules. A host
     /// that may be behind asks for them first.
     void look_again(request_plan& plan, protocol::request_head& head,
--- a/include/oriolegrade/transport/gateway/rules_follower.hpp
+++ b/include/oriolegrade/transport/gateway/rules_follower.hpp
@@ -364,8 +364,9 @@
     /// Workers take the rules for the newest until the confirmation is old.
     void note_confirmed()
     {
-        shared_.rules_confirmed_until =
-            std::max(read_at_, confirmed_at_) + rules_confirm_limit;
+        const auto newest_at = std::max(read_at_, confirmed_at_);
+        shared_.rules_newest_at = newest_at;
+        shared_.rules_confirmed_until = newest_at + rules_confirm_limit;
     }
 
     /// Looks for a newer version: where one is known, as the search says, and
--- a/test/fakes/gateway_bench.hpp
+++ b/test/fakes/gateway_bench.hpp
@@ -76,6 +76,7 @@
                 state::duration grace)
 {
     transport::gateway_options out;
+    out.change_bound = std::chrono::seconds(2);
     out.read_ahead = read_ahead;
     out.grace = grace;
     out.self = {"host", "dc1", {0x7f000001, 1}, 1000};
@@ -127,6 +128,7 @@
         // Several sends, and time for them.
         rules->routes[4].spec.max_attempts = 4;
         rules->routes[4].spec.deadline = 8s;
+        shared.rules_newest_at = std::chrono::steady_clock::now();
         shared.rules.publish(std::make_shared<state::route_index>(rules));
         shared.configured = true;
         shared.rules_confirmed_until = state::time_point::max();
--- a/test/platform/workspace_test.cpp
+++ b/test/platform/workspace_test.cpp
@@ -394,6 +394,27 @@
     EXPECT_EQ(b.refresher.calls, 1);
 }
 
+// A host that knew of a newer version, and did not get it, served requests by
+// the rules before it for as long as that took.
+TEST(workspace, requests_are_served_by_rules_that_were_replaced)
+{
+    auto& b = make_keyed_bench();
+    b.shared.rules_told = 3;
+    b.shared.rules_newest_at = std::chrono::steady_clock::now() - 3s;
+    const auto away = b.send(reading("X-Api-Key: secret-a\r\n", "/read/1"));
+    EXPECT_EQ(away.result_int(), 503U);
+    EXPECT_EQ(away.count("Retry-After"), 1U);
+    EXPECT_EQ(b.refresher.calls, 1);
+    EXPECT_TRUE(b.places.requests.empty());
+    // Version 2 was the newest until a moment ago.
+    b.shared.rules_newest_at = std::chrono::steady_clock::now() - 1s;
+    b.place_at(b.first, "u1");
+    b.first.add({answer("one")});
+    EXPECT_EQ(
+        b.send(reading("X-Api-Key: secret-a\r\n", "/read/1")).result_int(),
+        200U);
+}
+
 // The wait for newer rules took more time than the caller had.
 TEST(workspace, a_look_for_newer_rules_outlasts_the_request)
 {
