--- a/test/protocol/settings_page_test.cpp
+++ b/test/protocol/settings_page_test.cpp
@@ -70,7 +70,8 @@
            "start of all hosts uses up to 0.45 of them, and a quarter of\n"
            "the slack is burst. `limits.link_mbps` bounds how many documents "
            "of the rules a host sends to others at one time: a tenth of it,\n"
-           "between 4 and 32; 4 without a value. Once a newer version is known, "
+           "between 4 and 32; 4 without a value. Once a newer version is "
+           "known, "
            "requests are refused with 503 when the version in force\n"
            "was last known to be the newest more than `bounds.config_apply` "
            "ago; without a value they are not.\n";
