--- a/include/oriolegrade/transport/gateway/rules_follower.hpp
+++ b/include/oriolegrade/transport/gateway/rules_follower.hpp
@@ -315,8 +315,7 @@
             return note_failure(result.error());
         }
         note_success();
-        const auto& it = result.value();
-        note_read(it.began, it.is_news);
+        confirm(result.value().is_news);
         return true;
     }
 
@@ -336,18 +335,20 @@
         }
         note_success();
         const auto& document = result.value().document;
-        const bool is_news = document && take(*document, "store");
         // The store saw the end of its log no earlier than this.
-        note_read(std::min(clock::now(), began + asked), is_news);
+        note_read(std::min(clock::now(), began + asked));
+        const bool is_news = document && take(*document, "store");
         next_offset_ = result.value().next_offset;
+        confirm(is_news);
         if (document) {
             boost::this_fiber::sleep_for(rules_pause);
         }
         return true;
     }
 
-    /// The store told at this time that there is no newer version.
-    void note_read(state::time_point read_at, bool is_news)
+    /// The store told at this time what is newest. To be called before the
+    /// document is taken: hosts are told of it with the age of this read.
+    void note_read(state::time_point read_at)
     {
         if (read_at_ == state::time_point{}) {
             // This read confirms the version until the first host does.
@@ -355,6 +356,10 @@
                 read_at + (rules_first_confirm_limit - rules_confirm_limit);
         }
         read_at_ = read_at;
+    }
+
+    void confirm(bool is_news)
+    {
         if (!is_news) {
             on_confirmed();
         }
@@ -451,6 +456,7 @@
         if (!result) {
             return result.error();
         }
+        note_read(began);
         const auto& document = result.value().document;
         newest_ = {began, document && take(*document, "store")};
         next_offset_ = result.value().next_offset;
--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -441,6 +441,27 @@
     }
 }
 
+// Hosts were told of a version with the age of the read before it, and each
+// read the store itself before the next confirmation came.
+TEST(rules_follower, a_version_is_told_with_the_age_of_an_earlier_read)
+{
+    auto& b = make_bench<rules_bench>();
+    std::optional<state::duration> told_age;
+    b.follower.on_rules = [&b, &told_age] {
+        told_age = b.follower.confirmed_age();
+    };
+    b.store.put(op, "config", rules(1));
+    ASSERT_TRUE(b.reaches(1, 2s));
+    boost::this_fiber::sleep_for(600ms);
+    told_age.reset();
+    b.store.put(op, "config", rules(2));
+    ASSERT_TRUE(b.reaches(2, 1s));
+    ASSERT_TRUE(told_age);
+    EXPECT_LT(*told_age, 300ms);
+    b.follower.on_rules = [] {
+    };
+}
+
 // Others rely on what a reader confirms: each of its reads counts.
 TEST(rules_follower, a_read_without_news_is_not_confirmed)
 {
