--- a/include/oriolegrade/transport/gateway/rules_follower.hpp
+++ b/include/oriolegrade/transport/gateway/rules_follower.hpp
@@ -509,7 +509,7 @@
             take_from({});
             return;
         case coordination::document_place::store:
-            // A failure is logged there, and another attempt follows.
+            // Another attempt follows a failure.
             static_cast<void>(read_latest());
             return;
         }
