Split reads of the document from the decisions when to read it

Reads of the history and of the newest document share their code, with three small effects: - a history read of a look or search counts as a read of this host, as its read of the newest document did; - such reads write a rules_transfer line too (from=store_history); - the time of the last read never goes back when reads overlap.

--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -175,10 +175,10 @@
         }
         if (!is_allowed(plan) || !is_in_time(plan)) {
             look_again(plan, head, request);
-        }
-        if (!is_in_time(plan)) {
-            return refuse(line, answer, state::reply_reason::rules_outdated,
-                          {});
+            if (!is_in_time(plan)) {
+                return refuse(line, answer, state::reply_reason::rules_outdated,
+                              {});
+            }
         }
         if (plan.route == nullptr) {
             return refuse(line, answer, state::reply_reason::no_route, {});
--- a/include/oriolegrade/transport/gateway/rules_follower.hpp
+++ b/include/oriolegrade/transport/gateway/rules_follower.hpp
@@ -1,5 +1,6 @@
-// Follows the operator's document and puts each version in force. Versions
-// only go up, whoever they come from.
+// Follows the operator's document: decides when to read it, and where, so that
+// each version comes into force in time. Versions only go up, whoever they come
+// from.
 //
 // Hosts that dispatch read the store for all: after each read they confirm that
 // the version in force is the newest, and a host reads the store itself when
@@ -16,11 +17,10 @@
 #include <oriolegrade/coordination/document_search.hpp>
 #include <oriolegrade/coordination/host_seed.hpp>
 #include <oriolegrade/protocol/dispatch_messages.hpp>
-#include <oriolegrade/protocol/packed_document.hpp>
-#include <oriolegrade/state/route_index.hpp>
 #include <oriolegrade/transport/event_log.hpp>
 #include <oriolegrade/transport/fiber_signal.hpp>
 #include <oriolegrade/transport/gateway/gateway_shared.hpp>
+#include <oriolegrade/transport/gateway/rules_fetcher.hpp>
 #include <oriolegrade/transport/gateway/traffic_source.hpp>
 
 #include <boost/fiber/operations.hpp>
@@ -28,7 +28,6 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
-#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -68,24 +67,6 @@
 /// priced, and callers with wrong keys can send any number of requests.
 inline constexpr std::chrono::milliseconds rules_ask_pause{250};
 
-/// A document of another host.
-struct peer_document
-{
-    // Conversion is intended.
-    peer_document(std::string document_in, std::string packed_in = {},
-                  std::optional<std::uint64_t> next_offset_in = {})
-        : document(std::move(document_in))
-        , packed(std::move(packed_in))
-        , next_offset(next_offset_in)
-    {}
-
-    std::string document;
-    /// As it travels between hosts; may be empty.
-    std::string packed;
-    /// Where the history behind the document begins, if that host knows it.
-    std::optional<std::uint64_t> next_offset;
-};
-
 /// Lives on the control thread.
 template <traffic_source Source>
 class rules_follower
@@ -93,9 +74,18 @@
 public:
     rules_follower(gateway_shared& shared, Source& source)
         : shared_(shared)
-        , source_(source)
+        , fetcher_(shared, source)
         , search_(coordination::host_seed(shared.options.self.name))
-    {}
+    {
+        fetcher_.on_rules = [this] {
+            replaced_.notify();
+            on_rules();
+        };
+        fetcher_.ask_peer = [this](const std::string& host,
+                                   std::uint64_t version) {
+            return ask_peer(host, version);
+        };
+    }
 
     /// Called after a version came into force.
     std::function<void()> on_rules;
@@ -114,7 +104,7 @@
     void heard(const std::string& host, std::uint64_t version,
                std::optional<state::duration> confirmed_age)
     {
-        const auto current = version_in_force();
+        const auto current = fetcher_.version_in_force();
         if (version > std::max(told_, current)) {
             told_ = version;
             teller_ = host;
@@ -154,25 +144,21 @@
     /// True when the store has just answered this host.
     bool is_fresh() const
     {
-        return clock::now() - read_at_ < rules_fresh_limit;
+        return clock::now() - fetcher_.read_at() < rules_fresh_limit;
     }
 
     /// Time since this host read that there is no newer version; empty when
     /// that is too long ago to confirm the version to others.
     std::optional<state::duration> confirmed_age() const
     {
-        const state::duration age = clock::now() - read_at_;
+        const state::duration age = clock::now() - fetcher_.read_at();
         return age < rules_confirm_limit ? std::optional(age) : std::nullopt;
     }
 
     /// The document in force as it travels to other hosts.
     protocol::fleet_view document()
     {
-        if (packed_.empty()) {
-            packed_ =
-                protocol::pack_document(shared_.rules.read()->rules().document);
-        }
-        return {{}, {}, packed_, next_offset_};
+        return fetcher_.document();
     }
 
     /// Reads the store for ever, in person or by confirmations.
@@ -215,22 +201,17 @@
             if (!failing_ || is_confirmed()) {
                 return;
             }
-            take_from({});
+            fetcher_.take_from({});
         });
     }
 
 private:
     using clock = std::chrono::steady_clock;
 
-    std::uint64_t version_in_force() const
-    {
-        return shared_.rules.read()->rules().version;
-    }
-
     /// A notice told of a newer version.
     bool behind() const
     {
-        return told_ > version_in_force();
+        return told_ > fetcher_.version_in_force();
     }
 
     bool is_confirmed() const
@@ -260,116 +241,48 @@
         bool has_read = false;
         const auto fault = caught([&] { has_read = read(); });
         if (fault) {
-            next_offset_.reset();
-            read_at_ = std::min(read_at_, clock::now() - rules_fresh_limit);
+            fetcher_.forget(rules_fresh_limit);
             note_confirmed();
             std::rethrow_exception(fault);
         }
         return has_read;
     }
 
-    /// Begins when the transfer in progress has ended, and holds up further
-    /// ones: a link that carries one document several times carries none in
-    /// time.
-    class transfer
-    {
-    public:
-        explicit transfer(rules_follower& owner)
-            : owner_(owner)
-        {
-            owner_.transfer_ended_.wait(
-                [this] { return !owner_.has_transfer_; });
-            owner_.has_transfer_ = true;
-        }
-        ~transfer()
-        {
-            owner_.has_transfer_ = false;
-            owner_.transfer_ended_.notify();
-        }
-        transfer(const transfer&) = delete;
-        transfer& operator=(const transfer&) = delete;
-
-    private:
-        rules_follower& owner_;
-    };
-
-    /// What a read of the newest document found.
-    struct newest_read
-    {
-        /// The store had no newer document than this one then.
-        state::time_point began;
-        /// The document came into force.
-        bool is_news = false;
-    };
-
     /// One read of the store; false when it failed.
     bool read()
     {
-        return next_offset_ ? read_history(*next_offset_) : read_whole();
-    }
-
-    bool read_whole()
-    {
-        const auto result = read_newest();
-        if (!result) {
-            return note_failure(result.error());
-        }
-        note_success();
-        confirm(result.value().is_news);
-        return true;
-    }
-
-    bool read_history(std::uint64_t from)
-    {
-        const auto began = clock::now();
         // A wait is left unanswered also when the store drops its history;
         // without a wait it tells so.
-        const auto asked = failing_ ? std::chrono::milliseconds{} : wait();
-        const auto result = source_.wait_for_rules(from, asked);
+        const auto result =
+            fetcher_.read(failing_ ? std::chrono::milliseconds{} : wait());
         if (!result) {
-            if (result.error() != state::source_failure::trimmed) {
-                return note_failure(result.error());
-            }
-            next_offset_.reset();
-            return true;
+            return note_failure(result.error());
         }
         note_success();
-        const auto& document = result.value().document;
-        // The store saw the end of its log no earlier than this.
-        note_read(std::min(clock::now(), began + asked));
-        const bool is_news = document && take(*document, "store");
-        next_offset_ = result.value().next_offset;
-        confirm(is_news);
-        if (document) {
+        note_read(result.value().newest_at);
+        if (!result.value().is_news) {
+            on_confirmed();
+        }
+        note_confirmed();
+        if (result.value().has_change) {
             boost::this_fiber::sleep_for(rules_pause);
         }
         return true;
     }
 
-    /// The store told at this time what is newest. To be called before the
-    /// document is taken: hosts are told of it with the age of this read.
-    void note_read(state::time_point read_at)
+    /// The first read confirms the version until the first host does.
+    void note_read(state::time_point newest_at)
     {
-        if (read_at_ == state::time_point{}) {
-            // This read confirms the version until the first host does.
+        if (!std::exchange(has_read_, true)) {
             confirmed_at_ =
-                read_at + (rules_first_confirm_limit - rules_confirm_limit);
-        }
-        read_at_ = read_at;
-    }
-
-    void confirm(bool is_news)
-    {
-        if (!is_news) {
-            on_confirmed();
+                newest_at + (rules_first_confirm_limit - rules_confirm_limit);
         }
-        note_confirmed();
     }
 
     /// Workers take the rules for the newest until the confirmation is old.
     void note_confirmed()
     {
-        const auto newest_at = std::max(read_at_, confirmed_at_);
+        const auto newest_at = std::max(fetcher_.read_at(), confirmed_at_);
         shared_.rules_newest_at = newest_at;
         shared_.rules_confirmed_until = newest_at + rules_confirm_limit;
     }
@@ -385,102 +298,16 @@
                                  [this] { return !behind(); });
             return;
         }
-        const auto result = read_latest();
+        const auto result = fetcher_.read(std::chrono::milliseconds{});
         if (!result) {
-            take_from({});
+            fetcher_.take_from({});
             return;
         }
-        confirmed_at_ = std::max(confirmed_at_, result.value().began);
+        note_read(result.value().newest_at);
+        confirmed_at_ = std::max(confirmed_at_, result.value().newest_at);
         note_confirmed();
     }
 
-    /// Reads what the store has behind the version in force, or its newest
-    /// document where that is not known.
-    state::source_result<newest_read> read_latest()
-    {
-        if (!next_offset_) {
-            return read_newest();
-        }
-        const auto began = clock::now();
-        const auto result = source_.wait_for_rules(*next_offset_, {});
-        if (!result) {
-            if (result.error() != state::source_failure::trimmed) {
-                return result.error();
-            }
-            next_offset_.reset();
-            return read_newest();
-        }
-        const auto& document = result.value().document;
-        const newest_read out{began, document && take(*document, "store")};
-        next_offset_ = result.value().next_offset;
-        return out;
-    }
-
-    /// Asks another host for a newer document, unless one comes into force
-    /// during the wait for the own transfer.
-    /// @return whether a newer version came into force
-    bool take_from(const std::string& host)
-    {
-        const auto before = version_in_force();
-        const transfer own(*this);
-        if (version_in_force() > before) {
-            return true;
-        }
-        const auto began = clock::now();
-        auto told = ask_peer(host, before);
-        log_transfer("peer", began,
-                     told ? std::optional(told->packed.size()) : std::nullopt);
-        if (!told || !take(told->document, "peer")) {
-            return false;
-        }
-        packed_ = std::move(told->packed);
-        next_offset_ = told->next_offset;
-        return true;
-    }
-
-    /// Reads the newest document of the store and puts it in force. A read that
-    /// ends during the wait for the own one serves both.
-    state::source_result<newest_read> read_newest()
-    {
-        const auto reads = newest_reads_;
-        const transfer own(*this);
-        if (reads != newest_reads_) {
-            return newest_;
-        }
-        const auto began = clock::now();
-        const auto result = source_.newest_rules();
-        log_transfer("store", began,
-                     result && result.value().document
-                         ? std::optional(result.value().document->size())
-                         : std::nullopt);
-        if (!result) {
-            return result.error();
-        }
-        note_read(began);
-        const auto& document = result.value().document;
-        newest_ = {began, document && take(*document, "store")};
-        next_offset_ = result.value().next_offset;
-        ++newest_reads_;
-        return newest_;
-    }
-
-    /// Writes a line for a read that should have brought a newer document.
-    void log_transfer(std::string_view from, state::time_point began,
-                      std::optional<std::size_t> bytes) const
-    {
-        if (!behind()) {
-            return;
-        }
-        event(log_level::info, "rules_transfer")
-            .with("from", from)
-            .with("told", told_)
-            .with("rules", version_in_force())
-            .with("bytes", bytes.value_or(0))
-            .with("ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                            clock::now() - began)
-                            .count());
-    }
-
     /// One attempt to get a newer version that a host told of.
     void catch_up()
     {
@@ -503,57 +330,28 @@
     {
         switch (search_.next(clock::now(), is_reader())) {
         case coordination::document_place::teller:
-            take_from(teller_);
+            fetcher_.take_from(teller_);
             return;
         case coordination::document_place::any_host:
-            take_from({});
+            fetcher_.take_from({});
             return;
         case coordination::document_place::store:
+            if (const auto result =
+                    fetcher_.read(std::chrono::milliseconds{})) {
+                note_read(result.value().newest_at);
+            }
             // Another attempt follows a failure.
-            static_cast<void>(read_latest());
             return;
         }
     }
 
-    /// Validates a document and puts it in force when it is newer.
-    /// @return whether it came into force
-    bool take(const std::string& document, std::string_view from)
-    {
-        auto rules = source_.decode_rules(document);
-        if (!rules) {
-            event(log_level::error, "rules_unreadable")
-                .with("from", from)
-                .with("findings", rules.error().to_text("rules"));
-            return false;
-        }
-        const auto current = version_in_force();
-        if (rules.value().version <= current) {
-            return false;
-        }
-        const auto version = rules.value().version;
-        const auto routes = rules.value().routes.size();
-        shared_.rules.publish(std::make_shared<const state::route_index>(
-            std::make_shared<const state::traffic_rules>(
-                std::move(rules.value()))));
-        packed_.clear();
-        shared_.configured = true;
-        event(log_level::info, "rules_in_force")
-            .with("version", version)
-            .with("replaced", current)
-            .with("routes", routes)
-            .with("from", from);
-        replaced_.notify();
-        on_rules();
-        return true;
-    }
-
     /// @return false, for the read that failed
     bool note_failure(state::source_failure failure)
     {
         if (!failing_) {
             event(log_level::warning, "store_lost")
                 .with("reason", state::name_of(failure))
-                .with("rules", version_in_force());
+                .with("rules", fetcher_.version_in_force());
         }
         failing_ = true;
         lost_.notify();
@@ -569,15 +367,10 @@
     }
 
     gateway_shared& shared_;
-    Source& source_;
-    /// Where the history behind the version in force begins; empty when the
-    /// newest must be read.
-    std::optional<std::uint64_t> next_offset_;
-    /// Document in force as it travels between hosts; empty until one asks.
-    std::string packed_;
-    /// The store told at this time that there is no newer version.
-    state::time_point read_at_{};
-    /// Another host told so.
+    rules_fetcher<Source> fetcher_;
+    bool has_read_ = false;
+    /// Another host, or a look, told at this time that there is no newer
+    /// version.
     state::time_point confirmed_at_{};
     /// Highest version that another host told of, and that host.
     std::uint64_t told_ = 0;
@@ -587,13 +380,6 @@
     bool failing_ = false;
     /// A look for requests is in progress, and those that wait for its end.
     bool looking_ = false;
-    /// A document is read, from the store or another host. Waits for a change
-    /// do not count: they bring nothing most of the time.
-    bool has_transfer_ = false;
-    fiber_signal transfer_ended_;
-    /// The last read of the newest document that succeeded, and their number.
-    newest_read newest_{};
-    std::uint64_t newest_reads_ = 0;
     std::vector<std::function<void()>> awaiting_;
     state::time_point looked_at_{};
     fiber_signal noticed_;
