--- a/test/fakes/raw_upstream.hpp
+++ b/test/fakes/raw_upstream.hpp
@@ -4,16 +4,18 @@
 #ifndef ORIOLEGRADE_TEST_FAKES_RAW_UPSTREAM_HPP
 #define ORIOLEGRADE_TEST_FAKES_RAW_UPSTREAM_HPP
 
+#include "request_heads.hpp"
+
 #include <oriolegrade/transport/fiber_yield.hpp>
 #include <oriolegrade/transport/listener.hpp>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/fiber/operations.hpp>
 
 #include <chrono>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -55,23 +57,15 @@
 private:
     void serve(transport::tcp_stream stream)
     {
-        transport::error_code ec;
-        std::string bytes;
-        while (!ec) {
-            const auto n = boost::asio::async_read_until(
-                stream, boost::asio::dynamic_buffer(bytes), "\r\n\r\n",
-                transport::fiber_yield(ec));
-            if (ec) {
-                return;
-            }
-            heads.push_back(bytes.substr(0, n));
-            bytes.erase(0, n);
-            for (const auto& it : pieces_) {
-                boost::asio::async_write(stream, boost::asio::buffer(it),
-                                         transport::fiber_yield(ec));
-                boost::this_fiber::sleep_for(std::chrono::milliseconds(5));
-            }
-        }
+        serve_heads(
+            stream, [&](std::string_view head, transport::error_code& ec) {
+                heads.emplace_back(head);
+                for (const auto& it : pieces_) {
+                    boost::asio::async_write(stream, boost::asio::buffer(it),
+                                             transport::fiber_yield(ec));
+                    boost::this_fiber::sleep_for(std::chrono::milliseconds(5));
+                }
+            });
     }
 
     std::vector<std::string> pieces_;
--- a/test/platform/narrow_store.hpp
+++ b/test/platform/narrow_store.hpp
@@ -4,18 +4,20 @@
 #ifndef ORIOLEGRADE_TEST_PLATFORM_NARROW_STORE_HPP
 #define ORIOLEGRADE_TEST_PLATFORM_NARROW_STORE_HPP
 
+#include "fakes/request_heads.hpp"
+
 #include <oriolegrade/protocol/base64.hpp>
 #include <oriolegrade/transport/fiber_yield.hpp>
 #include <oriolegrade/transport/listener.hpp>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
 #include <chrono>
 #include <string>
+#include <string_view>
 
 namespace oriolegrade::test {
 
@@ -54,20 +56,11 @@
 
     void serve(transport::tcp_stream stream)
     {
-        transport::error_code ec;
-        std::string bytes;
-        while (!ec) {
-            const auto n = boost::asio::async_read_until(
-                stream, boost::asio::dynamic_buffer(bytes), "\r\n\r\n",
-                transport::fiber_yield(ec));
-            if (ec) {
-                return;
-            }
-            bytes.erase(0, n);
+        serve_heads(stream, [&](std::string_view, transport::error_code& ec) {
             most_at_once = std::max(most_at_once, ++in_progress_);
             send(stream, ec);
             --in_progress_;
-        }
+        });
     }
 
     void send(transport::tcp_stream& stream, transport::error_code& ec)
