--- a/test/system/caller_crowds.py
+++ b/test/system/caller_crowds.py
@@ -69,13 +69,15 @@
 
 class CallerCrowds(PlannedStop):
     gateway_type = SmallGateway
+    # Kind of each route.
+    kinds = {"safe": "safe", "upload": "upload"}
 
     async def publish(self):
         routes = {
-            kind: {"hostname": "x.example", "path_prefix": f"/{kind}/", "kind": kind,
+            name: {"hostname": "x.example", "path_prefix": f"/{name}/", "kind": kind,
                    "timeout": "8000ms", "target_latency": "1000ms", "priority": 1,
                    "service": "s", "max_attempts": 2}
-            for kind in ("safe", "upload")
+            for name, kind in self.kinds.items()
         }
         document = {"version": "r1", "routes": routes,
                     "services": {"s": {"health_path": "/health", "max_connections": 100}},
