Give fibers stacks of their own mappings

What callers saw: a gateway told of 48 MB took 76 and 80 MB before 150 callers that send 900 kB but the last byte, close, and come back 50 ms later. A machine of that size would have ended it, with all its requests.

Cause: stacks of 128 KB came from the heap, which had held bodies of earlier callers in the same places. A stack then occupied all its pages: 36 MB for 508 stacks, where fibers touch 12 KB each. The plan of 40 KB for a connection (platform_settings) counts touched pages.

Evidence: live blocks beside the stacks were 15 MB of 81 MB at the peak, which is the budget; the resident part of the heap was 51 MB.

--- a/src/transport/fiber_scheduler.cpp
+++ b/src/transport/fiber_scheduler.cpp
@@ -4,6 +4,8 @@
 
 #include <oriolegrade/transport/fiber_scheduler.hpp>
 
+#include "fiber_stacks.hpp"
+
 #include <oriolegrade/transport/task_fault.hpp>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -12,7 +14,6 @@
 #include <boost/fiber/algo/algorithm.hpp>
 #include <boost/fiber/context.hpp>
 #include <boost/fiber/fiber.hpp>
-#include <boost/fiber/fixedsize_stack.hpp>
 #include <boost/fiber/operations.hpp>
 #include <boost/fiber/scheduler.hpp>
 
@@ -122,7 +123,7 @@
 void spawn_fiber(std::function<void()> body)
 {
     fibers::fiber(fibers::launch::post, std::allocator_arg,
-                  fibers::fixedsize_stack(fiber_stack_bytes),
+                  thread_stack_allocator(),
                   [body = std::move(body)] { run_step("fiber", body); })
         .detach();
 }
--- /dev/null
+++ b/src/transport/fiber_stacks.hpp
@@ -0,0 +1,96 @@
+// Stacks for the fibers of a thread. Each is a mapping of its own, so it
+// occupies the pages that its fibers have touched. One from the heap occupies
+// all its pages where the heap has used them before.
+//
+// Load pattern: a crowd of callers with large bodies comes, leaves and comes
+// back. What held the bodies of earlier callers became stacks of later ones,
+// each with three times the memory that a connection is planned with.
+
+#ifndef ORIOLEGRADE_TRANSPORT_FIBER_STACKS_HPP
+#define ORIOLEGRADE_TRANSPORT_FIBER_STACKS_HPP
+
+#include <oriolegrade/transport/fiber_scheduler.hpp>
+
+#include <boost/context/protected_fixedsize_stack.hpp>
+#include <boost/context/stack_context.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <vector>
+
+namespace oriolegrade::transport {
+
+/// Used by one thread.
+class fiber_stacks
+{
+public:
+    fiber_stacks()
+    {
+        free_.reserve(most_free);
+    }
+    ~fiber_stacks()
+    {
+        for (auto& it : free_) {
+            mapped_.deallocate(it);
+        }
+    }
+    fiber_stacks(const fiber_stacks&) = delete;
+    fiber_stacks& operator=(const fiber_stacks&) = delete;
+
+    /// @throws std::bad_alloc
+    boost::context::stack_context allocate()
+    {
+        if (free_.empty()) {
+            return mapped_.allocate();
+        }
+        const auto out = free_.back();
+        free_.pop_back();
+        return out;
+    }
+
+    void deallocate(boost::context::stack_context& stack) noexcept
+    {
+        if (free_.size() < most_free) {
+            free_.push_back(stack);
+        } else {
+            mapped_.deallocate(stack);
+        }
+    }
+
+private:
+    /// Stacks that are kept for the next fibers, which saves three system calls
+    /// each.
+    static constexpr std::size_t most_free = 16;
+
+    boost::context::protected_fixedsize_stack mapped_{fiber_stack_bytes};
+    /// At most most_free; its memory is reserved, so that a return cannot fail.
+    std::vector<boost::context::stack_context> free_;
+};
+
+/// A stack allocator of Boost.Context. Each fiber has a copy, so the stacks
+/// outlive the last fiber of their thread.
+class thread_stack_allocator
+{
+public:
+    boost::context::stack_context allocate()
+    {
+        return stacks_->allocate();
+    }
+    void deallocate(boost::context::stack_context& stack) noexcept
+    {
+        stacks_->deallocate(stack);
+    }
+
+private:
+    static const std::shared_ptr<fiber_stacks>& of_thread()
+    {
+        thread_local const auto stacks = std::make_shared<fiber_stacks>();
+        return stacks;
+    }
+
+    std::shared_ptr<fiber_stacks> stacks_ = of_thread();
+};
+
+} // namespace oriolegrade::transport
+
+#endif
