Take the memory of an announced body in one step

What callers saw: 20 callers that sent 900 kB at once to a gateway of 48 MB got 9 answers and 11 refusals for want of memory, although the host has room for seven such bodies at a time and each is gone within milliseconds. With 50 callers 17 were served, with 150 callers 21.

Cause: hold and wait. The memory of a body grew by doubling, so many bodies held a part, none could get the rest, and all gave up after 0.5 s.

A body whose head announces its length now takes all that is kept of it in one step, once it exceeds the first 8 KB; those that wait hold nothing of the budget for it. Chunked bodies grow as before.

--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -421,7 +421,7 @@
                 runner(pool_, sends.route.spec, sends.deadline, request, answer,
                        choice, shared_.memory, gateway_replay_bytes);
             const active_guard guard(active_, runner);
-            runner.read_ahead(report.caller_error);
+            runner.read_ahead(head, report.caller_error);
             if (!report.caller_error) {
                 std::optional<caller_connection::cancel_guard> cancel;
                 answer.on_cancel([&runner] { runner.cancel(); }, cancel);
--- a/include/oriolegrade/transport/replay_body.hpp
+++ b/include/oriolegrade/transport/replay_body.hpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <cstring>
 #include <string>
 
@@ -40,6 +41,14 @@
         , memory_(memory)
     {}
 
+    /// Tells the length of the body, for one whose head announces it. Memory
+    /// for all that is kept of it is then taken in one step: bodies that hold a
+    /// part and wait for more keep each other from their ends.
+    void expect(std::uint64_t bytes)
+    {
+        expected_ = bytes;
+    }
+
     /// Reads from the source until its end or the limit.
     /// @param ec boost::asio::error::no_memory when the host has no room for
     ///        the bytes
@@ -128,8 +137,7 @@
         if (bytes <= std::max(kept_.capacity(), read_step_bytes)) {
             return true;
         }
-        // As the string grows.
-        const auto capacity = std::max(bytes, 2 * kept_.capacity());
+        const auto capacity = capacity_for(bytes);
         const auto until = std::chrono::steady_clock::now() + memory_wait;
         while (!memory_.grow_to(capacity)) {
             if (std::chrono::steady_clock::now() >= until || is_abandoned()) {
@@ -141,8 +149,22 @@
         return true;
     }
 
+    /// Memory to take for the bytes: what the body needs, or as the string
+    /// grows.
+    std::size_t capacity_for(std::size_t bytes) const
+    {
+        if (expected_ >= bytes) {
+            // One more than the body, for the read that finds its end.
+            return static_cast<std::size_t>(
+                std::min<std::uint64_t>(expected_ + 1, limit_));
+        }
+        return std::max(bytes, 2 * kept_.capacity());
+    }
+
     Source& source_;
     const std::size_t limit_;
+    /// Length of the body; 0 while it is not known.
+    std::uint64_t expected_ = 0;
     coordination::memory_share memory_;
     std::string kept_;
     /// Next kept byte to read; at most kept_.size().
--- a/include/oriolegrade/transport/request_runner.hpp
+++ b/include/oriolegrade/transport/request_runner.hpp
@@ -125,8 +125,9 @@
     {}
 
     /// Reads the beginning of the body, so that a slow caller holds no place.
-    void read_ahead(error_code& ec)
+    void read_ahead(const protocol::request_head& head, error_code& ec)
     {
+        body_.expect(head.framing.length.value_or(0));
         body_.fill(ec);
     }
 
@@ -135,7 +136,7 @@
     run_report run(const protocol::request_head& head)
     {
         run_report report;
-        body_.fill(report.caller_error);
+        read_ahead(head, report.caller_error);
         if (report.caller_error) {
             report.step = coordination::next_step::abort;
             return report;
