--- a/test/system/caller_crowds.py
+++ b/test/system/caller_crowds.py
@@ -35,7 +35,7 @@
 class SmallGateway(Gateway):
     async def spawn(self):
         settings = json.loads(self.path.read_text())
-        settings["limits"].update(memory_mb=MEMORY_MB, max_fds=MAX_FDS)
+        settings["limits"].update(memory_mb=self.soak.memory_mb, max_fds=MAX_FDS)
         self.path.write_text(json.dumps(settings))
         await super().spawn()
 
@@ -69,6 +69,10 @@
 
 class CallerCrowds(PlannedStop):
     gateway_type = SmallGateway
+    memory_mb = MEMORY_MB
+    # Size of the largest body inside the limits, and of those of single uploads.
+    max_body = MAX_BODY
+    body = BODY
     # Kind of each route.
     kinds = {"safe": "safe", "upload": "upload"}
 
@@ -81,7 +85,7 @@
         }
         document = {"version": "r1", "routes": routes,
                     "services": {"s": {"health_path": "/health", "max_connections": 100}},
-                    "limits": {"max_header_bytes": 16384, "max_body_bytes": MAX_BODY,
+                    "limits": {"max_header_bytes": 16384, "max_body_bytes": self.max_body,
                                "header_timeout": "3000ms", "idle_timeout": "15000ms"}}
         await self.store.put("keyed.op", "config", json.dumps(document))
 
@@ -137,7 +141,8 @@
     async def upload(self, rid):
         return await self.call(rid, (f"POST /upload/1 HTTP/1.1\r\nHost: x.example\r\n"
                                      f"Request-Id: {rid}\r\nDeadline-Ms: 8000\r\n"
-                                     f"{LENGTH}\r\n\r\n").encode() + b"x" * BODY)
+                                     f"Content-Length: {self.body}\r\n\r\n").encode()
+                               + b"x" * self.body)
 
     async def play(self, name):
         crowd = await asyncio.gather(*(self.one_of_crowd(name, n) for n in range(CALLERS)))
