Map fiber stacks without guard pages

A guard page splits the mapping of each stack in two, and a process has at most 65,530 mappings by default: with more than 32,000 fibers the library's allocator fails its assertion and ends the process. Callers that send requests ahead could bring that about on a host without limits.memory_mb. Mappings without a guard are joined by the system; one that fails closes a connection, as want of memory does.

--- a/src/transport/fiber_stacks.hpp
+++ b/src/transport/fiber_stacks.hpp
@@ -11,15 +11,44 @@
 
 #include <oriolegrade/transport/fiber_scheduler.hpp>
 
-#include <boost/context/protected_fixedsize_stack.hpp>
 #include <boost/context/stack_context.hpp>
 
 #include <cstddef>
 #include <memory>
+#include <new>
+#include <sys/mman.h>
 #include <vector>
 
 namespace oriolegrade::transport {
 
+/// A stack without a guard page: guard pages would keep the system from joining
+/// the mappings, of which a process has at most 65,530 by default.
+/// @throws std::bad_alloc
+inline boost::context::stack_context map_stack()
+{
+    void* const base =
+        ::mmap(nullptr, fiber_stack_bytes, PROT_READ | PROT_WRITE,
+               MAP_PRIVATE | MAP_ANONYMOUS | MAP_STACK, -1, 0);
+    if (base == MAP_FAILED) {
+        throw std::bad_alloc();
+    }
+    // A huge page would be in use in whole. Fails where there are none.
+    static_cast<void>(::madvise(base, fiber_stack_bytes, MADV_NOHUGEPAGE));
+    boost::context::stack_context out;
+    out.size = fiber_stack_bytes;
+    out.sp = static_cast<char*>(base) + fiber_stack_bytes;
+    return out;
+}
+
+inline void unmap_stack(const boost::context::stack_context& stack) noexcept
+{
+    void* const base = static_cast<char*>(stack.sp) - stack.size;
+    if (::munmap(base, stack.size) != 0) {
+        // A hole would be one mapping too many; the memory goes back at least.
+        static_cast<void>(::madvise(base, stack.size, MADV_DONTNEED));
+    }
+}
+
 /// Used by one thread.
 class fiber_stacks
 {
@@ -30,8 +59,8 @@
     }
     ~fiber_stacks()
     {
-        for (auto& it : free_) {
-            mapped_.deallocate(it);
+        for (const auto& it : free_) {
+            unmap_stack(it);
         }
     }
     fiber_stacks(const fiber_stacks&) = delete;
@@ -41,19 +70,19 @@
     boost::context::stack_context allocate()
     {
         if (free_.empty()) {
-            return mapped_.allocate();
+            return map_stack();
         }
         const auto out = free_.back();
         free_.pop_back();
         return out;
     }
 
-    void deallocate(boost::context::stack_context& stack) noexcept
+    void deallocate(const boost::context::stack_context& stack) noexcept
     {
         if (free_.size() < most_free) {
             free_.push_back(stack);
         } else {
-            mapped_.deallocate(stack);
+            unmap_stack(stack);
         }
     }
 
@@ -62,7 +91,6 @@
     /// each.
     static constexpr std::size_t most_free = 16;
 
-    boost::context::protected_fixedsize_stack mapped_{fiber_stack_bytes};
     /// At most most_free; its memory is reserved, so that a return cannot fail.
     std::vector<boost::context::stack_context> free_;
 };
--- a/test/transport/fiber_stacks_test.cpp
+++ b/test/transport/fiber_stacks_test.cpp
@@ -72,4 +72,28 @@
     fibers.join();
 }
 
+// With a guard page each, this many stacks need more mappings than a process
+// may have by default, and the library's own allocator ends the process.
+TEST(fiber_stacks, fibers_run_out_of_mappings)
+{
+    test::fiber_context();
+    constexpr std::size_t count = 33'000;
+    std::size_t waiting = 0;
+    bool done = false;
+    transport::fiber_signal changed;
+    transport::fiber_group fibers;
+    for (std::size_t n = 0; n < count; ++n) {
+        fibers.spawn([&] {
+            ++waiting;
+            changed.notify();
+            changed.wait([&] { return done; });
+        });
+    }
+    changed.wait([&] { return waiting == count; });
+    EXPECT_EQ(fibers.running(), count);
+    done = true;
+    changed.notify();
+    fibers.join();
+}
+
 } // namespace
