--- a/include/oriolegrade/transport/gateway/gateway_worker.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_worker.hpp
@@ -175,10 +175,10 @@
         }
         if (!is_allowed(plan) || !is_in_time(plan)) {
             look_again(plan, head, request);
-        }
-        if (!is_in_time(plan)) {
-            return refuse(line, answer, state::reply_reason::rules_outdated,
-                          {});
+            if (!is_in_time(plan)) {
+                return refuse(line, answer, state::reply_reason::rules_outdated,
+                              {});
+            }
         }
         if (plan.route == nullptr) {
             return refuse(line, answer, state::reply_reason::no_route, {});
@@ -421,7 +421,7 @@
                 runner(pool_, sends.route.spec, sends.deadline, request, answer,
                        choice, shared_.memory, gateway_replay_bytes);
             const active_guard guard(active_, runner);
-            runner.read_ahead(report.caller_error);
+            runner.read_ahead(head, report.caller_error);
             if (!report.caller_error) {
                 std::optional<caller_connection::cancel_guard> cancel;
                 answer.on_cancel([&runner] { runner.cancel(); }, cancel);
