--- a/test/system/caller_crowds.py
+++ b/test/system/caller_crowds.py
@@ -144,6 +144,22 @@
                                      f"Content-Length: {self.body}\r\n\r\n").encode()
                                + b"x" * self.body)
 
+    def check(self, name, descriptors, during, after):
+        """Checks what a crowd has left behind, and the answers of the request beside
+        it and of the upload after it."""
+        memory = self.status("VmHWM")
+        print(f"  {name}: {memory:.0f} MB, {descriptors} descriptors", flush=True)
+        if memory > self.memory_mb:
+            self.fail(f"{name}: {memory:.0f} MB of {self.memory_mb} MB")
+        if descriptors > MAX_FDS:
+            self.fail(f"{name}: {descriptors} descriptors of {MAX_FDS}")
+        if during != 200:
+            self.fail(f"{name}: ordinary request beside the crowd: {during}")
+        if after != 200:
+            self.fail(f"{name}: upload after the crowd: {after}")
+        if self.gateway.process.returncode is not None:
+            self.fail(f"{name}: the process ended with {self.gateway.process.returncode}")
+
     async def play(self, name):
         crowd = await asyncio.gather(*(self.one_of_crowd(name, n) for n in range(CALLERS)))
         descriptors = self.descriptors()
@@ -156,27 +172,19 @@
                 writer.transport.abort()
         await asyncio.sleep(0.5)
         after = await self.upload(f"{name}-after")
-        memory = self.status("VmHWM")
-        print(f"  {name}: {memory:.0f} MB, {descriptors} descriptors", flush=True)
-        if memory > MEMORY_MB:
-            self.fail(f"{name}: {memory:.0f} MB of {MEMORY_MB} MB")
-        if descriptors > MAX_FDS:
-            self.fail(f"{name}: {descriptors} descriptors of {MAX_FDS}")
-        if during != 200:
-            self.fail(f"{name}: ordinary request beside the crowd: {during}")
-        if after != 200:
-            self.fail(f"{name}: upload after the crowd: {after}")
+        self.check(name, descriptors, during, after)
+
+    async def end_process(self):
+        if self.gateway.process.returncode is None:
+            self.gateway.process.kill()
+            await self.gateway.process.wait()
 
     async def run(self):
         for name in CROWDS:
             # A process each, as its highest memory is checked.
             await self.start(fault_soak.Store(), QuickUpstream, 3)
             await self.play(name)
-            if self.gateway.process.returncode is not None:
-                self.fail(f"{name}: the process ended with {self.gateway.process.returncode}")
-            else:
-                self.gateway.process.kill()
-                await self.gateway.process.wait()
+            await self.end_process()
 
 
 def main():
--- a/test/system/caller_fleet.py
+++ b/test/system/caller_fleet.py
@@ -16,7 +16,6 @@
 import asyncio
 import time
 
-from caller_crowds import MAX_FDS, MEMORY_MB
 from caller_forms import LATE, MIX, CallerForms, FormsUpstream
 import fault_soak
 from planned_stop import gateway_of_build, run_and_report
@@ -56,18 +55,7 @@
         await asyncio.sleep(1.0 + LATE)
         for n, it in enumerate(self.gateways):
             after = await self.at(it, self.upload, f"{it.name}-after")
-            memory = self.status("VmHWM")
-            print(f"  {it.name}: {memory:.0f} MB, {self.descriptors()} descriptors", flush=True)
-            if memory > MEMORY_MB:
-                self.fail(f"{it.name}: {memory:.0f} MB of {MEMORY_MB} MB")
-            if during[n] != 200:
-                self.fail(f"{it.name}: ordinary request beside the crowd: {during[n]}")
-            if after != 200:
-                self.fail(f"{it.name}: upload after the crowd: {after}")
-            if it.process.returncode is not None:
-                self.fail(f"{it.name} ended with {it.process.returncode}")
-        if self.most_descriptors > MAX_FDS:
-            self.fail(f"{self.most_descriptors} descriptors of {MAX_FDS}")
+            self.check(it.name, self.most_descriptors, during[n], after)
 
 
 def main():
--- a/test/system/caller_forms.py
+++ b/test/system/caller_forms.py
@@ -19,8 +19,7 @@
 import sys
 import time
 
-from caller_crowds import (BODY, CALLERS, CROWDS, MAX_FDS, MEMORY_MB, CallerCrowds,
-                           QuickUpstream)
+from caller_crowds import BODY, CALLERS, CROWDS, CallerCrowds, QuickUpstream
 import fault_soak
 from fault_soak import answer
 from planned_stop import gateway_of_build, run_and_report
@@ -137,16 +136,7 @@
         await asyncio.gather(*crowd)
         await asyncio.sleep(1.0 + (LATE if name in (MIX, "late_answer") else 0))
         after = await self.upload(f"{name}-after")
-        memory = self.status("VmHWM")
-        print(f"  {name}: {memory:.0f} MB, {self.most_descriptors} descriptors", flush=True)
-        if memory > MEMORY_MB:
-            self.fail(f"{name}: {memory:.0f} MB of {MEMORY_MB} MB")
-        if self.most_descriptors > MAX_FDS:
-            self.fail(f"{name}: {self.most_descriptors} descriptors of {MAX_FDS}")
-        if during != 200:
-            self.fail(f"{name}: ordinary request beside the crowd: {during}")
-        if after != 200:
-            self.fail(f"{name}: upload after the crowd: {after}")
+        self.check(name, self.most_descriptors, during, after)
 
     async def run(self):
         for name in sys.argv[2:] or [*FORMS, MIX]:
@@ -154,11 +144,7 @@
             await self.start(fault_soak.Store(), FormsUpstream, 3)
             self.most_descriptors = 0
             await self.play_form(name)
-            if self.gateway.process.returncode is not None:
-                self.fail(f"{name}: the process ended with {self.gateway.process.returncode}")
-            else:
-                self.gateway.process.kill()
-                await self.gateway.process.wait()
+            await self.end_process()
 
 
 def main():
--- a/test/system/largest_bodies.py
+++ b/test/system/largest_bodies.py
@@ -15,7 +15,7 @@
 import asyncio
 import time
 
-from caller_crowds import MAX_FDS, CallerCrowds, QuickUpstream
+from caller_crowds import CallerCrowds, QuickUpstream
 import fault_soak
 from planned_stop import gateway_of_build, run_and_report
 
@@ -66,18 +66,9 @@
         await asyncio.gather(*crowd)
         await asyncio.sleep(1.0)
         after = await self.upload("after")
-        memory = self.status("VmHWM")
-        print(f"  largest bodies: {memory:.0f} MB, {self.most_descriptors} descriptors", flush=True)
-        if memory > self.memory_mb:
-            self.fail(f"{memory:.0f} MB of {self.memory_mb} MB")
-        if self.most_descriptors > MAX_FDS:
-            self.fail(f"{self.most_descriptors} descriptors of {MAX_FDS}")
-        for name, status in (("upload in calm", calm), ("ordinary request beside the crowd", during),
-                             ("upload after the crowd", after)):
-            if status != 200:
-                self.fail(f"{name}: {status}")
-        if self.gateway.process.returncode is not None:
-            self.fail(f"the process ended with {self.gateway.process.returncode}")
+        self.check("largest bodies", self.most_descriptors, during, after)
+        if calm != 200:
+            self.fail(f"upload in calm: {calm}")
 
 
 def main():
--- a/test/system/returning_callers.py
+++ b/test/system/returning_callers.py
@@ -16,7 +16,7 @@
 import asyncio
 import time
 
-from caller_crowds import CALLERS, MAX_FDS, MEMORY_MB, CallerCrowds, QuickUpstream
+from caller_crowds import CALLERS, CallerCrowds, QuickUpstream
 import fault_soak
 from planned_stop import gateway_of_build, run_and_report
 
@@ -46,22 +46,11 @@
         await asyncio.gather(*crowd)
         await asyncio.sleep(1.0)
         after = await self.upload("after")
-        memory = self.status("VmHWM")
-        print(f"  returning: {memory:.0f} MB, {self.most_descriptors} descriptors", flush=True)
-        if memory > MEMORY_MB:
-            self.fail(f"{memory:.0f} MB of {MEMORY_MB} MB")
-        if self.most_descriptors > MAX_FDS:
-            self.fail(f"{self.most_descriptors} descriptors of {MAX_FDS}")
-        if during != 200:
-            self.fail(f"ordinary request beside the crowd: {during}")
-        if after != 200:
-            self.fail(f"upload after the crowd: {after}")
+        self.check("returning", self.most_descriptors, during, after)
 
     async def run(self):
         await self.start(fault_soak.Store(), QuickUpstream, 3)
         await self.play_returns()
-        if self.gateway.process.returncode is not None:
-            self.fail(f"the process ended with {self.gateway.process.returncode}")
 
 
 def main():
