--- a/test/system/caller_crowds.py
+++ b/test/system/caller_crowds.py
@@ -147,6 +147,9 @@
     def check(self, name, descriptors, during, after):
         """Checks what a crowd has left behind, and the answers of the request beside
         it and of the upload after it."""
+        if self.gateway.process.returncode is not None:
+            self.fail(f"{name}: the process ended with {self.gateway.process.returncode}")
+            return
         memory = self.status("VmHWM")
         print(f"  {name}: {memory:.0f} MB, {descriptors} descriptors", flush=True)
         if memory > self.memory_mb:
@@ -157,8 +160,6 @@
             self.fail(f"{name}: ordinary request beside the crowd: {during}")
         if after != 200:
             self.fail(f"{name}: upload after the crowd: {after}")
-        if self.gateway.process.returncode is not None:
-            self.fail(f"{name}: the process ended with {self.gateway.process.returncode}")
 
     async def play(self, name):
         crowd = await asyncio.gather(*(self.one_of_crowd(name, n) for n in range(CALLERS)))
