Use the view of another host, and one record of the version told of

- A document of another host was copied from fleet_view into a type with the same members; the view itself is passed on now, and the type is gone.
- Each read of the store copied its document to log its size.
- The highest version told of stood in rules_follower and in gateway_shared, and four places compared it with a version; gateway_shared::knows_newer serves all.
- Five benches of rules_follower set up the same callbacks and wait for a version in the same way; test/fakes/lone_follower.hpp serves them.

--- a/include/oriolegrade/transport/gateway/gateway.hpp
+++ b/include/oriolegrade/transport/gateway/gateway.hpp
@@ -324,19 +324,15 @@
 
     /// Document of another host that is newer than the version; empty when
     /// there is none.
-    std::optional<peer_document> ask_peer(const std::string& host,
-                                          std::uint64_t version)
+    std::optional<protocol::fleet_view> ask_peer(const std::string& host,
+                                                 std::uint64_t version)
     {
         auto told = ask_view(host, version);
         if (!told) {
             return std::nullopt;
         }
         members_.add(told->hosts);
-        if (told->rules_document.empty()) {
-            return std::nullopt;
-        }
-        return peer_document(std::move(told->rules_document),
-                             std::move(told->packed_rules), told->next_offset);
+        return told->rules_document.empty() ? std::nullopt : std::move(told);
     }
 
     /// What another host knows; empty without an answer.
--- a/include/oriolegrade/transport/gateway/gateway_shared.hpp
+++ b/include/oriolegrade/transport/gateway/gateway_shared.hpp
@@ -82,18 +82,24 @@
     coordination::upstream_wishes wishes;
     coordination::quota_wallet quotas;
 
+    /// True when another host told of a newer version.
+    bool knows_newer(std::uint64_t version) const
+    {
+        return rules_told > version;
+    }
+
     /// True when there may be a version that this host does not know yet.
     /// @param version that the host knows
     bool may_be_behind(state::time_point now, std::uint64_t version) const
     {
-        return rules_told > version || now > rules_confirmed_until.load();
+        return knows_newer(version) || now > rules_confirmed_until.load();
     }
 
     /// False when requests must wait for a newer version.
     /// @param version that the host knows
     bool may_serve_by(state::time_point now, std::uint64_t version) const
     {
-        return coordination::may_serve_by(rules_told > version,
+        return coordination::may_serve_by(knows_newer(version),
                                           rules_newest_at.load(),
                                           options.change_bound, now);
     }
--- a/include/oriolegrade/transport/gateway/rules_fetcher.hpp
+++ b/include/oriolegrade/transport/gateway/rules_fetcher.hpp
@@ -29,24 +29,6 @@
 
 namespace oriolegrade::transport {
 
-/// A document of another host.
-struct peer_document
-{
-    // Conversion is intended.
-    peer_document(std::string document_in, std::string packed_in = {},
-                  std::optional<std::uint64_t> next_offset_in = {})
-        : document(std::move(document_in))
-        , packed(std::move(packed_in))
-        , next_offset(next_offset_in)
-    {}
-
-    std::string document;
-    /// As it travels between hosts; may be empty.
-    std::string packed;
-    /// Where the history behind the document begins, if that host knows it.
-    std::optional<std::uint64_t> next_offset;
-};
-
 /// Lives on the control thread.
 template <traffic_source Source>
 class rules_fetcher
@@ -72,8 +54,8 @@
     std::function<void()> on_rules;
     /// Asks another host for a document newer than the version. The name may
     /// be empty: any host will do.
-    std::function<std::optional<peer_document>(const std::string& host,
-                                               std::uint64_t version)>
+    std::function<std::optional<protocol::fleet_view>(const std::string& host,
+                                                      std::uint64_t version)>
         ask_peer;
 
     std::uint64_t version_in_force() const
@@ -134,11 +116,11 @@
         }
         const auto began = clock::now();
         auto told = ask_peer(host, before);
-        log_transfer("peer", began, told ? told->packed.size() : 0);
-        if (!told || !take(told->document, "peer")) {
+        log_transfer("peer", began, told ? told->packed_rules.size() : 0);
+        if (!told || !take(told->rules_document, "peer")) {
             return false;
         }
-        packed_ = std::move(told->packed);
+        packed_ = std::move(told->packed_rules);
         next_offset_ = told->next_offset;
         return true;
     }
@@ -176,19 +158,19 @@
     {
         const auto began = clock::now();
         const auto result = source_.wait_for_rules(from, wait);
-        const auto document =
-            result ? result.value().document : std::optional<std::string>();
+        const bool has_document = result && result.value().document;
         // A wait that ends without a change is no transfer.
-        if (document || wait.count() == 0) {
-            log_transfer("store_history", began, size_of(document));
+        if (has_document || wait.count() == 0) {
+            log_transfer("store_history", began, document_bytes(result));
         }
         if (!result) {
             return result.error();
         }
+        const auto& document = result.value().document;
         // The store saw the end of its log no earlier than this.
         auto found =
             put_in_force(std::min(clock::now(), began + wait), document);
-        found.has_change = document.has_value();
+        found.has_change = has_document;
         next_offset_ = result.value().next_offset;
         return found;
     }
@@ -203,13 +185,11 @@
         }
         const auto began = clock::now();
         const auto result = source_.newest_rules();
-        const auto document =
-            result ? result.value().document : std::optional<std::string>();
-        log_transfer("store", began, size_of(document));
+        log_transfer("store", began, document_bytes(result));
         if (!result) {
             return result.error();
         }
-        newest_ = put_in_force(began, document);
+        newest_ = put_in_force(began, result.value().document);
         next_offset_ = result.value().next_offset;
         ++newest_reads_;
         return newest_;
@@ -255,22 +235,25 @@
         return true;
     }
 
-    static std::size_t size_of(const std::optional<std::string>& document)
+    /// Bytes of the document that a read brought; 0 for none.
+    static std::size_t
+    document_bytes(const state::source_result<state::rules_read>& result)
     {
-        return document ? document->size() : 0;
+        return result && result.value().document
+                   ? result.value().document->size()
+                   : 0;
     }
 
     /// Writes a line for a read that should have brought a newer document.
     void log_transfer(std::string_view from, state::time_point began,
                       std::size_t bytes) const
     {
-        const std::uint64_t told = shared_.rules_told;
-        if (told <= version_in_force()) {
+        if (!shared_.knows_newer(version_in_force())) {
             return;
         }
         event(log_level::info, "rules_transfer")
             .with("from", from)
-            .with("told", told)
+            .with("told", shared_.rules_told.load())
             .with("rules", version_in_force())
             .with("bytes", bytes)
             .with("ms", std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/include/oriolegrade/transport/gateway/rules_follower.hpp
+++ b/include/oriolegrade/transport/gateway/rules_follower.hpp
@@ -93,8 +93,8 @@
     std::function<void()> on_confirmed;
     /// Asks another host for a document newer than the version. The name may
     /// be empty: any host will do.
-    std::function<std::optional<peer_document>(const std::string& host,
-                                               std::uint64_t version)>
+    std::function<std::optional<protocol::fleet_view>(const std::string& host,
+                                                      std::uint64_t version)>
         ask_peer;
     /// Tells whether this host reads the document for others.
     std::function<bool()> is_reader;
@@ -105,8 +105,7 @@
                std::optional<state::duration> confirmed_age)
     {
         const auto current = fetcher_.version_in_force();
-        if (version > std::max(told_, current)) {
-            told_ = version;
+        if (version > std::max(shared_.rules_told.load(), current)) {
             teller_ = host;
             search_.begin(clock::now());
             shared_.rules_told = version;
@@ -211,7 +210,7 @@
     /// A notice told of a newer version.
     bool behind() const
     {
-        return told_ > fetcher_.version_in_force();
+        return shared_.knows_newer(fetcher_.version_in_force());
     }
 
     bool is_confirmed() const
@@ -318,8 +317,7 @@
         const auto pause = search_.missed();
         if (search_.is_hopeless(clock::now())) {
             event(log_level::warning, "notice_not_confirmed")
-                .with("version", told_);
-            told_ = 0;
+                .with("version", shared_.rules_told.load());
             shared_.rules_told = 0;
             return;
         }
@@ -372,8 +370,7 @@
     /// Another host, or a look, told at this time that there is no newer
     /// version.
     state::time_point confirmed_at_{};
-    /// Highest version that another host told of, and that host.
-    std::uint64_t told_ = 0;
+    /// Host that told of the highest version.
     std::string teller_;
     /// Where to get it.
     coordination::document_search search_;
--- a/test/platform/document_fan_out_test.cpp
+++ b/test/platform/document_fan_out_test.cpp
@@ -5,6 +5,7 @@
 
 #include "fakes/dispatch_fleet.hpp"
 #include "fakes/fiber_thread.hpp"
+#include "fakes/lone_follower.hpp"
 
 #include <store_source.hpp>
 
@@ -119,16 +120,10 @@
         , shared(transport::gateway_options{})
         , follower(shared, source)
     {
-        follower.on_rules = [] {
-        };
-        follower.on_confirmed = [] {
-        };
-        follower.is_reader = [] {
-            return false;
-        };
+        test::make_lone(follower);
         follower.ask_peer = [this](const std::string&, std::uint64_t) {
             ++asked;
-            return std::optional<std::string>();
+            return test::view_of({});
         };
         put(1);
         transport::spawn_fiber([this] { follower.run(); });
@@ -143,16 +138,7 @@
     }
     bool reaches(std::uint64_t version, std::chrono::milliseconds limit) const
     {
-        const auto until = std::chrono::steady_clock::now() + limit;
-        while (in_force() < version &&
-               std::chrono::steady_clock::now() < until) {
-            sleep_for(5ms);
-        }
-        return in_force() == version;
-    }
-    std::uint64_t in_force() const
-    {
-        return shared.rules.read()->rules().version;
+        return test::reaches_version(shared, version, limit);
     }
 
     test::fake_store store;
--- a/test/platform/document_transfer_test.cpp
+++ b/test/platform/document_transfer_test.cpp
@@ -4,6 +4,7 @@
 #include "narrow_store.hpp"
 
 #include "fakes/fiber_thread.hpp"
+#include "fakes/lone_follower.hpp"
 
 #include <store_source.hpp>
 
@@ -41,21 +42,7 @@
         , shared(transport::gateway_options{})
         , follower(shared, source)
     {
-        follower.on_rules = [] {
-        };
-        follower.on_confirmed = [] {
-        };
-        follower.is_reader = [] {
-            return false;
-        };
-        follower.ask_peer = [](const std::string&, std::uint64_t) {
-            return std::optional<std::string>();
-        };
-    }
-
-    std::uint64_t version() const
-    {
-        return shared.rules.read()->rules().version;
+        test::make_lone(follower);
     }
 
     test::narrow_store store;
@@ -95,11 +82,7 @@
     b.follower.heard("other", 2, {});
     bool looked = false;
     b.follower.refresh([&looked] { looked = true; });
-    const auto until = std::chrono::steady_clock::now() + 5s;
-    while (b.version() < 2 && std::chrono::steady_clock::now() < until) {
-        boost::this_fiber::sleep_for(10ms);
-    }
-    EXPECT_EQ(b.version(), 2U);
+    EXPECT_TRUE(test::reaches_version(b.shared, 2, 5s));
     EXPECT_EQ(b.store.most_at_once, 1);
     boost::this_fiber::sleep_for(100ms);
     EXPECT_TRUE(looked);
--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -4,6 +4,7 @@
 #include "fake_store.hpp"
 
 #include "fakes/fiber_thread.hpp"
+#include "fakes/lone_follower.hpp"
 
 #include <store_source.hpp>
 
@@ -320,7 +321,7 @@
             return reader;
         };
         follower.ask_peer = [this](const std::string&, std::uint64_t) {
-            return peer_document;
+            return test::view_of(peer_document);
         };
         transport::spawn_fiber([this] { follower.run(); });
         transport::spawn_fiber([this] { follower.run_notices(); });
@@ -329,7 +330,7 @@
 
     std::uint64_t version() const
     {
-        return shared.rules.read()->rules().version;
+        return test::version_in_force(shared);
     }
     /// Another host confirms version 1, once in 200 ms.
     void hear_confirmations(int count)
@@ -342,11 +343,7 @@
     /// True when the version is in force within the time.
     bool reaches(std::uint64_t wanted, std::chrono::milliseconds limit) const
     {
-        const auto until = std::chrono::steady_clock::now() + limit;
-        while (version() < wanted && std::chrono::steady_clock::now() < until) {
-            boost::this_fiber::sleep_for(5ms);
-        }
-        return version() == wanted;
+        return test::reaches_version(shared, wanted, limit);
     }
 
     test::fake_store store;
--- a/test/transport/follower_fault_test.cpp
+++ b/test/transport/follower_fault_test.cpp
@@ -4,6 +4,7 @@
 
 #include "fakes/fake_source.hpp"
 #include "fakes/fiber_thread.hpp"
+#include "fakes/lone_follower.hpp"
 
 #include <oriolegrade/transport/gateway/member_directory.hpp>
 #include <oriolegrade/transport/gateway/registry_follower.hpp>
@@ -84,17 +85,13 @@
         : shared(transport::gateway_options())
         , follower(shared, source)
     {
+        test::make_lone(follower);
         follower.on_rules = [this] {
             ++in_force;
         };
-        follower.on_confirmed = [] {
-        };
         follower.is_reader = [] {
             return true;
         };
-        follower.ask_peer = [](const std::string&, std::uint64_t) {
-            return std::optional<std::string>();
-        };
         source.rules.document = "document";
     }
 
--- a/test/transport/rules_refresh_test.cpp
+++ b/test/transport/rules_refresh_test.cpp
@@ -3,6 +3,7 @@
 
 #include "fakes/fake_source.hpp"
 #include "fakes/fiber_thread.hpp"
+#include "fakes/lone_follower.hpp"
 
 #include <oriolegrade/transport/gateway/rules_client.hpp>
 #include <oriolegrade/transport/gateway/rules_follower.hpp>
@@ -43,16 +44,10 @@
         : shared(transport::gateway_options())
         , follower(shared, source)
     {
-        follower.on_rules = [] {
-        };
-        follower.on_confirmed = [] {
-        };
-        follower.is_reader = [] {
-            return false;
-        };
+        test::make_lone(follower);
         follower.ask_peer = [this](const std::string& host, std::uint64_t) {
             asked.push_back(host);
-            return peer_document;
+            return test::view_of(peer_document);
         };
         source.rules.document = "2";
         shared.configured = true;
@@ -64,7 +59,7 @@
     }
     std::uint64_t version() const
     {
-        return shared.rules.read()->rules().version;
+        return test::version_in_force(shared);
     }
     bool may_be_behind() const
     {
