--- a/test/system/caller_crowds.py
+++ b/test/system/caller_crowds.py
@@ -49,6 +49,24 @@
         await writer.drain()
 
 
+def post_head(path, rid, framing):
+    """Head of a POST request with the field that frames its body."""
+    return (f"POST /{path}/1 HTTP/1.1\r\nHost: x.example\r\nRequest-Id: {rid}\r\n"
+            f"Deadline-Ms: 8000\r\n{framing}\r\n\r\n").encode()
+
+
+def get_head(path, rid):
+    return (f"GET /{path}/1 HTTP/1.1\r\nHost: x.example\r\nRequest-Id: {rid}\r\n"
+            f"Deadline-Ms: 8000\r\n\r\n").encode()
+
+
+def reset(writer):
+    """Closes a connection and drops what was not sent."""
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 def chunked(size, chunk):
     one = f"{chunk:x}\r\n".encode() + b"x" * chunk + b"\r\n"
     return one * (size // chunk)
@@ -89,32 +107,30 @@
                                "header_timeout": "3000ms", "idle_timeout": "15000ms"}}
         await self.store.put("keyed.op", "config", json.dumps(document))
 
-    def status(self, name):
-        """Value of a line of the process's status, in MB for sizes."""
-        with open(f"/proc/{self.gateway.process.pid}/status") as file:
+    def status(self, gateway, name):
+        """Value of a line of a process's status, in MB for sizes."""
+        with open(f"/proc/{gateway.process.pid}/status") as file:
             for line in file:
                 if line.startswith(name + ":"):
                     return int(line.split()[1]) / 1024
         raise KeyError(name)
 
-    def descriptors(self):
-        return len(os.listdir(f"/proc/{self.gateway.process.pid}/fd"))
+    def descriptors(self, gateway):
+        return len(os.listdir(f"/proc/{gateway.process.pid}/fd"))
 
-    async def open(self):
-        return await asyncio.open_connection("127.0.0.1", self.gateway.ports["front"])
+    async def open(self, gateway):
+        return await asyncio.open_connection("127.0.0.1", gateway.ports["front"])
 
     async def send_body(self, name, number, writer):
         framing, body, step = CROWDS[name]
-        writer.write((f"POST /upload/1 HTTP/1.1\r\nHost: x.example\r\n"
-                      f"Request-Id: {name}-{number}\r\nDeadline-Ms: 8000\r\n"
-                      f"{framing}\r\n\r\n").encode())
+        writer.write(post_head("upload", f"{name}-{number}", framing))
         for n in range(0, len(body), step):
             writer.write(body[n:n + step])
             await writer.drain()
 
-    async def one_of_crowd(self, name, number):
+    async def one_of_crowd(self, gateway, name, number):
         try:
-            _, writer = await self.open()
+            _, writer = await self.open(gateway)
         except OSError:
             return None
         try:
@@ -123,8 +139,8 @@
             pass
         return writer
 
-    async def call(self, rid, text):
-        reader, writer = await self.open()
+    async def call(self, gateway, text):
+        reader, writer = await self.open(gateway)
         try:
             writer.write(text)
             line, _, _ = await asyncio.wait_for(read_message(reader), 20)
@@ -134,23 +150,20 @@
         finally:
             writer.close()
 
-    async def ordinary_request(self, rid):
-        return await self.call(rid, (f"GET /safe/1 HTTP/1.1\r\nHost: x.example\r\n"
-                                     f"Request-Id: {rid}\r\nDeadline-Ms: 8000\r\n\r\n").encode())
+    async def ordinary_request(self, gateway, rid):
+        return await self.call(gateway, get_head("safe", rid))
 
-    async def upload(self, rid):
-        return await self.call(rid, (f"POST /upload/1 HTTP/1.1\r\nHost: x.example\r\n"
-                                     f"Request-Id: {rid}\r\nDeadline-Ms: 8000\r\n"
-                                     f"Content-Length: {self.body}\r\n\r\n").encode()
-                               + b"x" * self.body)
+    async def upload(self, gateway, rid):
+        head = post_head("upload", rid, f"Content-Length: {self.body}")
+        return await self.call(gateway, head + b"x" * self.body)
 
-    def check(self, name, descriptors, during, after):
+    def check(self, gateway, name, descriptors, during, after):
         """Checks what a crowd has left behind, and the answers of the request beside
         it and of the upload after it."""
-        if self.gateway.process.returncode is not None:
-            self.fail(f"{name}: the process ended with {self.gateway.process.returncode}")
+        if gateway.process.returncode is not None:
+            self.fail(f"{name}: the process ended with {gateway.process.returncode}")
             return
-        memory = self.status("VmHWM")
+        memory = self.status(gateway, "VmHWM")
         print(f"  {name}: {memory:.0f} MB, {descriptors} descriptors", flush=True)
         if memory > self.memory_mb:
             self.fail(f"{name}: {memory:.0f} MB of {self.memory_mb} MB")
@@ -162,18 +175,18 @@
             self.fail(f"{name}: upload after the crowd: {after}")
 
     async def play(self, name):
-        crowd = await asyncio.gather(*(self.one_of_crowd(name, n) for n in range(CALLERS)))
-        descriptors = self.descriptors()
-        during = await self.ordinary_request(f"{name}-during")
+        gateway = self.gateway
+        crowd = await asyncio.gather(
+            *(self.one_of_crowd(gateway, name, n) for n in range(CALLERS)))
+        descriptors = self.descriptors(gateway)
+        during = await self.ordinary_request(gateway, f"{name}-during")
         for writer in crowd:
             if writer is not None:
-                # Without a reset the kernel would go on to send what is left.
-                writer.get_extra_info("socket").setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                writer.transport.abort()
+                # The kernel would go on to send what is left.
+                reset(writer)
         await asyncio.sleep(0.5)
-        after = await self.upload(f"{name}-after")
-        self.check(name, descriptors, during, after)
+        after = await self.upload(gateway, f"{name}-after")
+        self.check(gateway, name, descriptors, during, after)
 
     async def end_process(self):
         if self.gateway.process.returncode is None:
--- a/test/system/largest_bodies.py
+++ b/test/system/largest_bodies.py
@@ -15,28 +15,27 @@
 import asyncio
 import time
 
-from caller_crowds import CallerCrowds, QuickUpstream
+from caller_crowds import QuickUpstream, post_head
 import fault_soak
 from planned_stop import gateway_of_build, run_and_report
+from returning_callers import ReturningCrowd
 
 MEGA = 1_000_000
-CALLERS = 60
-CROWD_TIME = 5.0
 SEND_LIMIT = 2.0
-PAUSE = 0.05
 STEP = 200_000
 
 
-class LargestBodies(CallerCrowds):
+class LargestBodies(ReturningCrowd):
     memory_mb = 112
     max_body = body = 64 * MEGA
     crowd_body = 40 * MEGA
-    most_descriptors = 0
+    callers = 60
+    crowd_time = 5.0
 
-    async def visit(self, rid):
-        _, writer = await self.open()
-        writer.write((f"POST /upload/1 HTTP/1.1\r\nHost: x.example\r\nRequest-Id: {rid}\r\n"
-                      f"Deadline-Ms: 8000\r\nContent-Length: {self.crowd_body}\r\n\r\n").encode())
+    async def visit(self, gateway, name, number, count):
+        _, writer = await self.open(gateway)
+        writer.write(post_head("upload", f"{name}-{number}-{count}",
+                               f"Content-Length: {self.crowd_body}"))
         end = time.monotonic() + SEND_LIMIT
         left = self.crowd_body - 1
         try:
@@ -46,29 +45,14 @@
                 await asyncio.wait_for(writer.drain(), SEND_LIMIT)
         except (OSError, asyncio.TimeoutError):
             pass
-        self.most_descriptors = max(self.most_descriptors, self.descriptors())
-        writer.close()
-
-    async def come_and_go(self, number, end):
-        count = 0
-        while time.monotonic() < end:
-            count += 1
-            await self.visit(f"{number}-{count}")
-            await asyncio.sleep(PAUSE)
+        return writer.close
 
     async def run(self):
         await self.start(fault_soak.Store(), QuickUpstream, 3)
-        calm = await self.upload("calm")
-        end = time.monotonic() + CROWD_TIME
-        crowd = [asyncio.create_task(self.come_and_go(n, end)) for n in range(CALLERS)]
-        await asyncio.sleep(CROWD_TIME / 2)
-        during = await self.ordinary_request("during")
-        await asyncio.gather(*crowd)
-        await asyncio.sleep(1.0)
-        after = await self.upload("after")
-        self.check("largest bodies", self.most_descriptors, during, after)
+        calm = await self.upload(self.gateway, "calm")
         if calm != 200:
             self.fail(f"upload in calm: {calm}")
+        await self.play_returns("largest_bodies")
 
 
 def main():
--- a/test/system/returning_callers.py
+++ b/test/system/returning_callers.py
@@ -21,36 +21,58 @@
 from planned_stop import gateway_of_build, run_and_report
 
 CROWD = "whole"
-CROWD_TIME = 7.0
 PAUSE = 0.05
 
 
-class ReturningCallers(CallerCrowds):
+class ReturningCrowd(CallerCrowds):
+    """A crowd whose callers leave and come back, spread over all gateways."""
+
+    callers = CALLERS
+    crowd_time = 7.0
     most_descriptors = 0
 
-    async def come_and_go(self, number, end):
-        visit = 0
+    async def visit(self, gateway, name, number, count):
+        """One visit of a caller, until it is about to leave.
+
+        Returns what ends it, or None."""
+        raise NotImplementedError
+
+    async def come_and_go(self, name, number, end):
+        gateway = self.gateways[number % len(self.gateways)]
+        count = 0
         while time.monotonic() < end:
-            visit += 1
-            writer = await self.one_of_crowd(CROWD, f"{number}-{visit}")
-            self.most_descriptors = max(self.most_descriptors, self.descriptors())
-            if writer is not None:
-                writer.close()
+            count += 1
+            leave = await self.visit(gateway, name, number, count)
+            self.most_descriptors = max(self.most_descriptors, self.descriptors(gateway))
+            if leave is not None:
+                leave()
             await asyncio.sleep(PAUSE)
 
-    async def play_returns(self):
-        end = time.monotonic() + CROWD_TIME
-        crowd = [asyncio.create_task(self.come_and_go(n, end)) for n in range(CALLERS)]
-        await asyncio.sleep(CROWD_TIME / 2)
-        during = await self.ordinary_request("during")
+    async def play_returns(self, name, settle=1.0):
+        """settle: seconds from the end of the crowd to the upload behind it."""
+        self.most_descriptors = 0
+        end = time.monotonic() + self.crowd_time
+        crowd = [asyncio.create_task(self.come_and_go(name, n, end))
+                 for n in range(self.callers)]
+        await asyncio.sleep(self.crowd_time / 2)
+        during = [await self.ordinary_request(it, f"{name}-{it.name}-during")
+                  for it in self.gateways]
         await asyncio.gather(*crowd)
-        await asyncio.sleep(1.0)
-        after = await self.upload("after")
-        self.check("returning", self.most_descriptors, during, after)
+        await asyncio.sleep(settle)
+        for gateway, answered in zip(self.gateways, during):
+            after = await self.upload(gateway, f"{name}-{gateway.name}-after")
+            self.check(gateway, f"{name} at {gateway.name}", self.most_descriptors,
+                       answered, after)
+
+
+class ReturningCallers(ReturningCrowd):
+    async def visit(self, gateway, name, number, count):
+        writer = await self.one_of_crowd(gateway, CROWD, f"{number}-{count}")
+        return None if writer is None else writer.close
 
     async def run(self):
         await self.start(fault_soak.Store(), QuickUpstream, 3)
-        await self.play_returns()
+        await self.play_returns("returning")
 
 
 def main():
