--- a/test/transport/fiber_stacks_test.cpp
+++ b/test/transport/fiber_stacks_test.cpp
@@ -5,10 +5,10 @@
 #include <oriolegrade/transport/fiber_scheduler.hpp>
 #include <oriolegrade/transport/fiber_signal.hpp>
 
-#include <boost/fiber/operations.hpp>
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <concepts>
 #include <cstdint>
 #include <memory>
 #include <sys/mman.h>
@@ -37,6 +37,29 @@
                       pages, [](unsigned char it) { return (it & 1) != 0; }));
 }
 
+/// Fibers that run at one time, until all have begun.
+template <std::invocable OnBegin>
+void run_side_by_side(std::size_t count, OnBegin on_begin)
+{
+    std::size_t waiting = 0;
+    bool done = false;
+    transport::fiber_signal changed;
+    transport::fiber_group fibers;
+    for (std::size_t n = 0; n < count; ++n) {
+        fibers.spawn([&] {
+            on_begin();
+            ++waiting;
+            changed.notify();
+            changed.wait([&] { return done; });
+        });
+    }
+    changed.wait([&] { return waiting == count; });
+    EXPECT_EQ(fibers.running(), count);
+    done = true;
+    changed.notify();
+    fibers.join();
+}
+
 // A crowd came back: memory that had held bodies became stacks, and each took
 // 72 KB where its fiber had used 12 KB.
 TEST(fiber_stacks, memory_of_earlier_bodies_stays_in_use)
@@ -53,23 +76,8 @@
     blocks.clear();
 
     std::size_t resident = 0;
-    std::size_t waiting = 0;
-    bool done = false;
-    transport::fiber_signal changed;
-    transport::fiber_group fibers;
-    for (std::size_t n = 0; n < count; ++n) {
-        fibers.spawn([&] {
-            resident += unused_resident_bytes();
-            ++waiting;
-            changed.notify();
-            changed.wait([&] { return done; });
-        });
-    }
-    changed.wait([&] { return waiting == count; });
+    run_side_by_side(count, [&] { resident += unused_resident_bytes(); });
     EXPECT_LT(resident / count, 16 * 1024U);
-    done = true;
-    changed.notify();
-    fibers.join();
 }
 
 // With a guard page each, this many stacks need more mappings than a process
@@ -77,23 +85,7 @@
 TEST(fiber_stacks, fibers_run_out_of_mappings)
 {
     test::fiber_context();
-    constexpr std::size_t count = 33'000;
-    std::size_t waiting = 0;
-    bool done = false;
-    transport::fiber_signal changed;
-    transport::fiber_group fibers;
-    for (std::size_t n = 0; n < count; ++n) {
-        fibers.spawn([&] {
-            ++waiting;
-            changed.notify();
-            changed.wait([&] { return done; });
-        });
-    }
-    changed.wait([&] { return waiting == count; });
-    EXPECT_EQ(fibers.running(), count);
-    done = true;
-    changed.notify();
-    fibers.join();
+    run_side_by_side(33'000, [] {});
 }
 
 } // namespace
